--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,192 @@
+// Package admin is the interface towards operators: status, members,
+// configuration, time line, drain and metrics, as go-kit endpoints over HTTP.
+package admin
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/gentianflow/gentianflow/internal/config"
+	"github.com/gentianflow/gentianflow/internal/configsync"
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/holder"
+	"github.com/gentianflow/gentianflow/internal/home"
+	"github.com/gentianflow/gentianflow/internal/member"
+)
+
+// Sources are what the interface reads from other duties.
+type Sources struct {
+	Config  *configsync.Syncer
+	Members *member.Table
+	Homes   *home.Manager
+	Holder  *holder.Holder
+	Events  *event.Recorder
+	Metrics metrics.Registry
+	Drain   func()
+	Token   string // bearer token asked of operators; empty: none
+}
+
+// Admin serves operators.
+type Admin struct{ src Sources }
+
+// New makes the interface.
+func New(src Sources) *Admin { return &Admin{src: src} }
+
+// Handler returns the HTTP handler for the operators' address.
+func (a *Admin) Handler() http.Handler {
+	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeError)}
+	mux := http.NewServeMux()
+	handle := func(pattern string, e endpoint.Endpoint, decode kithttp.DecodeRequestFunc) {
+		mux.Handle(pattern, kithttp.NewServer(a.guard(e), a.authorized(decode), encode, options...))
+	}
+	handle("GET /v1/status", a.status, kithttp.NopRequestDecoder)
+	handle("GET /v1/members", a.members, kithttp.NopRequestDecoder)
+	handle("GET /v1/config", a.configNow, kithttp.NopRequestDecoder)
+	handle("GET /v1/config/history", a.history, kithttp.NopRequestDecoder)
+	handle("POST /v1/config", a.apply, decodeProposal)
+	handle("GET /v1/timeline", a.timeline, decodeFilter)
+	handle("POST /v1/drain", a.startDrain, kithttp.NopRequestDecoder)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.CaptureRuntimeMemStatsOnce(a.src.Metrics)
+		metrics.WriteJSONOnce(a.src.Metrics, w)
+	})
+	return mux
+}
+
+// guard is the place for what all endpoints share; a panic in one is an
+// Internal failure of that call alone.
+func (a *Admin) guard(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (response any, err error) {
+		defer func() {
+			if p := recover(); p != nil {
+				err = failure.New(failure.Internal, "%v", p)
+			}
+		}()
+		return next(ctx, request)
+	}
+}
+
+func (a *Admin) authorized(decode kithttp.DecodeRequestFunc) kithttp.DecodeRequestFunc {
+	return func(ctx context.Context, r *http.Request) (any, error) {
+		want := "Bearer " + a.src.Token
+		if a.src.Token != "" && subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
+			return nil, failure.New(failure.Unauthenticated, "operators need the admin token")
+		}
+		return decode(ctx, r)
+	}
+}
+
+// Status is one host's view of itself.
+type Status struct {
+	Self    member.Member `json:"self"`
+	Version uint64        `json:"config_version"`
+	Held    holder.Stats  `json:"held"`
+	Homes   []home.Status `json:"homes"`
+}
+
+func (a *Admin) status(context.Context, any) (any, error) {
+	s := Status{Self: a.src.Members.Self(), Held: a.src.Holder.Stats(), Homes: a.src.Homes.Status()}
+	if c := a.src.Config.Current(); c != nil {
+		s.Version = c.Version
+	}
+	return s, nil
+}
+
+// MembersReply lists the members as one host sees them.
+type MembersReply struct {
+	Members []member.Member `json:"members"`
+}
+
+func (a *Admin) members(context.Context, any) (any, error) {
+	return MembersReply{Members: a.src.Members.All()}, nil
+}
+
+// ConfigReply is the configuration in force on one host.
+type ConfigReply struct {
+	Version  uint64 `json:"version"`
+	ChangeID string `json:"change_id"`
+	Text     []byte `json:"text"`
+}
+
+func (a *Admin) configNow(context.Context, any) (any, error) {
+	c := a.src.Config.Current()
+	if c == nil {
+		return ConfigReply{}, nil
+	}
+	return ConfigReply{Version: c.Version, ChangeID: c.ChangeID, Text: c.Text}, nil
+}
+
+// HistoryReply lists accepted changes, oldest first.
+type HistoryReply struct {
+	Changes []configsync.Change `json:"changes"`
+}
+
+func (a *Admin) history(ctx context.Context, _ any) (any, error) {
+	changes, err := a.src.Config.History(ctx)
+	return HistoryReply{Changes: changes}, err
+}
+
+func decodeProposal(_ context.Context, r *http.Request) (any, error) {
+	var p configsync.Proposal
+	text, err := io.ReadAll(io.LimitReader(r.Body, 2*config.MaxDocumentBytes))
+	if err != nil {
+		return nil, failure.Wrap(failure.BadRequest, err, "body")
+	}
+	err = json.Unmarshal(text, &p)
+	return p, failure.Wrap(failure.BadRequest, err, "proposal")
+}
+
+func (a *Admin) apply(ctx context.Context, request any) (any, error) {
+	return a.src.Config.Apply(ctx, request.(configsync.Proposal))
+}
+
+func decodeFilter(_ context.Context, r *http.Request) (any, error) {
+	q := r.URL.Query()
+	return event.Filter{Request: q.Get("request"), Service: q.Get("service"), Server: q.Get("server")}, nil
+}
+
+// TimelineReply is one host's part of the time line.
+type TimelineReply struct {
+	Events []event.Event `json:"events"`
+}
+
+func (a *Admin) timeline(_ context.Context, request any) (any, error) {
+	return TimelineReply{Events: a.src.Events.Events(request.(event.Filter))}, nil
+}
+
+// DrainReply confirms that a drain began.
+type DrainReply struct {
+	Draining bool `json:"draining"`
+}
+
+func (a *Admin) startDrain(context.Context, any) (any, error) {
+	a.src.Drain()
+	return DrainReply{Draining: true}, nil
+}
+
+func encode(_ context.Context, w http.ResponseWriter, response any) error {
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(response)
+}
+
+// ErrorReply is the JSON of a failed call.
+type ErrorReply struct {
+	Code    failure.Code `json:"code"`
+	Message string       `json:"message"`
+}
+
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	e := failure.From(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(e.Status())
+	_ = json.NewEncoder(w).Encode(ErrorReply{Code: e.Code, Message: e.Message}) // the operator may have left
+}
--- /dev/null
+++ b/internal/callerapi/auth.go
@@ -0,0 +1,46 @@
+// Package callerapi is the interface towards callers: address look-up,
+// requests (streamed and whole) and re-attachment, as go-kit endpoints over
+// HTTP. Every call is checked against a client account.
+package callerapi
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/gentianflow/gentianflow/internal/config"
+	"github.com/gentianflow/gentianflow/internal/failure"
+)
+
+// authenticate finds the client account of the bearer secret.
+func authenticate(doc *config.Document, r *http.Request) (*config.ClientAccount, error) {
+	secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || secret == "" {
+		return nil, failure.New(failure.Unauthenticated, "the Authorization header carries no bearer secret")
+	}
+	sum := sha256.Sum256([]byte(secret))
+	given := []byte(hex.EncodeToString(sum[:]))
+	for i := range doc.ClientAccounts {
+		known := []byte(strings.ToLower(doc.ClientAccounts[i].SecretSHA256))
+		if subtle.ConstantTimeCompare(given, known) == 1 {
+			return &doc.ClientAccounts[i], nil
+		}
+	}
+	return nil, failure.New(failure.Unauthenticated, "no client account has this secret")
+}
+
+// allow checks that an account may use a service.
+func allow(doc *config.Document, a *config.ClientAccount, service string) (*config.Service, error) {
+	svc, ok := doc.Service(service)
+	if !ok {
+		return nil, failure.New(failure.UnknownService, "no service %q", service)
+	}
+	for _, s := range a.Services {
+		if s == service {
+			return svc, nil
+		}
+	}
+	return nil, failure.New(failure.Forbidden, "client account %q may not use service %q", a.Name, service)
+}
--- /dev/null
+++ b/internal/core/ledger.go
@@ -0,0 +1,107 @@
+package core
+
+import (
+	"time"
+
+	"github.com/gentianflow/gentianflow/internal/ident"
+)
+
+// entry is the ledger's line for one id: who holds it and how far it got.
+// An id that was granted stays for the horizon, so it is never granted to
+// another holder; a waiting one leaves when it is shed or withdrawn.
+type entry struct {
+	id     ident.RequestID
+	holder ident.Incarnation
+	server ident.ServerID
+	state  LedgerState
+	since  Time
+	item   *item // while waiting
+	run    *run  // while granted
+}
+
+type mark struct {
+	id ident.RequestID
+	at Time
+}
+
+// ledger maps ids to entries and forgets them past the horizon.
+type ledger struct {
+	entries map[ident.RequestID]*entry
+	closed  []mark // in order of time: when an entry was granted or done
+}
+
+func newLedger() ledger { return ledger{entries: map[ident.RequestID]*entry{}} }
+
+func (l *ledger) get(id ident.RequestID) *entry { return l.entries[id] }
+
+func (l *ledger) waiting(now Time, it *item) {
+	l.entries[it.req.ID] = &entry{id: it.req.ID, holder: it.req.Holder, state: LedgerWaiting, since: now, item: it}
+}
+
+func (l *ledger) granted(now Time, r *Request, run *run) {
+	e := l.entries[r.ID]
+	if e == nil {
+		e = &entry{id: r.ID, holder: r.Holder}
+		l.entries[r.ID] = e
+	}
+	e.item, e.run, e.server = nil, run, run.server.id()
+	l.set(now, e, LedgerGranted)
+}
+
+func (l *ledger) done(now Time, e *entry) {
+	e.run = nil
+	l.set(now, e, LedgerDone)
+}
+
+func (l *ledger) set(now Time, e *entry, s LedgerState) {
+	e.state, e.since = s, now
+	l.closed = append(l.closed, mark{id: e.id, at: now})
+}
+
+// adopt takes an entry from a report or an inherited ledger. What is known
+// already is never set back.
+func (l *ledger) adopt(now Time, in LedgerEntry) *entry {
+	e := l.entries[in.ID]
+	if e == nil {
+		e = &entry{id: in.ID, holder: in.Holder, server: in.Server}
+		l.entries[in.ID] = e
+		l.set(now, e, in.State)
+		return e
+	}
+	if in.State > e.state && e.holder == in.Holder {
+		e.server = in.Server
+		l.set(now, e, in.State)
+	}
+	return e
+}
+
+func (l *ledger) forget(id ident.RequestID) { delete(l.entries, id) }
+
+// expire drops entries whose last change is older than the horizon. Runs
+// still in progress stay.
+func (l *ledger) expire(now Time, horizon time.Duration) {
+	n := 0
+	for ; n < len(l.closed) && now.Sub(l.closed[n].at) > horizon; n++ {
+		m := l.closed[n]
+		e := l.entries[m.id]
+		if e != nil && e.since == m.at && e.state != LedgerWaiting && e.run == nil {
+			delete(l.entries, m.id)
+		}
+	}
+	if n > 0 {
+		l.closed = append(l.closed[:0], l.closed[n:]...)
+	}
+}
+
+// export lists the ledger for the next home: everything granted or done.
+func (l *ledger) export() []LedgerEntry {
+	var out []LedgerEntry
+	for _, m := range l.closed {
+		e := l.entries[m.id]
+		if e == nil || e.since != m.at || e.state == LedgerWaiting {
+			continue
+		}
+		out = append(out, LedgerEntry{ID: e.id, Holder: e.holder, Server: e.server, State: e.state})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,164 @@
+package event
+
+// Code numbers one kind of event. Numbers are never reused; docs/EVENTS.md
+// lists each of them and a test holds the two equal.
+type Code int
+
+// Kind describes a Code: its name in logs, its level and what it means.
+type Kind struct {
+	Name  string
+	Level Level
+	Text  string
+}
+
+// Level is the severity of an event.
+type Level string
+
+// Trace events go to the time line only; the others are logged as well.
+const (
+	Trace Level = "trace"
+	Info  Level = "info"
+	Warn  Level = "warn"
+	Alarm Level = "alarm"
+)
+
+// The event codes, grouped by duty: 1xx process, 2xx request, 3xx home,
+// 4xx member, 5xx configuration, 6xx backend server, 7xx platform.
+const (
+	ProcessStarted  Code = 101
+	ProcessDraining Code = 102
+	ProcessStopped  Code = 103
+	HostIsolated    Code = 104
+	HostRejoined    Code = 105
+	DutyFailed      Code = 106
+
+	RequestAccepted   Code = 201
+	RequestWaiting    Code = 202
+	RequestGranted    Code = 203
+	RequestDispatched Code = 204
+	RequestFirstByte  Code = 205
+	RequestAnswered   Code = 206
+	RequestNotRun     Code = 207
+	RequestUnknown    Code = 208
+	RequestMoved      Code = 209
+	RequestCut        Code = 210
+	RequestResumed    Code = 211
+	RequestAttached   Code = 212
+	GrantExpired      Code = 213
+	RequestRefused    Code = 214
+	FrameCrossed      Code = 215
+
+	HomeOpened      Code = 301
+	HomeClosed      Code = 302
+	HomeShed        Code = 303
+	HomeRevoke      Code = 304
+	HomeUncovered   Code = 305
+	HomeReport      Code = 306
+	HomeFull        Code = 307
+	HomeMoved       Code = 308
+	HomeHandover    Code = 309
+	HomeGranted     Code = 310
+	HomeServerState Code = 311
+
+	MemberJoined   Code = 401
+	MemberSuspect  Code = 402
+	MemberDead     Code = 403
+	MemberLeaving  Code = 404
+	PeerOpened     Code = 405
+	PeerSilent     Code = 406
+	PeerRefused    Code = 407
+	MemberForgot   Code = 408
+	MemberProvedBy Code = 409
+
+	ConfigInForce  Code = 501
+	ConfigRefused  Code = 502
+	ConfigApplied  Code = 503
+	ConfigConflict Code = 504
+	ConfigFromPeer Code = 505
+	ConfigInDoubt  Code = 506
+
+	ServerUnreachable Code = 601
+	ServerRestarted   Code = 602
+	ServerCacheGap    Code = 603
+	OrderSent         Code = 604
+	OrderRefused      Code = 605
+	OrderRepaired     Code = 606
+
+	StoreDown      Code = 701
+	StoreUp        Code = 702
+	ClaimInDoubt   Code = 703
+	ClaimRefused   Code = 704
+	LeaseWon       Code = 705
+	LeaseLost      Code = 706
+	HostListFailed Code = 707
+)
+
+// Catalogue describes every code.
+var Catalogue = map[Code]Kind{
+	ProcessStarted:  {"process_started", Info, "The daemon serves; detail gives its incarnation and addresses."},
+	ProcessDraining: {"process_draining", Info, "A drain was asked for; look-ups stop naming this host."},
+	ProcessStopped:  {"process_stopped", Info, "All held requests have ended; the process exits."},
+	HostIsolated:    {"host_isolated", Alarm, "Neither the table service nor a peer answers; new requests are refused as not run."},
+	HostRejoined:    {"host_rejoined", Info, "The table service or a peer answers again; requests are taken."},
+	DutyFailed:      {"duty_failed", Alarm, "A duty met a failure that it does not expect; detail gives the error."},
+
+	RequestAccepted:   {"request_accepted", Trace, "The entry host holds the whole request."},
+	RequestWaiting:    {"request_waiting", Trace, "The request was registered with the home of its service."},
+	RequestGranted:    {"request_granted", Trace, "The holder received a grant for one dispatch."},
+	RequestDispatched: {"request_dispatched", Trace, "The holder starts to write the request to the backend server."},
+	RequestFirstByte:  {"request_first_byte", Trace, "The first byte of the answer arrived."},
+	RequestAnswered:   {"request_answered", Trace, "The whole answer is held; its end mark was checked."},
+	RequestNotRun:     {"request_not_run", Trace, "The caller is told not run; detail gives the reason code."},
+	RequestUnknown:    {"request_unknown", Warn, "The caller is told unknown; detail gives the reason code."},
+	RequestMoved:      {"request_moved", Trace, "The waiting request was revoked here because it was resent through another host."},
+	RequestCut:        {"request_cut", Warn, "The stream from the backend server broke or went silent; resuming."},
+	RequestResumed:    {"request_resumed", Trace, "The stream goes on at its offset."},
+	RequestAttached:   {"request_attached", Trace, "A caller attached to a request that is held already."},
+	GrantExpired:      {"grant_expired", Trace, "A grant was not used before its expiry and went back to the home."},
+	RequestRefused:    {"request_refused", Trace, "A request was refused before it was held; detail gives the reason code."},
+	FrameCrossed:      {"frame_crossed", Warn, "An answer frame did not belong to its request and was dropped."},
+
+	HomeOpened:      {"home_opened", Info, "This host became the home of a service."},
+	HomeClosed:      {"home_closed", Info, "This host stopped being the home of a service."},
+	HomeShed:        {"home_shed", Trace, "The home shed a waiting request; detail gives the reason."},
+	HomeRevoke:      {"home_revoke", Trace, "The home asks a holder to give up a request that was resent elsewhere."},
+	HomeUncovered:   {"home_uncovered", Warn, "A holder ended without its part of the ledger; resends of its requests are unknown for the horizon."},
+	HomeReport:      {"home_report", Trace, "A holder reported its part of the ledger."},
+	HomeFull:        {"home_full", Warn, "The home's input ring is full; a holder waits."},
+	HomeMoved:       {"home_moved", Info, "A holder follows a service to another home."},
+	HomeHandover:    {"home_handover", Info, "A leaving home passed its ledger on."},
+	HomeGranted:     {"home_granted", Trace, "The home granted one dispatch."},
+	HomeServerState: {"home_server_state", Info, "The home sees a backend server in another state."},
+
+	MemberJoined:   {"member_joined", Info, "A new incarnation of an entry host was heard of."},
+	MemberSuspect:  {"member_suspect", Warn, "A member missed its heartbeat deadline."},
+	MemberDead:     {"member_dead", Warn, "A member is counted as dead."},
+	MemberLeaving:  {"member_leaving", Info, "A member drains."},
+	PeerOpened:     {"peer_opened", Trace, "A session to another host was opened."},
+	PeerSilent:     {"peer_silent", Warn, "A session stopped answering and was replaced."},
+	PeerRefused:    {"peer_refused", Warn, "A session was refused; detail gives the reason."},
+	MemberForgot:   {"member_forgotten", Trace, "A dead member passed the horizon."},
+	MemberProvedBy: {"member_proved_dead", Info, "The end of an incarnation was proved; detail tells how."},
+
+	ConfigInForce:  {"config_in_force", Info, "A configuration version is in force on this host."},
+	ConfigRefused:  {"config_refused", Warn, "A configuration could not be read or checked."},
+	ConfigApplied:  {"config_applied", Info, "An operator's change was accepted."},
+	ConfigConflict: {"config_conflict", Warn, "An operator's change lost against another one."},
+	ConfigFromPeer: {"config_from_peer", Info, "A configuration was taken from another host."},
+	ConfigInDoubt:  {"config_in_doubt", Warn, "The answer to a change was lost; it is being read back."},
+
+	ServerUnreachable: {"server_unreachable", Warn, "A backend server refuses connections or does not report."},
+	ServerRestarted:   {"server_restarted", Warn, "A backend server answers with a new incarnation; its cache and streams are gone."},
+	ServerCacheGap:    {"server_cache_gap", Trace, "Cache events were lost; what is known of that cache is doubtful."},
+	OrderSent:         {"order_sent", Info, "An order was sent to a backend server under a fencing number."},
+	OrderRefused:      {"order_refused", Warn, "A backend server refused an order with an old fencing number."},
+	OrderRepaired:     {"order_repaired", Warn, "A backend server was found in another state than ordered and was set right."},
+
+	StoreDown:      {"store_down", Alarm, "The table service does not answer."},
+	StoreUp:        {"store_up", Info, "The table service answers again."},
+	ClaimInDoubt:   {"claim_in_doubt", Warn, "The answer to a claim was lost; the row is being read back."},
+	ClaimRefused:   {"claim_refused", Trace, "A claim row has another owner; the request is a resend."},
+	LeaseWon:       {"lease_won", Info, "A lease is held; detail gives its fencing number."},
+	LeaseLost:      {"lease_lost", Warn, "A lease lapsed or went to another holder."},
+	HostListFailed: {"host_list_failed", Warn, "The host list could not be read."},
+}
--- /dev/null
+++ b/internal/failure/failure.go
@@ -0,0 +1,158 @@
+// Package failure holds the typed errors of the system. Every failure has a
+// Code; the code decides the HTTP status, what a caller may conclude about
+// the request (Outcome) and whether the call may be tried again.
+package failure
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Outcome is what a final answer says about the request it ends.
+type Outcome string
+
+// The three final words to a caller. Answered carries the whole answer,
+// NotRun is only said with proof, Unknown is said whenever proof is missing.
+const (
+	Answered Outcome = "answered"
+	NotRun   Outcome = "not run"
+	Unknown  Outcome = "unknown"
+)
+
+// Code names one kind of failure. Codes are part of the callers' interface
+// and are listed in docs/API.md.
+type Code string
+
+// The codes, each with the status and outcome given in the table below.
+const (
+	BadRequest      Code = "bad_request"
+	Unauthenticated Code = "unauthenticated"
+	Forbidden       Code = "forbidden"
+	UnknownService  Code = "unknown_service"
+	UnknownRequest  Code = "unknown_request"
+	TooLarge        Code = "too_large"
+	TooSlow         Code = "too_slow"
+	Overload        Code = "overload"
+	Deadline        Code = "deadline"
+	HostFull        Code = "host_full"
+	Leaving         Code = "host_leaving"
+	Isolated        Code = "host_isolated"
+	NoHome          Code = "no_home"
+	NoServer        Code = "no_server"
+	Moved           Code = "moved"
+	Removed         Code = "removed"
+	Withdrawn       Code = "withdrawn"
+	StoreDown       Code = "store_down"
+	NotCovered      Code = "not_covered"
+	ServerLost      Code = "server_lost"
+	ServerError     Code = "server_error"
+	HolderLost      Code = "holder_lost"
+	Conflict        Code = "conflict"
+	BadConfig       Code = "bad_config"
+	BadFrame        Code = "bad_frame"
+	BadPeer         Code = "bad_peer"
+	BadChart        Code = "bad_chart"
+	BadSetting      Code = "bad_setting"
+	PeerSilent      Code = "peer_silent"
+	RingFull        Code = "ring_full"
+	LeaseLost       Code = "lease_lost"
+	StaleFence      Code = "stale_fence"
+	Internal        Code = "internal"
+)
+
+type class struct {
+	status  int
+	outcome Outcome
+}
+
+var classes = map[Code]class{
+	BadRequest:      {http.StatusBadRequest, NotRun},
+	Unauthenticated: {http.StatusUnauthorized, NotRun},
+	Forbidden:       {http.StatusForbidden, NotRun},
+	UnknownService:  {http.StatusNotFound, NotRun},
+	UnknownRequest:  {http.StatusNotFound, Unknown},
+	TooLarge:        {http.StatusRequestEntityTooLarge, NotRun},
+	TooSlow:         {http.StatusRequestTimeout, NotRun},
+	Overload:        {http.StatusTooManyRequests, NotRun},
+	Deadline:        {http.StatusServiceUnavailable, NotRun},
+	HostFull:        {http.StatusServiceUnavailable, NotRun},
+	Leaving:         {http.StatusServiceUnavailable, NotRun},
+	Isolated:        {http.StatusServiceUnavailable, NotRun},
+	NoHome:          {http.StatusServiceUnavailable, NotRun},
+	NoServer:        {http.StatusServiceUnavailable, NotRun},
+	// The request runs elsewhere or will: the word at this host is unknown.
+	Moved:       {http.StatusConflict, Unknown},
+	Removed:     {http.StatusGone, NotRun},
+	Withdrawn:   {http.StatusConflict, NotRun},
+	StoreDown:   {http.StatusServiceUnavailable, NotRun},
+	NotCovered:  {http.StatusBadGateway, Unknown},
+	ServerLost:  {http.StatusBadGateway, Unknown},
+	ServerError: {http.StatusBadGateway, Unknown},
+	HolderLost:  {http.StatusBadGateway, Unknown},
+	Conflict:    {http.StatusConflict, NotRun},
+	BadConfig:   {http.StatusUnprocessableEntity, NotRun},
+}
+
+// Error is the one error type that crosses package borders.
+type Error struct {
+	Code       Code
+	Message    string
+	RetryAfter time.Duration // 0: no advice on when to come back.
+}
+
+// Error implements error.
+func (e *Error) Error() string { return string(e.Code) + ": " + e.Message }
+
+// Status returns the HTTP status that a caller sees for the code.
+func (e *Error) Status() int {
+	if c, ok := classes[e.Code]; ok {
+		return c.status
+	}
+	return http.StatusInternalServerError
+}
+
+// Outcome tells what a caller may conclude about its request. A code without
+// a class proves nothing, so it says Unknown.
+func (e *Error) Outcome() Outcome {
+	if c, ok := classes[e.Code]; ok {
+		return c.outcome
+	}
+	return Unknown
+}
+
+// New makes an error with a stack trace kept by cockroachdb/errors.
+func New(code Code, format string, args ...any) error {
+	return errors.WithStackDepth(&Error{Code: code, Message: fmt.Sprintf(format, args...)}, 1)
+}
+
+// Retry makes an error that tells the caller when to come back.
+func Retry(code Code, after time.Duration, format string, args ...any) error {
+	return errors.WithStackDepth(&Error{Code: code, Message: fmt.Sprintf(format, args...), RetryAfter: after}, 1)
+}
+
+// Wrap gives a code to an error of a library, keeping the cause.
+func Wrap(code Code, cause error, format string, args ...any) error {
+	if cause == nil {
+		return nil
+	}
+	msg := fmt.Sprintf(format, args...) + ": " + cause.Error()
+	return errors.WithSecondaryError(errors.WithStackDepth(&Error{Code: code, Message: msg}, 1), cause)
+}
+
+// From returns the typed error within err, or an Internal one around it.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Code: Internal, Message: err.Error()}
+}
+
+// Is reports whether err carries the code.
+func Is(err error, code Code) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Code == code
+}
--- /dev/null
+++ b/internal/holder/holder.go
@@ -0,0 +1,354 @@
+// Package holder keeps the requests that callers gave to this host, from
+// their first byte to their one final answer: it registers them with the
+// home of their service, dispatches each at most once and only under a
+// grant, and keeps finished answers for the horizon.
+//
+// Failure cases: the home dies (waiting requests register with the next
+// one), a backend server's connection breaks or goes silent (the stream is
+// resumed by id and index, never dispatched again), the request was given to
+// another host before (its answer is relayed from there, or resumed at the
+// backend server when that host is dead).
+package holder
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gentianflow/gentianflow/internal/backend"
+	"github.com/gentianflow/gentianflow/internal/claim"
+	"github.com/gentianflow/gentianflow/internal/config"
+	"github.com/gentianflow/gentianflow/internal/configsync"
+	"github.com/gentianflow/gentianflow/internal/core"
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/member"
+	"github.com/gentianflow/gentianflow/internal/peer"
+)
+
+// Sources are what a Holder reads from other duties.
+type Sources struct {
+	Members  *member.Table
+	Config   *configsync.Syncer
+	Peers    *peer.Manager
+	Backends backend.Factory
+	Claims   *claim.Claimer
+	Events   *event.Recorder
+}
+
+// Grace periods after the last reader of a request left.
+const (
+	waitingGrace = 2 * time.Second  // then a waiting request is withdrawn
+	runningGrace = 10 * time.Second // then a model engine's work is cancelled
+	sweepPeriod  = 500 * time.Millisecond
+)
+
+// Holder owns the records of one host. mu guards records, links and bytes.
+type Holder struct {
+	src   Sources
+	self  ident.Incarnation
+	start time.Time
+	ctx   context.Context
+	tasks sync.WaitGroup
+
+	mu      sync.Mutex
+	records map[ident.RequestID]*Record
+	links   map[string]*link
+	bytes   int
+}
+
+// New makes a holder whose tasks end with ctx.
+func New(ctx context.Context, self ident.Incarnation, src Sources) *Holder {
+	return &Holder{
+		src: src, self: self, start: time.Now(), ctx: ctx,
+		records: map[ident.RequestID]*Record{}, links: map[string]*link{},
+	}
+}
+
+// SetPeers gives the sessions, which are made after the holder that serves
+// their streams.
+func (h *Holder) SetPeers(p *peer.Manager) { h.src.Peers = p }
+
+// Run sweeps the records until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	tick := time.NewTicker(sweepPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			h.sweep(time.Now())
+		case <-ctx.Done():
+			h.tasks.Wait()
+			return
+		}
+	}
+}
+
+// stamp is this holder's clock as the homes know it.
+func (h *Holder) stamp() core.Stamp { return core.Stamp(time.Since(h.start)) }
+
+func (h *Holder) background(f func(context.Context)) {
+	h.tasks.Go(func() { f(h.ctx) })
+}
+
+func (h *Holder) addBytes(n int) {
+	h.mu.Lock()
+	h.bytes += n
+	h.mu.Unlock()
+}
+
+// Get returns the record of an id.
+func (h *Holder) Get(id ident.RequestID) (*Record, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r, ok := h.records[id]
+	return r, ok
+}
+
+// Submit takes a request. An id that is held already is attached to; it
+// fails with Forbidden when it belongs to another client account, and with
+// HostFull when there is no room and nothing of a lower tier to give way.
+func (h *Holder) Submit(sub Submission, limits config.Limits) (*Record, error) {
+	if r, ok := h.Get(sub.ID); ok && !h.replaces(r, &sub) {
+		return h.attach(r, sub)
+	}
+	if err := h.makeRoom(&sub, limits.HeldBytes); err != nil {
+		return nil, err
+	}
+	r := newRecord(h, sub)
+	h.mu.Lock()
+	if other, ok := h.records[sub.ID]; ok && !h.replaces(other, &sub) {
+		h.mu.Unlock()
+		r.deadline.Stop()
+		return h.attach(other, sub)
+	}
+	h.records[sub.ID] = r
+	h.bytes += len(sub.Body)
+	h.mu.Unlock()
+	r.record(event.RequestAccepted, sub.Kind)
+	r.step(evRegister)
+	h.link(sub.Service).register(r)
+	r.record(event.RequestWaiting, "")
+	return r, nil
+}
+
+// replaces reports whether a new attempt may take the place of a record:
+// nothing ran under the old one and its caller was told so, or it only
+// followed another holder.
+func (h *Holder) replaces(old *Record, sub *Submission) bool {
+	if !old.belongsTo(sub.Account) || sub.LocateOnly {
+		return false
+	}
+	s := old.State()
+	return s == "not_run" || s == "moved" && sub.Resend
+}
+
+func (h *Holder) attach(r *Record, sub Submission) (*Record, error) {
+	if !r.belongsTo(sub.Account) {
+		return nil, failure.New(failure.Forbidden, "request %s belongs to another client account", sub.ID)
+	}
+	r.record(event.RequestAttached, "")
+	return r, nil
+}
+
+// belongsTo reports whether an account may see the record. A mark that only
+// says that an id moved away belongs to nobody and says nothing secret.
+func (r *Record) belongsTo(account string) bool {
+	return r.Sub.Account == "" || r.Sub.Account == account
+}
+
+// makeRoom frees memory for a body: finished answers go first, oldest first,
+// then waiting requests of lower tiers, the lowest and newest first.
+func (h *Holder) makeRoom(sub *Submission, limit int) error {
+	need := len(sub.Body)
+	if h.held()+need <= limit {
+		return nil
+	}
+	for _, r := range h.finishedOldestFirst() {
+		h.forget(r)
+		if h.held()+need <= limit {
+			return nil
+		}
+	}
+	for _, r := range h.waitingBelow(sub.Tier) {
+		r.withdraw(&failure.Error{Code: failure.HostFull, Message: "gave way to a more urgent request", RetryAfter: time.Second})
+		if h.held()+need <= limit {
+			return nil
+		}
+	}
+	return failure.Retry(failure.HostFull, time.Second, "%d bytes held, %d more asked, at most %d", h.held(), need, limit)
+}
+
+func (h *Holder) held() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.bytes
+}
+
+func (h *Holder) list() []*Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]*Record, 0, len(h.records))
+	for _, r := range h.records {
+		out = append(out, r)
+	}
+	return out
+}
+
+func (h *Holder) finishedOldestFirst() []*Record {
+	var out []*Record
+	for _, r := range h.list() {
+		if !r.ended().IsZero() {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ended().Before(out[j].ended()) })
+	return out
+}
+
+func (h *Holder) waitingBelow(tier int) []*Record {
+	var out []*Record
+	for _, r := range h.list() {
+		if r.Sub.Tier > tier && r.State() == stateWaiting {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Sub.Tier != out[j].Sub.Tier {
+			return out[i].Sub.Tier > out[j].Sub.Tier
+		}
+		return out[i].Sub.Deadline.After(out[j].Sub.Deadline)
+	})
+	return out
+}
+
+func (r *Record) ended() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endedAt
+}
+
+func (h *Holder) forget(r *Record) {
+	size := r.answer.size()
+	h.mu.Lock()
+	if h.records[r.Sub.ID] == r {
+		delete(h.records, r.Sub.ID)
+		h.bytes -= size
+	}
+	h.mu.Unlock()
+}
+
+// sweep forgets records past the horizon and ends those nobody reads.
+func (h *Holder) sweep(now time.Time) {
+	inForce := h.src.Config.Current()
+	if inForce == nil {
+		return
+	}
+	horizon := inForce.Document.Rules.Limits.Horizon.Std()
+	for _, r := range h.list() {
+		r.mu.Lock()
+		ended, idle := r.endedAt, r.readers == 0
+		state, since := r.machine.State(), now.Sub(r.idleSince)
+		cancel := r.cancel
+		r.mu.Unlock()
+		switch {
+		case !ended.IsZero():
+			if now.Sub(ended) > horizon {
+				h.forget(r)
+			}
+		case idle && state == stateWaiting && since > waitingGrace:
+			r.withdraw(&failure.Error{Code: failure.Withdrawn, Message: "nobody waits for it"})
+		case idle && state == stateRunning && since > runningGrace && !r.Sub.Plain && !r.Sub.NonIdempotent && cancel != nil:
+			r.abandon(cancel)
+		}
+	}
+}
+
+// link returns the link to the home of a service, started on first use.
+func (h *Holder) link(service string) *link {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.links[service]
+	if l == nil {
+		l = newLink(h, service)
+		h.links[service] = l
+		h.tasks.Go(func() { l.run(h.ctx) })
+	}
+	return l
+}
+
+// recordsOf lists the records of a service.
+func (h *Holder) recordsOf(service string) []*Record {
+	var out []*Record
+	for _, r := range h.list() {
+		if r.Sub.Service == service {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// InProgress counts the requests without a final answer.
+func (h *Holder) InProgress() int {
+	n := 0
+	for _, r := range h.list() {
+		if r.ended().IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// Stats is what a host holds, for status and metrics.
+type Stats struct {
+	Records    int `json:"records"`
+	InProgress int `json:"in_progress"`
+	HeldBytes  int `json:"held_bytes"`
+}
+
+// Stats returns what this host holds.
+func (h *Holder) Stats() Stats {
+	h.mu.Lock()
+	s := Stats{Records: len(h.records), HeldBytes: h.bytes}
+	h.mu.Unlock()
+	s.InProgress = h.InProgress()
+	return s
+}
+
+// backendOf finds a server of a service in the configuration in force.
+func (h *Holder) backendOf(service string, id ident.ServerID) (*config.BackendServer, bool) {
+	inForce := h.src.Config.Current()
+	if inForce == nil {
+		return nil, false
+	}
+	svc, ok := inForce.Document.Service(service)
+	if !ok {
+		return nil, false
+	}
+	for i := range svc.BackendServers {
+		if ident.Server(svc.BackendServers[i].Name) == id {
+			return &svc.BackendServers[i], true
+		}
+	}
+	return nil, false
+}
+
+func (h *Holder) serverName(service string, id ident.ServerID) string {
+	if b, ok := h.backendOf(service, id); ok {
+		return b.Name
+	}
+	return ""
+}
+
+// Readers counts the callers and hosts that follow an answer here.
+func (h *Holder) Readers() int {
+	n := 0
+	for _, r := range h.list() {
+		r.mu.Lock()
+		n += r.readers
+		r.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/home/manager.go
@@ -0,0 +1,348 @@
+package home
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gentianflow/gentianflow/internal/cellwire"
+	"github.com/gentianflow/gentianflow/internal/config"
+	"github.com/gentianflow/gentianflow/internal/configsync"
+	"github.com/gentianflow/gentianflow/internal/core"
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/member"
+	"github.com/gentianflow/gentianflow/internal/peer"
+	"github.com/gentianflow/gentianflow/internal/wire"
+)
+
+// closeGrace is how long a cell that is no longer ours is kept for holders
+// that have not moved yet.
+const closeGrace = 3 * time.Second
+
+// Sources are what a Manager reads from other duties.
+type Sources struct {
+	Members *member.Table
+	Config  *configsync.Syncer
+	Peers   *peer.Manager
+	// Watch is the transport for the reports of backend servers.
+	Watch http.RoundTripper
+}
+
+// Manager opens and closes the cells of this host. mu guards cells and
+// leaving.
+type Manager struct {
+	src    Sources
+	policy core.Policy
+	events *event.Recorder
+	ctx    context.Context
+
+	mu      sync.Mutex
+	cells   map[string]*hosted
+	leaving map[string]bool // addresses that the host list says leave
+}
+
+// hosted is a cell with what the manager knows of it.
+type hosted struct {
+	cell     *cell
+	watchers map[string]context.CancelFunc // by server address
+	lost     time.Time                     // when another host became the home; zero while ours
+	draining map[string]bool               // addresses whose own report says draining
+	applied  *configsync.InForce
+}
+
+// NewManager makes the scheduler duty. SetPeers must be called before Run.
+func NewManager(ctx context.Context, src Sources, policy core.Policy, events *event.Recorder) *Manager {
+	return &Manager{
+		src: src, policy: policy, events: events, ctx: ctx,
+		cells: map[string]*hosted{}, leaving: map[string]bool{},
+	}
+}
+
+// SetPeers gives the sessions, which are made after the manager that serves
+// their streams.
+func (m *Manager) SetPeers(p *peer.Manager) { m.src.Peers = p }
+
+// reconcilePeriod bounds how long a missed notification can go unnoticed.
+const reconcilePeriod = 500 * time.Millisecond
+
+// Run follows membership and configuration until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	members := m.src.Members.Subscribe()
+	configs := m.src.Config.Subscribe()
+	tick := time.NewTicker(reconcilePeriod)
+	defer tick.Stop()
+	for {
+		m.reconcile()
+		select {
+		case <-members:
+		case <-configs:
+		case <-tick.C:
+		case <-ctx.Done():
+			m.closeAll()
+			return
+		}
+	}
+}
+
+func (m *Manager) closeAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, h := range m.cells {
+		m.closeCell(name, h)
+	}
+}
+
+// reconcile compares the cells that run with those that should.
+func (m *Manager) reconcile() {
+	inForce := m.src.Config.Current()
+	if inForce == nil {
+		return
+	}
+	all := m.src.Members.All()
+	self := m.src.Members.Self().Incarnation
+	doc := inForce.Document
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range doc.Services {
+		svc := &doc.Services[i]
+		home, ok := Of(svc.Name, all, doc.Rules.Lookup.HostsPerService)
+		h := m.cells[svc.Name]
+		switch {
+		case ok && home.Incarnation == self:
+			h = m.open(svc.Name)
+			h.lost = time.Time{}
+		case h != nil && h.lost.IsZero():
+			h.lost = time.Now()
+			m.handOver(svc.Name, h, home)
+		case h != nil && time.Since(h.lost) > closeGrace && len(h.linksNow()) == 0:
+			m.handOver(svc.Name, h, home)
+			m.closeCell(svc.Name, h)
+			continue
+		}
+		if h != nil {
+			m.update(h, inForce, svc, all)
+		}
+	}
+	for name, h := range m.cells {
+		if _, ok := doc.Service(name); !ok {
+			m.closeCell(name, h)
+		}
+	}
+}
+
+// open returns the cell of a service, made when there is none. The caller
+// holds mu.
+func (m *Manager) open(service string) *hosted {
+	h := m.cells[service]
+	if h == nil {
+		h = &hosted{
+			cell:     newCell(m.ctx, service, m.policy, m.events),
+			watchers: map[string]context.CancelFunc{}, draining: map[string]bool{},
+		}
+		m.cells[service] = h
+		m.events.Record(event.HomeOpened, event.Fields{Service: service})
+	}
+	return h
+}
+
+func (m *Manager) closeCell(service string, h *hosted) {
+	for _, stop := range h.watchers {
+		stop()
+	}
+	h.cell.stop()
+	delete(m.cells, service)
+	m.events.Record(event.HomeClosed, event.Fields{Service: service})
+}
+
+func (h *hosted) linksNow() []ident.Incarnation {
+	var out []ident.Incarnation
+	h.cell.query(func(*core.Cell) {
+		for inc := range h.cell.links {
+			out = append(out, inc)
+		}
+	})
+	return out
+}
+
+// update brings a cell to the configuration and the members of now. The
+// caller holds mu.
+func (m *Manager) update(h *hosted, inForce *configsync.InForce, svc *config.Service, all []member.Member) {
+	if h.applied != inForce {
+		h.applied = inForce
+		m.configure(h, inForce.Document, svc)
+		m.watchServers(h, svc)
+	}
+	h.cell.tellMembers(all)
+}
+
+// configure marks every server as leaving that any source says leaves: the
+// configuration, the host list or the server's own report.
+func (m *Manager) configure(h *hosted, doc *config.Document, svc *config.Service) {
+	marked := *svc
+	marked.BackendServers = append([]config.BackendServer(nil), svc.BackendServers...)
+	for i := range marked.BackendServers {
+		b := &marked.BackendServers[i]
+		if m.leaving[b.Address] || h.draining[b.Address] {
+			b.State = config.ServerLeaving
+		}
+	}
+	h.cell.configure(doc, &marked)
+}
+
+// SetLeavingServers takes the host list's word on leaving backend servers.
+func (m *Manager) SetLeavingServers(addresses map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if sameKeys(m.leaving, addresses) {
+		return
+	}
+	m.leaving = addresses
+	m.reconfigureAll()
+}
+
+func (m *Manager) setDraining(service, address string, draining bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.cells[service]
+	if h == nil || h.draining[address] == draining {
+		return
+	}
+	if draining {
+		h.draining[address] = true
+	} else {
+		delete(h.draining, address)
+	}
+	m.reconfigureAll()
+}
+
+// reconfigureAll gives every cell its servers again. The caller holds mu.
+func (m *Manager) reconfigureAll() {
+	for name, h := range m.cells {
+		if h.applied == nil {
+			continue
+		}
+		if svc, ok := h.applied.Document.Service(name); ok {
+			m.configure(h, h.applied.Document, svc)
+		}
+	}
+}
+
+func sameKeys(a, b map[string]bool) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k := range a {
+		if !b[k] {
+			return false
+		}
+	}
+	return true
+}
+
+// ServeCell serves a holder's stream. The cell is opened when the holder
+// believes earlier than this host that its home is here.
+func (m *Manager) ServeCell(st *peer.Stream) {
+	defer func() { _ = st.Close() }()
+	inForce := m.src.Config.Current()
+	if inForce == nil {
+		return
+	}
+	svc, ok := inForce.Document.Service(st.Open.Service)
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	h := m.cells[svc.Name]
+	if h == nil {
+		h = m.open(svc.Name)
+		m.update(h, inForce, svc, m.src.Members.All())
+	}
+	m.mu.Unlock()
+	h.cell.serveLink(st)
+}
+
+// handOver sends the ledger of a cell to its new home.
+func (m *Manager) handOver(service string, h *hosted, to member.Member) {
+	if to.Incarnation == 0 {
+		return
+	}
+	h.cell.done.Go(func() {
+		var ledger core.Inherit
+		if !h.cell.query(func(c *core.Cell) { ledger = c.Handover() }) {
+			return
+		}
+		msg := &wire.Handover{}
+		for _, e := range ledger.Entries {
+			msg.Lines = append(msg.Lines, cellwire.Line(e))
+		}
+		for _, inc := range ledger.Covered {
+			msg.Covered = append(msg.Covered, uint64(inc))
+		}
+		target := peer.Target{Address: to.ControlAddress, Incarnation: to.Incarnation}
+		st, err := m.src.Peers.OpenStream(m.ctx, target, wire.StreamKind_STREAM_HANDOVER, service)
+		if err != nil {
+			return // the new home rebuilds from the holders' reports
+		}
+		defer func() { _ = st.Close() }()
+		if wire.Write(st, msg) == nil && wire.Read(st.R, &wire.HandoverNoted{}) == nil {
+			m.events.Record(event.HomeHandover, event.Fields{Service: service, Peer: to.Host})
+		}
+	})
+}
+
+// ServeHandover takes the ledger of another home.
+func (m *Manager) ServeHandover(st *peer.Stream) {
+	defer func() { _ = st.Close() }()
+	var msg wire.Handover
+	if wire.Read(st.R, &msg) != nil {
+		return
+	}
+	entries, err := cellwire.Entries(msg.Lines)
+	if err != nil {
+		return
+	}
+	ev := core.Inherit{Entries: entries}
+	for _, inc := range msg.Covered {
+		ev.Covered = append(ev.Covered, ident.Incarnation(inc))
+	}
+	m.mu.Lock()
+	h := m.cells[st.Open.Service]
+	m.mu.Unlock()
+	if h != nil {
+		h.cell.push(input{event: ev})
+	}
+	_ = wire.Write(st, &wire.HandoverNoted{Taken: h != nil})
+}
+
+// Status describes one cell for operators.
+type Status struct {
+	Service string              `json:"service"`
+	Ours    bool                `json:"ours"`
+	Holders int                 `json:"holders"`
+	Running int                 `json:"running"`
+	Tiers   []core.TierCount    `json:"tiers"`
+	Servers []core.ServerStatus `json:"servers"`
+	Names   map[string]string   `json:"-"`
+}
+
+// Status lists the cells of this host.
+func (m *Manager) Status() []Status {
+	m.mu.Lock()
+	cells := make(map[string]*hosted, len(m.cells))
+	for k, v := range m.cells {
+		cells[k] = v
+	}
+	m.mu.Unlock()
+	var out []Status
+	for name, h := range cells {
+		s := Status{Service: name, Ours: h.lost.IsZero()}
+		if h.cell.query(func(c *core.Cell) {
+			s.Holders, s.Running, s.Tiers, s.Servers = len(h.cell.links), c.Running(), c.Tiers(), c.Servers()
+		}) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ident/ident.go
@@ -0,0 +1,113 @@
+// Package ident defines the identifiers that travel between processes:
+// request ids and host incarnations.
+package ident
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"strconv"
+
+	"github.com/gentianflow/gentianflow/internal/failure"
+)
+
+// requestIDLen is the length of a request id in bytes.
+const requestIDLen = 16
+
+// Incarnation names one process start of one entry host. It is random, so a
+// host restarted on the same address is never mistaken for its predecessor.
+type Incarnation uint64
+
+// NewIncarnation draws an incarnation from the system's random source.
+func NewIncarnation() Incarnation {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err) // crypto/rand documents that it never fails on Linux.
+	}
+	return Incarnation(binary.BigEndian.Uint64(b[:]) | 1)
+}
+
+// String returns the incarnation as 16 hex digits.
+func (i Incarnation) String() string {
+	s := strconv.FormatUint(uint64(i), 16)
+	for len(s) < 16 {
+		s = "0" + s
+	}
+	return s
+}
+
+// ParseIncarnation reads the form that String writes.
+func ParseIncarnation(s string) (Incarnation, error) {
+	v, err := strconv.ParseUint(s, 16, 64)
+	if err != nil || v == 0 {
+		return 0, failure.New(failure.BadRequest, "incarnation %q is not 16 hex digits", s)
+	}
+	return Incarnation(v), nil
+}
+
+// RequestID identifies one request over all its attempts. The first eight
+// bytes of a minted id are the incarnation whose ticket it was minted under;
+// a keyed id is a hash of the client account and its Idempotency-Key.
+type RequestID [requestIDLen]byte
+
+// Mint makes a fresh id under the ticket of an incarnation.
+func Mint(ticket Incarnation) RequestID {
+	var id RequestID
+	binary.BigEndian.PutUint64(id[:8], uint64(ticket))
+	if _, err := rand.Read(id[8:]); err != nil {
+		panic(err) // crypto/rand documents that it never fails on Linux.
+	}
+	return id
+}
+
+// Keyed derives the id of a request that carries an Idempotency-Key.
+func Keyed(account, key string) RequestID {
+	sum := sha256.Sum256([]byte(account + "\x00" + key))
+	var id RequestID
+	copy(id[:], sum[:requestIDLen])
+	return id
+}
+
+// Ticket returns the incarnation that a minted id was made under.
+func (id RequestID) Ticket() Incarnation {
+	return Incarnation(binary.BigEndian.Uint64(id[:8]))
+}
+
+// String returns the id as 32 hex digits.
+func (id RequestID) String() string { return hex.EncodeToString(id[:]) }
+
+// MarshalText implements encoding.TextMarshaler, for JSON histories.
+func (id RequestID) MarshalText() ([]byte, error) { return []byte(id.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (id *RequestID) UnmarshalText(b []byte) error {
+	v, err := ParseRequestID(string(b))
+	if err != nil {
+		return err
+	}
+	*id = v
+	return nil
+}
+
+// ParseRequestID reads the form that String writes.
+func ParseRequestID(s string) (RequestID, error) {
+	var id RequestID
+	if len(s) != 2*requestIDLen {
+		return id, failure.New(failure.BadRequest, "request id %q is not %d hex digits", s, 2*requestIDLen)
+	}
+	if _, err := hex.Decode(id[:], []byte(s)); err != nil {
+		return id, failure.New(failure.BadRequest, "request id %q is not hexadecimal", s)
+	}
+	return id, nil
+}
+
+// FromBytes reads an id from a wire message.
+func FromBytes(b []byte) (RequestID, error) {
+	var id RequestID
+	if len(b) != requestIDLen {
+		return id, failure.New(failure.BadFrame, "request id of %d bytes", len(b))
+	}
+	copy(id[:], b)
+	return id, nil
+}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,444 @@
+// Package member keeps the list of entry hosts by partial heartbeats: each
+// host probes a fixed number of random peers in a period and lets news ride
+// on the probes, so the cost of a host does not grow with the fleet. The
+// host list of the platform only seeds it.
+//
+// Failure cases: a process that died refuses connections, which proves its
+// end at once; a host that is silent is suspected first, asked for through
+// others, and counted as dead without proof; a member wrongly counted as dead
+// refutes it with a higher beat.
+package member
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gentianflow/gentianflow/charts"
+	"github.com/gentianflow/gentianflow/internal/chart"
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/wire"
+)
+
+// Member is one incarnation of an entry host.
+type Member struct {
+	Incarnation    ident.Incarnation `json:"incarnation"`
+	Host           string            `json:"host"`
+	Zone           string            `json:"availability_zone"`
+	CallerAddress  string            `json:"caller_address"`
+	ControlAddress string            `json:"control_address"`
+	AdminAddress   string            `json:"admin_address"`
+	State          chart.State       `json:"state"`
+	ConfigVersion  uint64            `json:"config_version"`
+	// Proved says that the process is known to have ended.
+	Proved bool `json:"proved,omitempty"`
+}
+
+// The states of the member chart.
+const (
+	Alive   chart.State = "alive"
+	Suspect chart.State = "suspect"
+	Leaving chart.State = "leaving"
+	Dead    chart.State = "dead"
+)
+
+const (
+	// updateSends is how often one piece of news rides on a datagram, times
+	// the logarithm of the fleet.
+	updateSends = 3
+	maxUpdates  = 8
+	sampleSize  = 3
+)
+
+var memberChart = charts.MustLoad().Member
+
+// record is the table's line for a member.
+type record struct {
+	wire    *wire.Member
+	machine chart.Machine
+	proved  bool
+	since   time.Time // of the current state
+	heard   time.Time // when the member itself last spoke to this host
+	sends   int       // how often this line still rides along
+}
+
+// Table is the membership as one host sees it. mu guards all fields below it.
+type Table struct {
+	events  *event.Recorder
+	horizon time.Duration
+
+	mu      sync.Mutex
+	self    *wire.Member
+	members map[ident.Incarnation]*record
+	changed []chan struct{}
+}
+
+// NewTable makes a table that holds only the host itself.
+func NewTable(self *wire.Member, horizon time.Duration, events *event.Recorder) *Table {
+	return &Table{events: events, horizon: horizon, self: self, members: map[ident.Incarnation]*record{}}
+}
+
+// Subscribe returns a channel that yields a token after changes.
+func (t *Table) Subscribe() <-chan struct{} {
+	c := make(chan struct{}, 1)
+	t.mu.Lock()
+	t.changed = append(t.changed, c)
+	t.mu.Unlock()
+	return c
+}
+
+// notify wakes the subscribers. The caller holds mu.
+func (t *Table) notify() {
+	for _, c := range t.changed {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Self returns the host's own line.
+func (t *Table) Self() Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.selfMember()
+}
+
+func (t *Table) selfMember() Member {
+	m := fromWire(t.self)
+	m.State = Alive
+	if t.self.State == wire.MemberState_MEMBER_LEAVING {
+		m.State = Leaving
+	}
+	return m
+}
+
+func fromWire(w *wire.Member) Member {
+	return Member{
+		Incarnation: ident.Incarnation(w.Incarnation), Host: w.Host, Zone: w.Zone,
+		CallerAddress: w.CallerAddress, ControlAddress: w.ControlAddress, AdminAddress: w.AdminAddress,
+		ConfigVersion: w.ConfigVersion,
+	}
+}
+
+// All lists every known member including the host itself and the dead ones
+// of the horizon, ordered by host name and incarnation.
+func (t *Table) All() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := []Member{t.selfMember()}
+	for _, r := range t.members {
+		m := fromWire(r.wire)
+		m.State = r.machine.State()
+		m.Proved = r.proved
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Host != out[j].Host {
+			return out[i].Host < out[j].Host
+		}
+		return out[i].Incarnation < out[j].Incarnation
+	})
+	return out
+}
+
+// Get returns the line of one incarnation.
+func (t *Table) Get(inc ident.Incarnation) (Member, bool) {
+	for _, m := range t.All() {
+		if m.Incarnation == inc {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// SetLeaving tells the fleet that this host drains.
+func (t *Table) SetLeaving() {
+	t.mu.Lock()
+	t.self.State = wire.MemberState_MEMBER_LEAVING
+	t.self.Beat++
+	t.notify()
+	t.mu.Unlock()
+}
+
+// SetConfigVersion tells the fleet which configuration is in force here.
+func (t *Table) SetConfigVersion(v uint64) {
+	t.mu.Lock()
+	t.self.ConfigVersion = v
+	t.self.Beat++
+	t.mu.Unlock()
+}
+
+// ProveDead records that the process of an incarnation has ended.
+func (t *Table) ProveDead(inc ident.Incarnation, how string) {
+	t.mu.Lock()
+	r := t.members[inc]
+	news := r != nil && !r.proved
+	if news {
+		r.proved = true
+		r.wire.State = wire.MemberState_MEMBER_DEAD
+		t.fire(r, "die")
+		r.sends = t.rounds()
+		t.notify()
+	}
+	t.mu.Unlock()
+	if news {
+		t.events.Record(event.MemberProvedBy, event.Fields{Peer: r.wire.Host, Detail: inc.String() + " " + how})
+	}
+}
+
+// fire moves a record through its chart and records what changed. The caller
+// holds mu.
+func (t *Table) fire(r *record, e chart.Event) {
+	before := r.machine.State()
+	if r.machine.Fire(e) != nil || r.machine.State() == before {
+		return
+	}
+	r.since = time.Now()
+	r.sends = t.rounds()
+	t.notify()
+	code := map[chart.State]event.Code{
+		Alive: event.MemberJoined, Suspect: event.MemberSuspect,
+		Leaving: event.MemberLeaving, Dead: event.MemberDead,
+	}[r.machine.State()]
+	if code != 0 {
+		t.events.Record(code, event.Fields{Peer: r.wire.Host, Detail: ident.Incarnation(r.wire.Incarnation).String()})
+	}
+}
+
+// rounds is how often news has to be repeated to reach the whole fleet.
+func (t *Table) rounds() int {
+	n := updateSends
+	for size := len(t.members) + 1; size > 1; size /= 2 {
+		n++
+	}
+	return n
+}
+
+// Heard notes that a member itself spoke.
+func (t *Table) Heard(w *wire.Member) {
+	if w == nil || w.Incarnation == t.self.Incarnation || w.Incarnation == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.merge(w)
+	r.heard = time.Now()
+	switch {
+	case r.proved:
+	case w.State == wire.MemberState_MEMBER_LEAVING:
+		t.fire(r, "leave")
+	case r.machine.State() == Dead:
+		t.fire(r, "refute")
+	default:
+		t.fire(r, "hear")
+	}
+}
+
+// Learn takes another host's word about a member.
+func (t *Table) Learn(w *wire.Member) {
+	if w == nil || w.Incarnation == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w.Incarnation == t.self.Incarnation {
+		t.refute(w)
+		return
+	}
+	known := t.members[ident.Incarnation(w.Incarnation)]
+	if known == nil && w.State == wire.MemberState_MEMBER_DEAD {
+		// Not heard of while it lived: kept as dead, for coverage.
+		known = t.merge(w)
+		t.fire(known, "die")
+		return
+	}
+	if known != nil && w.Beat < known.wire.Beat {
+		return
+	}
+	newer := known == nil || w.Beat > known.wire.Beat
+	r := t.merge(w)
+	t.follow(r, w.State, newer)
+}
+
+// follow applies a reported state. An old beat can only make things worse
+// (suspect, dead); only a newer beat, which the member itself raised, makes
+// them better.
+func (t *Table) follow(r *record, s wire.MemberState, newer bool) {
+	if r.proved {
+		return
+	}
+	switch s {
+	case wire.MemberState_MEMBER_ALIVE:
+		if newer && r.machine.State() == Dead {
+			t.fire(r, "refute")
+		} else if newer {
+			t.fire(r, "hear")
+		}
+	case wire.MemberState_MEMBER_SUSPECT:
+		t.fire(r, "miss")
+	case wire.MemberState_MEMBER_LEAVING:
+		t.fire(r, "leave")
+	case wire.MemberState_MEMBER_DEAD:
+		t.fire(r, "die")
+	}
+}
+
+// refute answers a wrong word about this host with a higher beat.
+func (t *Table) refute(w *wire.Member) {
+	wrong := w.State == wire.MemberState_MEMBER_SUSPECT || w.State == wire.MemberState_MEMBER_DEAD
+	if wrong && w.Beat >= t.self.Beat {
+		t.self.Beat = w.Beat + 1
+	}
+}
+
+// merge stores the newest line of a member. A new incarnation at a known
+// control address proves that the old one ended: the port was free to bind.
+func (t *Table) merge(w *wire.Member) *record {
+	inc := ident.Incarnation(w.Incarnation)
+	r := t.members[inc]
+	if r == nil {
+		r = &record{wire: w, machine: memberChart.Start(), since: time.Now(), sends: t.rounds()}
+		t.members[inc] = r
+		if w.State != wire.MemberState_MEMBER_DEAD {
+			t.replaceOthersAt(w)
+			t.notify()
+			t.events.Record(event.MemberJoined, event.Fields{Peer: w.Host, Detail: inc.String()})
+		}
+		return r
+	}
+	if w.Beat >= r.wire.Beat {
+		if w.ConfigVersion > r.wire.ConfigVersion {
+			t.notify()
+		}
+		if w.Beat > r.wire.Beat {
+			r.sends = t.rounds()
+		}
+		r.wire = w
+	}
+	return r
+}
+
+func (t *Table) replaceOthersAt(w *wire.Member) {
+	for _, other := range t.members {
+		if other.wire.ControlAddress == w.ControlAddress && other.wire.Incarnation != w.Incarnation && !other.proved {
+			other.proved = true
+			t.fire(other, "die")
+			t.events.Record(event.MemberProvedBy, event.Fields{Peer: w.Host, Detail: ident.Incarnation(other.wire.Incarnation).String() + " replaced at its address"})
+		}
+	}
+}
+
+// miss notes that a member did not answer; after suspicion has lasted, it is
+// counted as dead.
+func (t *Table) miss(inc ident.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.members[inc]; r != nil {
+		r.wire.State = wire.MemberState_MEMBER_SUSPECT
+		t.fire(r, "miss")
+	}
+}
+
+// age turns long suspicion into death and forgets what passed the horizon.
+func (t *Table) age(now time.Time, suspicion time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for inc, r := range t.members {
+		switch {
+		case r.machine.State() == Suspect && now.Sub(r.since) > suspicion:
+			t.fire(r, "die")
+		case r.machine.State() == Dead && now.Sub(r.since) > t.horizon:
+			delete(t.members, inc)
+			t.events.Record(event.MemberForgot, event.Fields{Peer: r.wire.Host, Detail: inc.String()})
+		}
+	}
+}
+
+// missLeaving counts a leaving member that no longer answers as dead.
+func (t *Table) missLeaving(inc ident.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.members[inc]; r != nil && r.machine.State() == Leaving {
+		t.fire(r, "die")
+	}
+}
+
+// news picks what rides on the next datagram: fresh changes first, then a
+// random sample that repairs what was lost.
+func (t *Table) news() []*wire.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*wire.Member
+	var rest []*record
+	for _, r := range t.members {
+		if r.sends > 0 && len(out) < maxUpdates {
+			r.sends--
+			out = append(out, r.word())
+			continue
+		}
+		if r.machine.State() != Dead {
+			rest = append(rest, r)
+		}
+	}
+	for i := 0; i < sampleSize && len(rest) > 0; i++ {
+		k := rand.IntN(len(rest))
+		out = append(out, rest[k].word())
+		rest = append(rest[:k], rest[k+1:]...)
+	}
+	return out
+}
+
+// word is the line as this host would tell it.
+func (r *record) word() *wire.Member {
+	states := map[chart.State]wire.MemberState{
+		Alive: wire.MemberState_MEMBER_ALIVE, Suspect: wire.MemberState_MEMBER_SUSPECT,
+		Leaving: wire.MemberState_MEMBER_LEAVING, Dead: wire.MemberState_MEMBER_DEAD,
+	}
+	w := r.wire
+	return &wire.Member{
+		Incarnation: w.Incarnation, Host: w.Host, Zone: w.Zone, CallerAddress: w.CallerAddress,
+		ControlAddress: w.ControlAddress, AdminAddress: w.AdminAddress, Beat: w.Beat,
+		ConfigVersion: w.ConfigVersion, State: states[r.machine.State()],
+	}
+}
+
+// selfWord is this host's own line, for the head of each datagram.
+func (t *Table) selfWord() *wire.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.self
+	return &wire.Member{
+		Incarnation: w.Incarnation, Host: w.Host, Zone: w.Zone, CallerAddress: w.CallerAddress,
+		ControlAddress: w.ControlAddress, AdminAddress: w.AdminAddress, Beat: w.Beat,
+		ConfigVersion: w.ConfigVersion, State: w.State,
+	}
+}
+
+// targets picks up to n random members to probe. The dead are probed too,
+// seldom, so that a parted network finds itself again.
+func (t *Table) targets(n int) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var live, dead []Member
+	for _, r := range t.members {
+		m := fromWire(r.wire)
+		m.State = r.machine.State()
+		switch {
+		case m.State != Dead:
+			live = append(live, m)
+		case !r.proved:
+			dead = append(dead, m)
+		}
+	}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	out := live[:min(n, len(live))]
+	if len(dead) > 0 && rand.IntN(deadProbeOdds) == 0 {
+		out = append(out, dead[rand.IntN(len(dead))])
+	}
+	return out
+}
+
+const deadProbeOdds = 3
--- /dev/null
+++ b/internal/peer/manager.go
@@ -0,0 +1,334 @@
+// Package peer keeps the sessions between entry hosts: yamux over TCP, one
+// session for a pair of hosts, opened when it is first needed. A session is
+// judged by answers: each is probed with a deadline, since a connection that
+// something in between forgot stays open and carries nothing. A silent one
+// is closed at both ends and the next stream dials anew.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/wire"
+)
+
+// Deadlines of a session. A silent one is noticed within ProbePeriod plus
+// ProbeDeadline.
+const (
+	DialTimeout   = 1 * time.Second
+	ProbePeriod   = 500 * time.Millisecond
+	ProbeDeadline = 1 * time.Second
+	helloTimeout  = 1 * time.Second
+	acceptBacklog = 256
+)
+
+// Identity is what this host says of itself on each session.
+type Identity struct {
+	Incarnation ident.Incarnation
+	Host        string
+	Fleet       string
+}
+
+// Stream is one exchange within a session. R reads what W's end wrote.
+type Stream struct {
+	net.Conn
+	R    *bufio.Reader
+	Peer Identity
+	Open *wire.Open
+}
+
+// Handler serves a stream that another host opened. It owns the stream.
+type Handler func(*Stream)
+
+// Observer learns that an incarnation has provably ended.
+type Observer func(inc ident.Incarnation, how string)
+
+// Manager owns the sessions of one host. mu guards sessions and closed.
+type Manager struct {
+	self    Identity
+	address string // our own control address
+	handler Handler
+	ended   Observer
+	events  *event.Recorder
+
+	mu       sync.Mutex
+	sessions map[string]*session // by remote control address
+	accepted map[*session]bool
+	closed   bool
+	duties   sync.WaitGroup
+}
+
+// session is one yamux session with its remote identity. once guards dialing.
+type session struct {
+	mux  *yamux.Session
+	peer Identity
+	dial sync.Mutex
+}
+
+// NewManager makes the sessions' owner. handler serves incoming streams.
+func NewManager(self Identity, address string, handler Handler, ended Observer, events *event.Recorder) *Manager {
+	return &Manager{
+		self: self, address: address, handler: handler, ended: ended, events: events,
+		sessions: map[string]*session{}, accepted: map[*session]bool{},
+	}
+}
+
+// Serve accepts sessions until the listener closes.
+func (m *Manager) Serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond) // out of descriptors: let some close
+			continue
+		}
+		m.duties.Go(func() { m.accept(conn) })
+	}
+}
+
+func (m *Manager) accept(conn net.Conn) {
+	remote, err := m.greet(conn)
+	if err != nil {
+		m.events.Record(event.PeerRefused, event.Fields{Peer: conn.RemoteAddr().String(), Detail: err.Error()})
+		_ = conn.Close()
+		return
+	}
+	mux, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	s := &session{mux: mux, peer: remote}
+	m.mu.Lock()
+	if m.closed {
+		m.mu.Unlock()
+		_ = mux.Close()
+		return
+	}
+	m.accepted[s] = true
+	m.mu.Unlock()
+	m.duties.Go(func() { m.probe(s) })
+	m.serveStreams(s)
+	m.mu.Lock()
+	delete(m.accepted, s)
+	m.mu.Unlock()
+}
+
+func (m *Manager) serveStreams(s *session) {
+	for {
+		conn, err := s.mux.Accept()
+		if err != nil {
+			_ = s.mux.Close()
+			return
+		}
+		m.duties.Go(func() { m.serveStream(conn, s.peer) })
+	}
+}
+
+func (m *Manager) serveStream(conn net.Conn, remote Identity) {
+	st := &Stream{Conn: conn, R: bufio.NewReader(conn), Peer: remote, Open: &wire.Open{}}
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
+	if err := wire.Read(st.R, st.Open); err != nil {
+		_ = conn.Close()
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	m.events.Witness(st.Open.Lamport)
+	m.handler(st)
+}
+
+// greet exchanges Hello messages and checks the other end's version and
+// fleet. The refused end is told why.
+func (m *Manager) greet(conn net.Conn) (Identity, error) {
+	_ = conn.SetDeadline(time.Now().Add(helloTimeout))
+	defer func() { _ = conn.SetDeadline(time.Time{}) }()
+	mine := &wire.Hello{Version: wire.Version, Incarnation: uint64(m.self.Incarnation), Host: m.self.Host, Fleet: m.self.Fleet}
+	if err := wire.Write(conn, mine); err != nil {
+		return Identity{}, err
+	}
+	// Read byte by byte: what follows the Hello belongs to yamux.
+	theirs := &wire.Hello{}
+	if err := wire.Read(bufio.NewReaderSize(oneByte{conn}, 16), theirs); err != nil {
+		return Identity{}, err
+	}
+	if theirs.Version != wire.Version || theirs.Fleet != m.self.Fleet {
+		return Identity{}, failure.New(failure.BadPeer, "peer %q speaks version %d of fleet %q; this host speaks version %d of fleet %q",
+			theirs.Host, theirs.Version, theirs.Fleet, wire.Version, m.self.Fleet)
+	}
+	return Identity{Incarnation: ident.Incarnation(theirs.Incarnation), Host: theirs.Host, Fleet: theirs.Fleet}, nil
+}
+
+// oneByte keeps a buffered reader from reading ahead.
+type oneByte struct{ io.Reader }
+
+func (r oneByte) Read(p []byte) (int, error) { return r.Reader.Read(p[:1]) }
+
+// Target names a host to open a stream to.
+type Target struct {
+	Address     string
+	Incarnation ident.Incarnation
+}
+
+// OpenStream opens a stream to a host, dialing when there is no session. It
+// fails with PeerSilent when the host does not answer, and tells the Observer
+// when the expected incarnation turns out to have ended.
+func (m *Manager) OpenStream(ctx context.Context, to Target, kind wire.StreamKind, service string) (*Stream, error) {
+	open := &wire.Open{Kind: kind, Service: service, Lamport: m.events.Clock()}
+	if to.Address == m.address {
+		return m.openLocal(open), nil
+	}
+	s, err := m.session(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := s.mux.Open()
+	if err != nil {
+		m.drop(to.Address, s)
+		return nil, failure.Wrap(failure.PeerSilent, err, "open stream to %s", to.Address)
+	}
+	if err := wire.Write(conn, open); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &Stream{Conn: conn, R: bufio.NewReader(conn), Peer: s.peer, Open: open}, nil
+}
+
+// openLocal joins a duty of this host to another one without a socket.
+func (m *Manager) openLocal(open *wire.Open) *Stream {
+	a, b := net.Pipe()
+	m.duties.Go(func() {
+		m.handler(&Stream{Conn: b, R: bufio.NewReader(b), Peer: m.self, Open: open})
+	})
+	return &Stream{Conn: a, R: bufio.NewReader(a), Peer: m.self, Open: open}
+}
+
+func (m *Manager) session(ctx context.Context, to Target) (*session, error) {
+	m.mu.Lock()
+	s := m.sessions[to.Address]
+	if s == nil {
+		s = &session{}
+		m.sessions[to.Address] = s
+	}
+	m.mu.Unlock()
+	s.dial.Lock()
+	defer s.dial.Unlock()
+	if s.mux != nil && !s.mux.IsClosed() {
+		return s, m.expect(to, s.peer)
+	}
+	if err := m.connect(ctx, to, s); err != nil {
+		return nil, err
+	}
+	return s, m.expect(to, s.peer)
+}
+
+// expect compares who answered with who was expected.
+func (m *Manager) expect(to Target, got Identity) error {
+	if to.Incarnation == 0 || to.Incarnation == got.Incarnation {
+		return nil
+	}
+	m.ended(to.Incarnation, "another incarnation answers at its address")
+	return failure.New(failure.PeerSilent, "%s is now incarnation %s", to.Address, got.Incarnation)
+}
+
+// connect dials and greets. The caller holds s.dial.
+func (m *Manager) connect(ctx context.Context, to Target, s *session) error {
+	dialer := net.Dialer{Timeout: DialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", to.Address)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) && to.Incarnation != 0 {
+			m.ended(to.Incarnation, "its port refuses")
+		}
+		return failure.Wrap(failure.PeerSilent, err, "dial %s", to.Address)
+	}
+	remote, err := m.greet(conn)
+	if err != nil {
+		_ = conn.Close()
+		return err
+	}
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return failure.Wrap(failure.PeerSilent, err, "session to %s", to.Address)
+	}
+	m.mu.Lock()
+	closed := m.closed
+	m.mu.Unlock()
+	if closed {
+		_ = mux.Close()
+		return failure.New(failure.PeerSilent, "this host stops")
+	}
+	s.mux, s.peer = mux, remote
+	m.events.Record(event.PeerOpened, event.Fields{Peer: remote.Host})
+	m.duties.Go(func() { m.probe(s) })
+	m.duties.Go(func() { m.serveStreams(&session{mux: mux, peer: remote}) })
+	return nil
+}
+
+// probe closes a session that does not answer in time.
+func (m *Manager) probe(s *session) {
+	mux := s.mux
+	tick := time.NewTicker(ProbePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-mux.CloseChan():
+			return
+		case <-tick.C:
+		}
+		if _, err := mux.Ping(); err != nil {
+			if !mux.IsClosed() {
+				m.events.Record(event.PeerSilent, event.Fields{Peer: s.peer.Host, Detail: err.Error()})
+			}
+			_ = mux.Close()
+			return
+		}
+	}
+}
+
+func (m *Manager) drop(address string, s *session) {
+	_ = s.mux.Close()
+	m.mu.Lock()
+	if m.sessions[address] == s {
+		delete(m.sessions, address)
+	}
+	m.mu.Unlock()
+}
+
+// Close ends all sessions and waits for their duties.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	m.closed = true
+	for _, s := range m.sessions {
+		if s.mux != nil {
+			_ = s.mux.Close()
+		}
+	}
+	for s := range m.accepted {
+		_ = s.mux.Close()
+	}
+	m.mu.Unlock()
+}
+
+// muxConfig turns yamux's own keep-alive off: our probe has its deadlines.
+// ConnectionWriteTimeout also bounds a Ping.
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = false
+	c.ConnectionWriteTimeout = ProbeDeadline
+	c.AcceptBacklog = acceptBacklog
+	c.LogOutput = io.Discard
+	return c
+}
--- /dev/null
+++ b/internal/standin/blockcache.go
@@ -0,0 +1,34 @@
+package standin
+
+import (
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/gentianflow/gentianflow/internal/prefix"
+)
+
+// blockCache keeps the newest blocks. Engine.mu guards it.
+type blockCache struct {
+	blocks *lru.Cache[prefix.Key, struct{}]
+}
+
+func newBlockCache(size int) blockCache {
+	c, err := lru.New[prefix.Key, struct{}](max(1, size))
+	if err != nil {
+		panic(err) // only for a size below 1
+	}
+	return blockCache{blocks: c}
+}
+
+func (c blockCache) touch(k prefix.Key) bool {
+	_, ok := c.blocks.Get(k)
+	return ok
+}
+
+// add stores a block and returns the one that it pushed out.
+func (c blockCache) add(k prefix.Key) (old prefix.Key, evicted bool) {
+	oldest, _, _ := c.blocks.GetOldest()
+	evicted = c.blocks.Add(k, struct{}{})
+	return oldest, evicted
+}
+
+func (c blockCache) all() []prefix.Key { return c.blocks.Keys() }
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,48 @@
+// Package wire holds the messages between entry hosts and their framing.
+// control.pb.go is generated from control.proto by protoc-gen-go and is
+// committed, so that the build needs no generator.
+package wire
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gentianflow/gentianflow/internal/failure"
+)
+
+// Version of the protocol. Sessions between different versions are refused
+// with a message that names both.
+const Version = 1
+
+// MaxMessage bounds one message in bytes; a longer one ends the session.
+const MaxMessage = 8 << 20
+
+// Message is any message of the protocol.
+type Message = proto.Message
+
+// Write sends one message with its length before it.
+func Write(w io.Writer, m proto.Message) error {
+	if _, err := protodelim.MarshalTo(w, m); err != nil {
+		return failure.Wrap(failure.PeerSilent, err, "write %s", m.ProtoReflect().Descriptor().Name())
+	}
+	return nil
+}
+
+// Read receives one message. A message over MaxMessage, or bytes that are no
+// message, fail with BadFrame; the end of the stream fails with PeerSilent.
+func Read(r *bufio.Reader, m proto.Message) error {
+	err := protodelim.UnmarshalOptions{MaxSize: MaxMessage}.UnmarshalFrom(r, m)
+	if err == nil {
+		return nil
+	}
+	code := failure.PeerSilent
+	var tooLarge *protodelim.SizeTooLargeError
+	if errors.As(err, &tooLarge) || errors.Is(err, proto.Error) {
+		code = failure.BadFrame
+	}
+	return failure.Wrap(code, err, "read %s", m.ProtoReflect().Descriptor().Name())
+}
