--- a/caller/call.go
+++ b/caller/call.go
@@ -168,7 +168,9 @@
 	defer stop()
 	if errors.Is(err, errNotSent) {
 		k.c.avoid(h.Address)
-		return nil, &Failure{Code: string(failure.NoHome), Message: err.Error(), Outcome: string(failure.NotRun)}, false
+		f = &Failure{Code: string(failure.NoHome), Message: err.Error(), Outcome: string(failure.NotRun), RequestID: k.idText()}
+		k.abandon(f)
+		return nil, f, false
 	}
 	k.note(h.Ticket)
 	if err != nil {
@@ -179,10 +181,21 @@
 	a, f, final = k.read(ctx, h, resp)
 	if f != nil && f.NotRun() {
 		k.forget(h.Ticket)
+		if !final {
+			k.abandon(f)
+		}
 	}
 	return a, f, final
 }
 
+// abandon closes the id of an attempt of which nothing was sent: the next
+// attempt has another one.
+func (k *call) abandon(f *Failure) {
+	if o := k.c.opt.Observer; o != nil && len(k.tried) == 0 && k.req.Key == "" {
+		o.Told(k.idText(), k.req, nil, f)
+	}
+}
+
 // forget takes a host back that says the request did not run there: it took
 // nothing, so the next attempt is as good as the first.
 func (k *call) forget(incarnation string) {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -61,11 +61,7 @@
 // on a new connection.
 const SilenceLimit = 2 * time.Second
 
-const (
-	connectTimeout = 500 * time.Millisecond
-	idleTimeout    = 20 * time.Second
-	idleConns      = 64
-)
+const connectTimeout = 500 * time.Millisecond
 
 // NotDispatched reports whether a failed Send provably wrote nothing.
 func NotDispatched(err error) bool { return failure.Is(err, failure.NoServer) }
--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,159 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/internal/backend"
+	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/ident"
+)
+
+func TestBackend(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "backend")
+}
+
+// rawServer answers each request that it reads with the given text, or closes
+// the connection when the text is empty. It counts the requests.
+func rawServer(answers func(n int64) string) (address string, seen *atomic.Int64) {
+	seen = &atomic.Int64{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				r := bufio.NewReader(conn)
+				for {
+					if !readRequest(r) {
+						return
+					}
+					text := answers(seen.Add(1))
+					if text == "" {
+						return
+					}
+					_, _ = conn.Write([]byte(text))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), seen
+}
+
+func readRequest(r *bufio.Reader) bool {
+	length := 0
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		if _, err := fmt.Sscanf(line, "Content-Length: %d", &length); err == nil {
+			continue
+		}
+		if line == "\r\n" {
+			_, err := r.Discard(length)
+			return err == nil
+		}
+	}
+}
+
+func plainAnswer(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// stream writes server-sent events as an engine does.
+func stream(events ...string) string {
+	return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" + strings.Join(events, "\n\n") + "\n\n"
+}
+
+type keep struct{ parts []string }
+
+func (k *keep) Begin(int, string) {}
+
+func (k *keep) Part(p backend.Part) bool {
+	if p.Index != len(k.parts) {
+		return false
+	}
+	k.parts = append(k.parts, string(p.Data))
+	return true
+}
+
+var _ = Describe("a dispatch", func() {
+	call := backend.Call{ID: ident.RequestID{1}, Path: "/pickup", ContentType: "application/json", Body: []byte(`{}`)}
+
+	// Story: the server reads a pickup confirmation from a kept connection and
+	// closes without an answer. The family's coat is handed out twice. Cause:
+	// net/http sends a request again by itself when it thinks it may.
+	It("is never repeated by the transport", func() {
+		address, seen := rawServer(func(n int64) string {
+			if n == 1 {
+				return plainAnswer("ok")
+			}
+			return ""
+		})
+		make, transport := backend.NewFactory()
+		DeferCleanup(transport.CloseIdleConnections)
+		srv := make(address, true)
+		_, err := srv.Send(context.Background(), call, &keep{})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = srv.Send(context.Background(), call, &keep{})
+		Expect(failure.Is(err, failure.ServerLost)).To(BeTrue(), "a byte was written: it may have run")
+		Expect(backend.NotDispatched(err)).To(BeFalse())
+		Expect(seen.Load()).To(Equal(int64(2)))
+	})
+
+	It("that is refused was provably not dispatched", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		Expect(l.Close()).To(Succeed())
+		make, _ := backend.NewFactory()
+		_, err = make(address, true).Send(context.Background(), call, &keep{})
+		Expect(backend.NotDispatched(err)).To(BeTrue())
+	})
+})
+
+var _ = Describe("a model engine's stream", func() {
+	id := ident.RequestID{1}
+	send := func(text string) (*keep, error) {
+		address, _ := rawServer(func(int64) string { return text })
+		make, _ := backend.NewFactory()
+		k := &keep{}
+		_, err := make(address, false).Send(context.Background(), backend.Call{ID: id, Path: "/v1/completions", Body: []byte(`{}`)}, k)
+		return k, err
+	}
+	part := func(owner ident.RequestID, i int) string { return fmt.Sprintf("id: %s:%d\ndata: p%d", owner, i, i) }
+
+	It("is whole with its end mark", func() {
+		k, err := send(stream(part(id, 0), ": waiting", part(id, 1), "event: end\ndata: {\"parts\":2}"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(k.parts).To(Equal([]string{"p0", "p1"}))
+	})
+
+	// Story: a poet reads half of someone else's gloss. Cause: an engine or a
+	// middle box mixed two streams up.
+	DescribeTable("is not whole", func(events ...string) {
+		_, err := send(stream(events...))
+		Expect(failure.Is(err, failure.ServerLost)).To(BeTrue())
+	},
+		Entry("cut before its end mark", part(id, 0)),
+		Entry("with a part of another answer", part(id, 0), part(ident.RequestID{2}, 1), "event: end\ndata: {\"parts\":2}"),
+		Entry("with a part missing", part(id, 0), part(id, 2), "event: end\ndata: {\"parts\":2}"),
+		Entry("with a part twice", part(id, 0), part(id, 0), "event: end\ndata: {\"parts\":2}"),
+		Entry("with an end mark that counts more", part(id, 0), "event: end\ndata: {\"parts\":2}"),
+	)
+})
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -24,12 +24,17 @@
 	return c.Conn.Write(b)
 }
 
+// newTransport makes one connection for each exchange.
+//
+// Guard: a kept connection that something in between forgot takes a request
+// and carries it nowhere; the server never learns of it, and since bytes were
+// written the caller can only be told unknown. A new connection has just
+// shown that it works, for the price of one round trip.
 func newTransport() *http.Transport {
 	dialer := net.Dialer{Timeout: connectTimeout}
 	return &http.Transport{
-		MaxIdleConnsPerHost: idleConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -121,6 +121,9 @@
 	d.set.CallerAddress = d.callerL.Addr().String()
 	d.set.AdminAddress = d.adminL.Addr().String()
 	d.set.ControlAddress = d.control.Addr().String()
+	if d.set.AdvertiseControl == "" {
+		d.set.AdvertiseControl = d.set.ControlAddress
+	}
 	return packets, nil
 }
 
@@ -145,7 +148,7 @@
 func (d *Daemon) build(ctx context.Context, packets net.PacketConn) {
 	self := &wire.Member{
 		Incarnation: uint64(d.inc), Host: d.set.Host, Zone: d.set.AvailabilityZone,
-		CallerAddress: d.set.CallerAddress, ControlAddress: d.set.ControlAddress, AdminAddress: d.set.AdminAddress,
+		CallerAddress: d.set.CallerAddress, ControlAddress: d.set.AdvertiseControl, AdminAddress: d.set.AdminAddress,
 	}
 	d.members = member.NewTable(self, memberHorizon, d.events)
 	d.gossip = member.NewGossip(d.members, packets, d.set.Fleet, member.DefaultTiming(), d.seedAddresses, d.events)
@@ -159,7 +162,8 @@
 		Members: d.members, Config: d.config, Backends: factory, Claims: d.claims, Events: d.events,
 	})
 	id := peer.Identity{Incarnation: d.inc, Host: d.set.Host, Fleet: d.set.Fleet}
-	d.peers = peer.NewManager(id, d.set.ControlAddress, d.serveStream, d.members.ProveDead, d.events)
+	d.peers = peer.NewManager(id, d.set.AdvertiseControl, d.serveStream, peerNews{d}, d.events)
+	d.peers.DialFrom(d.control.Addr().(*net.TCPAddr).IP)
 	d.homes.SetPeers(d.peers)
 	d.holder.SetPeers(d.peers)
 }
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/ident"
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/platform"
@@ -55,7 +56,7 @@
 		switch {
 		case h.Kind == platform.BackendHost && h.State == platform.HostLeaving:
 			leaving[h.Address] = true
-		case h.Kind == platform.EntryHost && h.Address == d.set.ControlAddress && h.State == platform.HostLeaving:
+		case h.Kind == platform.EntryHost && h.Address == d.set.AdvertiseControl && h.State == platform.HostLeaving:
 			d.StartDrain()
 		case h.Kind == platform.EntryHost:
 			seeds = append(seeds, h.Address)
@@ -176,3 +177,33 @@
 		}
 	}
 }
+
+// peerNews takes what sessions tell about other hosts.
+type peerNews struct{ d *Daemon }
+
+// ProveDead implements peer.Observer.
+func (n peerNews) ProveDead(inc ident.Incarnation, how string) { n.d.members.ProveDead(inc, how) }
+
+// refuseTries and refuseTimeout bound the look at a host whose session broke.
+const (
+	refuseTries   = 3
+	refusePause   = 30 * time.Millisecond
+	refuseTimeout = 300 * time.Millisecond
+)
+
+// Broke implements peer.Observer. A process that dies ends its sessions and
+// its port refuses; asking the port at once proves the death milliseconds
+// after it, before the next probe would notice.
+func (n peerNews) Broke(inc ident.Incarnation) {
+	m, ok := n.d.members.Get(inc)
+	if !ok || m.Proved || inc == n.d.inc {
+		return
+	}
+	for range refuseTries {
+		if member.Refuses(m.ControlAddress, refuseTimeout) {
+			n.d.members.ProveDead(inc, "its session ended and its port refuses")
+			return
+		}
+		time.Sleep(refusePause)
+	}
+}
--- a/internal/history/check.go
+++ b/internal/history/check.go
@@ -77,7 +77,11 @@
 
 func index(all []Event) *indexed {
 	x := &indexed{all: all, byID: map[string][]Event{}, byKind: map[Kind][]Event{}}
+	ids := idsOfKeys(all)
 	for _, e := range all {
+		if e.ID == "" && e.Key != "" {
+			e.ID = ids[e.Key] // a keyed attempt learns its id with its word
+		}
 		x.byKind[e.Kind] = append(x.byKind[e.Kind], e)
 		if e.ID == "" {
 			continue
@@ -90,6 +94,16 @@
 	return x
 }
 
+func idsOfKeys(all []Event) map[string]string {
+	ids := map[string]string{}
+	for _, e := range all {
+		if e.Key != "" && e.ID != "" {
+			ids[e.Key] = e.ID
+		}
+	}
+	return ids
+}
+
 func (x *indexed) of(id string, k Kind) []Event {
 	var out []Event
 	for _, e := range x.byID[id] {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -174,19 +174,24 @@
 // ProveDead records that the process of an incarnation has ended.
 func (t *Table) ProveDead(inc ident.Incarnation, how string) {
 	t.mu.Lock()
-	r := t.members[inc]
-	news := r != nil && !r.proved
-	if news {
-		r.proved = true
-		r.wire.State = wire.MemberState_MEMBER_DEAD
-		t.fire(r, "die")
-		r.sends = t.rounds()
-		t.notify()
+	defer t.mu.Unlock()
+	if r := t.members[inc]; r != nil {
+		t.prove(r, how)
 	}
-	t.mu.Unlock()
-	if news {
-		t.events.Record(event.MemberProvedBy, event.Fields{Peer: r.wire.Host, Detail: inc.String() + " " + how})
+}
+
+// prove marks a record as provably ended; the proof spreads with the news of
+// the death. The caller holds mu.
+func (t *Table) prove(r *record, how string) {
+	if r.proved {
+		return
 	}
+	r.proved = true
+	t.fire(r, "die")
+	r.sends = t.rounds()
+	t.notify()
+	inc := ident.Incarnation(r.wire.Incarnation)
+	t.events.Record(event.MemberProvedBy, event.Fields{Peer: r.wire.Host, Detail: inc.String() + ": " + how})
 }
 
 // fire moves a record through its chart and records what changed. The caller
@@ -252,9 +257,14 @@
 	if known == nil && w.State == wire.MemberState_MEMBER_DEAD {
 		// Not heard of while it lived: kept as dead, for coverage.
 		known = t.merge(w)
+		known.proved = w.Proved
 		t.fire(known, "die")
 		return
 	}
+	if known != nil && w.Proved {
+		t.prove(known, "another host proved it")
+		return
+	}
 	if known != nil && w.Beat < known.wire.Beat {
 		return
 	}
@@ -323,10 +333,8 @@
 
 func (t *Table) replaceOthersAt(w *wire.Member) {
 	for _, other := range t.members {
-		if other.wire.ControlAddress == w.ControlAddress && other.wire.Incarnation != w.Incarnation && !other.proved {
-			other.proved = true
-			t.fire(other, "die")
-			t.events.Record(event.MemberProvedBy, event.Fields{Peer: w.Host, Detail: ident.Incarnation(other.wire.Incarnation).String() + " replaced at its address"})
+		if other.wire.ControlAddress == w.ControlAddress && other.wire.Incarnation != w.Incarnation {
+			t.prove(other, "replaced at its address")
 		}
 	}
 }
@@ -401,7 +409,7 @@
 	return &wire.Member{
 		Incarnation: w.Incarnation, Host: w.Host, Zone: w.Zone, CallerAddress: w.CallerAddress,
 		ControlAddress: w.ControlAddress, AdminAddress: w.AdminAddress, Beat: w.Beat,
-		ConfigVersion: w.ConfigVersion, State: states[r.machine.State()],
+		ConfigVersion: w.ConfigVersion, State: states[r.machine.State()], Proved: r.proved,
 	}
 }
 
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -51,15 +51,21 @@
 // Handler serves a stream that another host opened. It owns the stream.
 type Handler func(*Stream)
 
-// Observer learns that an incarnation has provably ended.
-type Observer func(inc ident.Incarnation, how string)
+// Observer learns what sessions tell about other hosts.
+type Observer interface {
+	// ProveDead is told of an incarnation that has provably ended.
+	ProveDead(inc ident.Incarnation, how string)
+	// Broke is told of an incarnation whose session ended at its side.
+	Broke(inc ident.Incarnation)
+}
 
 // Manager owns the sessions of one host. mu guards sessions and closed.
 type Manager struct {
 	self    Identity
-	address string // our own control address
+	address string       // our own control address, as others know it
+	from    *net.TCPAddr // local address of the sessions we open
 	handler Handler
-	ended   Observer
+	news    Observer
 	events  *event.Recorder
 
 	mu       sync.Mutex
@@ -77,13 +83,17 @@
 }
 
 // NewManager makes the sessions' owner. handler serves incoming streams.
-func NewManager(self Identity, address string, handler Handler, ended Observer, events *event.Recorder) *Manager {
+func NewManager(self Identity, address string, handler Handler, news Observer, events *event.Recorder) *Manager {
 	return &Manager{
-		self: self, address: address, handler: handler, ended: ended, events: events,
+		self: self, address: address, handler: handler, news: news, events: events,
 		sessions: map[string]*session{}, accepted: map[*session]bool{},
 	}
 }
 
+// DialFrom makes sessions start from the IP number of this host's settings,
+// so that a host with several ones is known by one.
+func (m *Manager) DialFrom(ip net.IP) { m.from = &net.TCPAddr{IP: ip} }
+
 // Serve accepts sessions until the listener closes.
 func (m *Manager) Serve(l net.Listener) {
 	for {
@@ -132,6 +142,7 @@
 		conn, err := s.mux.Accept()
 		if err != nil {
 			_ = s.mux.Close()
+			m.news.Broke(s.peer.Incarnation)
 			return
 		}
 		m.duties.Go(func() { m.serveStream(conn, s.peer) })
@@ -239,17 +250,20 @@
 	if to.Incarnation == 0 || to.Incarnation == got.Incarnation {
 		return nil
 	}
-	m.ended(to.Incarnation, "another incarnation answers at its address")
+	m.news.ProveDead(to.Incarnation, "another incarnation answers at its address")
 	return failure.New(failure.PeerSilent, "%s is now incarnation %s", to.Address, got.Incarnation)
 }
 
 // connect dials and greets. The caller holds s.dial.
 func (m *Manager) connect(ctx context.Context, to Target, s *session) error {
 	dialer := net.Dialer{Timeout: DialTimeout}
+	if m.from != nil {
+		dialer.LocalAddr = m.from
+	}
 	conn, err := dialer.DialContext(ctx, "tcp", to.Address)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) && to.Incarnation != 0 {
-			m.ended(to.Incarnation, "its port refuses")
+			m.news.ProveDead(to.Incarnation, "its port refuses")
 		}
 		return failure.Wrap(failure.PeerSilent, err, "dial %s", to.Address)
 	}
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -26,6 +26,7 @@
 		text("caller-address", "GENTIAN_CALLER_ADDRESS", "127.0.0.1:7100", "IP:port for callers (HTTP)"),
 		text("control-address", "GENTIAN_CONTROL_ADDRESS", "127.0.0.1:7101", "IP:port for other entry hosts (TCP and UDP)"),
 		text("admin-address", "GENTIAN_ADMIN_ADDRESS", "127.0.0.1:7102", "IP:port for operators (HTTP)"),
+		text("advertise-control", "GENTIAN_ADVERTISE_CONTROL", "", "control address told to other hosts, when it differs from the one listened on"),
 		text("platform", "GENTIAN_PLATFORM", "", "base URL of the platform's services"),
 		&cli.DurationFlag{Name: "platform-timeout", Value: defaultPlatformTimeout, Usage: "limit for one call to the platform", Sources: cli.EnvVars("GENTIAN_PLATFORM_TIMEOUT")},
 		&cli.StringSliceFlag{Name: "seed", Usage: "control address of another entry host; may be repeated", Sources: cli.EnvVars("GENTIAN_SEEDS")},
@@ -41,7 +42,8 @@
 	return Daemon{
 		Host: c.String("host"), AvailabilityZone: c.String("availability-zone"), Fleet: c.String("fleet"),
 		CallerAddress: c.String("caller-address"), ControlAddress: c.String("control-address"), AdminAddress: c.String("admin-address"),
-		Platform: c.String("platform"), PlatformTimeout: c.Duration("platform-timeout"),
+		AdvertiseControl: c.String("advertise-control"),
+		Platform:         c.String("platform"), PlatformTimeout: c.Duration("platform-timeout"),
 		Seeds: c.StringSlice("seed"), TimelineSize: c.Int("timeline-size"), DrainLimit: c.Duration("drain-limit"),
 		LogFormat: c.String("log-format"), AdminToken: c.String("admin-token"),
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	CallerAddress    string        // HTTP towards callers, IP:port
 	ControlAddress   string        // TCP and UDP towards other hosts, IP:port
 	AdminAddress     string        // HTTP towards operators, IP:port
+	AdvertiseControl string        // control address told to other hosts; empty: ControlAddress
 	Platform         string        // base URL of the platform's services
 	PlatformTimeout  time.Duration // for one call to the platform
 	Seeds            []string      // control addresses of other hosts
@@ -64,6 +65,9 @@
 	f.address("caller-address", d.CallerAddress)
 	f.address("control-address", d.ControlAddress)
 	f.address("admin-address", d.AdminAddress)
+	if d.AdvertiseControl != "" {
+		f.address("advertise-control", d.AdvertiseControl)
+	}
 	for _, s := range d.Seeds {
 		f.address("seed", s)
 	}
