--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -78,6 +78,7 @@
 	MaxSequences     int         `yaml:"max_sequences,omitempty" validate:"gte=0"` // requests in the server at once; 0 means 32
 	CacheTokens      int         `yaml:"cache_tokens,omitempty" validate:"gte=0"`  // prefix cache size; 0 means 60,000
 	ChecksFencing    bool        `yaml:"checks_fencing,omitempty"`                 // refuses orders with an old fencing number
+	Wants            string      `yaml:"wants,omitempty"`                          // state to order: models, adapters, versions, role; empty: no orders
 	State            ServerState `yaml:"state,omitempty" validate:"omitempty,oneof=in_service leaving"`
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -152,12 +152,12 @@
 	}
 	d.members = member.NewTable(self, memberHorizon, d.events)
 	d.gossip = member.NewGossip(d.members, packets, d.set.Fleet, member.DefaultTiming(), d.seedAddresses, d.events)
-	d.platform = httpplatform.New(d.set.Platform, d.set.PlatformTimeout)
+	d.platform = httpplatform.New(d.set.Platform, d.control.Addr().(*net.TCPAddr).IP, d.set.PlatformTimeout)
 	d.config = configsync.New(d.platform, d.platform, d.configFromPeers, d.events)
 	d.claims = claim.New(d.platform, d.events)
 	var factory backend.Factory
 	factory, d.backends = backend.NewFactory()
-	d.homes = home.NewManager(ctx, home.Sources{Members: d.members, Config: d.config, Watch: d.backends}, core.DefaultPolicy(), d.events)
+	d.homes = home.NewManager(ctx, home.Sources{Members: d.members, Config: d.config, Watch: d.backends, Table: d.platform}, core.DefaultPolicy(), d.events)
 	d.holder = holder.New(ctx, d.inc, holder.Sources{
 		Members: d.members, Config: d.config, Backends: factory, Claims: d.claims, Events: d.events,
 	})
--- a/internal/home/manager.go
+++ b/internal/home/manager.go
@@ -14,6 +14,7 @@
 	"github.com/gentianflow/gentianflow/internal/ident"
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/peer"
+	"github.com/gentianflow/gentianflow/internal/platform"
 	"github.com/gentianflow/gentianflow/internal/wire"
 )
 
@@ -28,6 +29,8 @@
 	Peers   *peer.Manager
 	// Watch is the transport for the reports of backend servers.
 	Watch http.RoundTripper
+	// Table keeps the leases under which orders are given.
+	Table platform.Table
 }
 
 // Manager opens and closes the cells of this host. mu guards cells and
@@ -142,6 +145,7 @@
 			watchers: map[string]context.CancelFunc{}, draining: map[string]bool{},
 		}
 		m.cells[service] = h
+		h.cell.done.Go(func() { m.giveOrders(h, service) })
 		m.events.Record(event.HomeOpened, event.Fields{Service: service})
 	}
 	return h
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -112,7 +112,11 @@
 func (m *Manager) accept(conn net.Conn) {
 	remote, err := m.greet(conn)
 	if err != nil {
-		m.events.Record(event.PeerRefused, event.Fields{Peer: conn.RemoteAddr().String(), Detail: err.Error()})
+		// A connection that ends before its Hello only asked whether this
+		// port refuses.
+		if !failure.Is(err, failure.PeerSilent) {
+			m.events.Record(event.PeerRefused, event.Fields{Peer: conn.RemoteAddr().String(), Detail: err.Error()})
+		}
 		_ = conn.Close()
 		return
 	}
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -29,9 +30,14 @@
 	http    *http.Client
 }
 
-// New makes a client for a base URL such as http://127.0.0.1:7000.
-func New(base string, callTimeout time.Duration) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout}
+// New makes a client for a base URL such as http://127.0.0.1:7000. Its
+// connections start from the IP number from, or from any when it is nil.
+func New(base string, from net.IP, callTimeout time.Duration) *Client {
+	dialer := net.Dialer{Timeout: callTimeout}
+	if from != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: from}
+	}
+	t := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout}
 	return &Client{base: base, timeout: callTimeout, http: &http.Client{Transport: t}}
 }
 
