Replay in virtual time: server model, baselines, policy bench

Cause: the decisions had no measure. The core runs against a few lines of engine model (batching, step time, prefix cache, lags), with round robin and least in flight per host as baselines.

--- /dev/null
+++ b/bench/policy/main.go
@@ -0,0 +1,228 @@
+// Command policy measures placement policies on generated traces in virtual
+// time and prints medians over seeds with their spread.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianflow/gentianflow/internal/core"
+	"github.com/gentianflow/gentianflow/internal/replay"
+)
+
+type policy struct {
+	name  string
+	build func([]replay.Line, replay.Line, replay.Host) replay.Scheduler
+}
+
+// policies are the ones to choose from; "ours" is what the daemon runs.
+func policies() []policy {
+	noPick := core.DefaultPolicy()
+	noPick.ServerPicks = false
+	bare := noPick
+	bare.MissPrice = 1
+	return []policy{
+		{"round-robin", replay.RoundRobin},
+		{"least-in-flight", replay.LeastInFlight},
+		{"queue-bare-miss", replay.Core(bare)},
+		{"queue-no-pick", replay.Core(noPick)},
+		{"ours", replay.Core(core.DefaultPolicy())},
+	}
+}
+
+func main() {
+	cmd := &cli.Command{
+		Name: "policy", Usage: "measure placement policies in virtual time",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "fleet", Value: "qasida", Usage: "tsumugi, qasida, or either with -varied"},
+			&cli.FloatFlag{Name: "capacity", Value: 0, Usage: "requests a second at load 1; 0 finds it"},
+			&cli.StringFlag{Name: "loads", Value: "0.7,1,2,4"},
+			&cli.StringFlag{Name: "policies", Value: "least-in-flight,queue-no-pick,ours"},
+			&cli.IntFlag{Name: "seeds", Value: 5},
+			&cli.DurationFlag{Name: "for", Value: 60 * time.Second, Usage: "length of arrivals, virtual"},
+			&cli.Int64Flag{Name: "cache-lag", Usage: "ms"},
+			&cli.FloatFlag{Name: "cache-loss"},
+			&cli.Int64Flag{Name: "load-lag", Usage: "ms"},
+			&cli.IntFlag{Name: "load-skew", Usage: "requests that load reports count too many"},
+			&cli.IntFlag{Name: "flood", Usage: "times its share that account 1 sends"},
+			&cli.BoolFlag{Name: "bound", Usage: "print goodput over the strict-order bound"},
+			&cli.FloatFlag{Name: "slow-at", Usage: "second at which the first 4x server slows to a fifth; 0: never"},
+		},
+		Action: measure,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "policy:", err)
+		os.Exit(1)
+	}
+}
+
+func fleetOf(name string) replay.Fleet {
+	f := replay.Qasida()
+	if strings.HasPrefix(name, "tsumugi") {
+		f = replay.Tsumugi()
+	}
+	if strings.HasSuffix(name, "-varied") {
+		f = f.Varied()
+	}
+	return f
+}
+
+const allTiers = 9
+
+// trace generates one run with the faults and lags of the flags.
+func trace(c *cli.Command, f replay.Fleet, rate float64, seed uint64, maxTier int) replay.Trace {
+	t := f.Generate(rate, c.Duration("for"), seed, maxTier)
+	opt := replay.Line{
+		Kind: replay.LineOptions, NetworkUS: 1500, CacheLagMS: c.Int64("cache-lag"), CacheLoss: c.Float("cache-loss"),
+		LoadLagMS: c.Int64("load-lag"), LoadSkew: c.Int("load-skew"),
+	}
+	t.Lines = append([]replay.Line{opt}, t.Lines...)
+	if at := c.Float("slow-at"); at > 0 {
+		name := fmt.Sprintf("%s-%02d", f.Name, len(f.Speeds))
+		t.Lines = append(t.Lines, replay.Line{Kind: replay.LineFault, Fault: replay.FaultSlow, AtMS: at * 1000, Server: name, Speed: f.Speeds[len(f.Speeds)-1] / 5})
+	}
+	if n := c.Int("flood"); n > 0 {
+		t.Lines = append(t.Lines, flood(f, rate, c.Duration("for"), seed, n).Lines...)
+	}
+	return t
+}
+
+// flood adds n-1 times the share of account 1 on top.
+func flood(f replay.Fleet, rate float64, d time.Duration, seed uint64, n int) replay.Trace {
+	extra := f.Generate(rate/5*float64(n-1), d, seed+1000, allTiers)
+	var out replay.Trace
+	for _, l := range extra.Lines {
+		if l.Kind == replay.LineArrival {
+			l.Account = 1
+			out.Lines = append(out.Lines, l)
+		}
+	}
+	return out
+}
+
+const goodShare = 0.99
+
+// settleTime is how long after the last arrival a run may go on at capacity:
+// longer means that a backlog grew which long deadlines only hide.
+const settleTime = 15 * time.Second
+
+// capacity is the highest rate at which ours answers 0.99 of all in time and
+// no backlog is left.
+func capacity(c *cli.Command, f replay.Fleet) float64 {
+	low, high := 1.0, 4000.0
+	for high/low > 1.02 {
+		mid := (low + high) / 2
+		r := replay.Run(trace(c, f, mid, 1, allTiers), replay.Core(core.DefaultPolicy()))
+		offered, good := 0, 0
+		for _, t := range r.Tiers {
+			offered, good = offered+t.Offered, good+t.InTime
+		}
+		if float64(good) >= goodShare*float64(offered) && r.Ended <= c.Duration("for")+settleTime {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	return low
+}
+
+func measure(_ context.Context, c *cli.Command) error {
+	f := fleetOf(c.String("fleet"))
+	rate := c.Float("capacity")
+	if rate == 0 {
+		rate = capacity(c, f)
+	}
+	fmt.Printf("%s: capacity %.1f requests/s, %d seeds, %s of arrivals, cache lag %d ms, loss %.2f, load lag %d ms\n",
+		f.Name, rate, c.Int("seeds"), c.Duration("for"), c.Int64("cache-lag"), c.Float("cache-loss"), c.Int64("load-lag"))
+	fmt.Println("load  policy           goodput by tier: median [min max]                                            wasted          late")
+	for _, load := range strings.Split(c.String("loads"), ",") {
+		var x float64
+		if _, err := fmt.Sscanf(load, "%g", &x); err != nil {
+			return fmt.Errorf("load %q: %w", load, err)
+		}
+		for _, p := range policies() {
+			if !strings.Contains(","+c.String("policies")+",", ","+p.name+",") {
+				continue
+			}
+			printRow(c, f, x, rate*x, p)
+		}
+	}
+	return nil
+}
+
+// printRow runs all seeds of one row, a few at a time.
+func printRow(c *cli.Command, f replay.Fleet, load, rate float64, p policy) {
+	n := c.Int("seeds")
+	results := make([]replay.Result, n)
+	bounds := make([]map[int]float64, n)
+	var all sync.WaitGroup
+	slots := make(chan struct{}, 4)
+	for i := range n {
+		all.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			results[i] = replay.Run(trace(c, f, rate, uint64(i+1), allTiers), p.build)
+			if c.Bool("bound") {
+				bounds[i] = bound(c, f, rate, uint64(i+1), p)
+			}
+		})
+	}
+	all.Wait()
+	fmt.Printf("%4.1f  %-16s", load, p.name)
+	for _, tier := range results[0].Numbers() {
+		fmt.Printf(" %d: %s", tier, spread(results, func(r replay.Result) float64 { return r.Tiers[tier].Goodput() }))
+		if c.Bool("bound") {
+			fmt.Printf(" of bound %.3f", medianBound(results, bounds, tier))
+		}
+	}
+	late := func(r replay.Result) float64 { return float64(r.Unread) / float64(max(1, r.Computed)) }
+	fmt.Printf("  %s %s", spread(results, replay.Result.Wasted), spread(results, late))
+	if c.Int("flood") > 0 {
+		others := func(r replay.Result) float64 {
+			offered, good := 0, 0
+			for a, t := range r.Accounts {
+				if a != 1 {
+					offered, good = offered+t.Offered, good+t.InTime
+				}
+			}
+			return float64(good) / float64(max(1, offered))
+		}
+		fmt.Printf("  other accounts %s", spread(results, others))
+	}
+	p99 := spread(results, func(r replay.Result) float64 { return r.Tiers[r.Numbers()[0]].P99().Seconds() })
+	fmt.Printf("  p99 of the first tier %s s\n", p99)
+}
+
+// bound is what a tier gets when nothing below it arrives.
+func bound(c *cli.Command, f replay.Fleet, rate float64, seed uint64, p policy) map[int]float64 {
+	out := map[int]float64{}
+	for _, w := range f.Works {
+		out[w.Tier] = replay.Run(trace(c, f, rate, seed, w.Tier), p.build).Tiers[w.Tier].Goodput()
+	}
+	return out
+}
+
+func medianBound(results []replay.Result, bounds []map[int]float64, tier int) float64 {
+	var v []float64
+	for i, r := range results {
+		v = append(v, r.Tiers[tier].Goodput()/max(1e-9, bounds[i][tier]))
+	}
+	sort.Float64s(v)
+	return v[len(v)/2]
+}
+
+func spread(results []replay.Result, f func(replay.Result) float64) string {
+	var v []float64
+	for _, r := range results {
+		v = append(v, f(r))
+	}
+	sort.Float64s(v)
+	return fmt.Sprintf("%.3f [%.3f %.3f]", v[len(v)/2], v[0], v[len(v)-1])
+}
--- /dev/null
+++ b/internal/replay/result.go
@@ -0,0 +1,131 @@
+package replay
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Tier sums up one tier, or one client account.
+type Tier struct {
+	Number  int
+	Offered int
+	InTime  int
+	Late    int
+	Shed    int
+	// Waits are the whole times of answers, sorted.
+	Waits []time.Duration
+}
+
+// Goodput is the share answered whole within its deadline.
+func (t Tier) Goodput() float64 {
+	if t.Offered == 0 {
+		return 0
+	}
+	return float64(t.InTime) / float64(t.Offered)
+}
+
+// P99 is the 99th percentile of the time to the whole answer.
+func (t Tier) P99() time.Duration {
+	if len(t.Waits) == 0 {
+		return 0
+	}
+	return t.Waits[len(t.Waits)*99/100]
+}
+
+// Result is what came of a trace.
+type Result struct {
+	Tiers    map[int]*Tier
+	Accounts map[int]*Tier
+	Computed int // prompt tokens
+	Repeated int // computed though another server held them
+	Unread   int // computed for answers that came late
+	Ended    time.Duration
+}
+
+// Wasted is the share of the computed prompt tokens that was of no use.
+func (r Result) Wasted() float64 {
+	if r.Computed == 0 {
+		return 0
+	}
+	return float64(r.Repeated+r.Unread) / float64(r.Computed)
+}
+
+// Numbers lists the tiers, most urgent first.
+func (r Result) Numbers() []int {
+	var out []int
+	for n := range r.Tiers {
+		out = append(out, n)
+	}
+	sort.Ints(out)
+	return out
+}
+
+func at(m *map[int]*Tier, n int) *Tier {
+	if *m == nil {
+		*m = map[int]*Tier{}
+	}
+	t := (*m)[n]
+	if t == nil {
+		t = &Tier{Number: n}
+		(*m)[n] = t
+	}
+	return t
+}
+
+func (r *Result) note(a *Line, o outcome, now time.Duration) {
+	for _, t := range []*Tier{at(&r.Tiers, a.Tier), at(&r.Accounts, a.Account)} {
+		t.Offered++
+		switch o {
+		case inTime:
+			t.InTime++
+			t.Waits = append(t.Waits, now-time.Duration(a.AtMS*float64(time.Millisecond)))
+		case late:
+			t.Late++
+			t.Waits = append(t.Waits, now-time.Duration(a.AtMS*float64(time.Millisecond)))
+		case shed:
+			t.Shed++
+		}
+	}
+}
+
+func (r *Result) prefill(j *job, o outcome) {
+	r.Computed += j.computed
+	r.Repeated += j.repeated
+	if o == late {
+		r.Unread += j.computed - j.repeated
+	}
+}
+
+func (r *Result) finish(x *run) {
+	r.Ended = x.lastAt
+	for _, m := range []map[int]*Tier{r.Tiers, r.Accounts} {
+		for _, t := range m {
+			sort.Slice(t.Waits, func(i, j int) bool { return t.Waits[i] < t.Waits[j] })
+		}
+	}
+}
+
+// Differences compares the result with the outcomes that a trace states.
+func (r Result) Differences(t Trace) []string {
+	var out []string
+	for _, l := range t.Lines {
+		if l.Kind != LineExpect {
+			continue
+		}
+		what, got := fmt.Sprintf("tier %d", l.Tier), Tier{}
+		if l.Account > 0 {
+			what = fmt.Sprintf("account %d", l.Account)
+			if v := r.Accounts[l.Account]; v != nil {
+				got = *v
+			}
+		} else if v := r.Tiers[l.Tier]; v != nil {
+			got = *v
+		}
+		if got.Offered != l.Offered || got.InTime != l.InTime || got.Late != l.Late || got.Shed != l.Shed {
+			out = append(out, fmt.Sprintf("%s: stated %d offered, %d in time, %d late, %d shed; got %d, %d, %d, %d",
+				what, l.Offered, l.InTime, l.Late, l.Shed, got.Offered, got.InTime, got.Late, got.Shed))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/replay/run.go
@@ -0,0 +1,275 @@
+package replay
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	tickPeriod     = 20 * time.Millisecond
+	reportPeriod   = 1 * time.Second
+	defaultNetwork = 1500 * time.Microsecond
+)
+
+// Scheduler decides where requests go. now is virtual time.
+type Scheduler interface {
+	Arrive(now time.Duration, index int, a *Line)
+	Finished(now time.Duration, server int, j Finish)
+	Tick(now time.Duration)
+	Progress(now time.Duration, server, tokens int, seqTime time.Duration)
+	Load(now time.Duration, server, running int, age time.Duration)
+	Evicted(now time.Duration, server int, keys []int, gap bool, age time.Duration)
+	Fault(now time.Duration, l *Line)
+}
+
+// Finish is what a holder reports of an answered request.
+type Finish struct {
+	Index    int
+	Computed int
+	Output   int
+	First    time.Duration
+	Total    time.Duration
+}
+
+// Host is what a Scheduler may do.
+type Host interface {
+	// Dispatch sends a request to a server.
+	Dispatch(now time.Duration, index, server int)
+	// Shed tells its caller not run.
+	Shed(now time.Duration, index int)
+}
+
+// timer is one future event; order breaks ties, so runs are repeatable.
+type timer struct {
+	at    time.Duration
+	order uint64
+	do    func(now time.Duration)
+}
+
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	if t[i].at != t[j].at {
+		return t[i].at < t[j].at
+	}
+	return t[i].order < t[j].order
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	v := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return v
+}
+
+// run is one replay in progress.
+type run struct {
+	opt      Line
+	engines  []*engine
+	names    []string
+	arrivals []*Line
+	outcome  []outcome
+	open     int
+	sched    Scheduler
+	queue    timers
+	order    uint64
+	losses   *rand.Rand
+	pending  []evictions // by server
+	result   Result
+	lastAt   time.Duration
+}
+
+// evictions are the cache events of one server that wait for their lag.
+type evictions struct {
+	keys []int
+	gap  bool
+}
+
+// outcome is the final word on one arrival.
+type outcome uint8
+
+const (
+	undecided outcome = iota
+	inTime
+	late
+	shed
+)
+
+// Run replays a trace with the scheduler that build makes.
+func Run(t Trace, build func(servers []Line, opt Line, h Host) Scheduler) Result {
+	r := &run{losses: rand.New(rand.NewPCG(1, 2))}
+	r.opt.NetworkUS = int64(defaultNetwork / time.Microsecond)
+	var servers []Line
+	var faults []*Line
+	for i := range t.Lines {
+		l := &t.Lines[i]
+		switch l.Kind {
+		case LineServer:
+			servers = append(servers, *l)
+		case LineOptions:
+			r.opt = *l
+		case LineArrival:
+			r.arrivals = append(r.arrivals, l)
+		case LineFault:
+			faults = append(faults, l)
+		}
+	}
+	size := cacheTokens
+	if r.opt.CacheTokens > 0 {
+		size = r.opt.CacheTokens
+	}
+	for i, s := range servers {
+		r.names = append(r.names, s.Server)
+		r.engines = append(r.engines, &engine{index: i, speed: s.Speed, cache: newEngineCache(size)})
+	}
+	r.pending = make([]evictions, len(servers))
+	r.outcome = make([]outcome, len(r.arrivals))
+	r.open = len(r.arrivals)
+	r.sched = build(servers, r.opt, r)
+	r.plan(faults)
+	for r.open > 0 && len(r.queue) > 0 {
+		next := heap.Pop(&r.queue).(timer)
+		r.lastAt = next.at
+		next.do(next.at)
+	}
+	r.result.finish(r)
+	return r.result
+}
+
+func (r *run) at(when time.Duration, do func(time.Duration)) {
+	r.order++
+	heap.Push(&r.queue, timer{at: when, order: r.order, do: do})
+}
+
+func (r *run) network() time.Duration { return time.Duration(r.opt.NetworkUS) * time.Microsecond }
+
+func (r *run) plan(faults []*Line) {
+	for i, a := range r.arrivals {
+		when := time.Duration(a.AtMS * float64(time.Millisecond))
+		r.at(when+r.network(), func(now time.Duration) { r.sched.Arrive(now, i, a) })
+	}
+	for _, f := range faults {
+		r.at(time.Duration(f.AtMS*float64(time.Millisecond)), func(now time.Duration) { r.fault(now, f) })
+	}
+	r.every(tickPeriod, func(now time.Duration) { r.sched.Tick(now) })
+	r.every(reportPeriod, r.report)
+}
+
+func (r *run) every(period time.Duration, do func(time.Duration)) {
+	var again func(time.Duration)
+	again = func(now time.Duration) {
+		do(now)
+		r.at(now+period, again)
+	}
+	r.at(period, again)
+}
+
+func (r *run) fault(now time.Duration, f *Line) {
+	if f.Fault == FaultSlow {
+		for i := range r.engines {
+			if r.serverName(i) == f.Server {
+				r.engines[i].speed = f.Speed
+			}
+		}
+	}
+	r.sched.Fault(now, f)
+}
+
+func (r *run) serverName(i int) string { return r.names[i] }
+
+// report sends progress, load and cache events, each with its lag.
+func (r *run) report(now time.Duration) {
+	lag := time.Duration(r.opt.LoadLagMS) * time.Millisecond
+	cacheLag := time.Duration(r.opt.CacheLagMS) * time.Millisecond
+	for i, e := range r.engines {
+		tokens, seqTime := e.tokens, e.seqTime
+		e.tokens, e.seqTime = 0, 0
+		running := e.load() + r.opt.LoadSkew
+		events := r.pending[i]
+		r.pending[i] = evictions{}
+		r.at(now+r.network(), func(at time.Duration) { r.sched.Progress(at, i, tokens, seqTime) })
+		r.at(now+lag+r.network(), func(at time.Duration) { r.sched.Load(at, i, running, at-now) })
+		if len(events.keys) > 0 || events.gap {
+			r.at(now+cacheLag+r.network(), func(at time.Duration) {
+				r.sched.Evicted(at, i, events.keys, events.gap, at-now+reportPeriod)
+			})
+		}
+	}
+}
+
+// evicted notes a cache event; some are lost, which leaves a gap.
+func (r *run) evicted(_ time.Duration, e *engine, key int) {
+	if key < 0 {
+		return // own parts: nobody else asks for them
+	}
+	if r.opt.CacheLoss > 0 && r.losses.Float64() < r.opt.CacheLoss {
+		r.pending[e.index].gap = true
+		return
+	}
+	r.pending[e.index].keys = append(r.pending[e.index].keys, key)
+}
+
+func (r *run) heldElsewhere(than *engine, key int) bool {
+	for _, e := range r.engines {
+		if e != than && e.cache.holds(key) {
+			return true
+		}
+	}
+	return false
+}
+
+// Dispatch implements Host: the grant travels to the holder, the request to
+// the server.
+func (r *run) Dispatch(now time.Duration, index, server int) {
+	r.at(now+2*r.network(), func(at time.Duration) {
+		e := r.engines[server]
+		e.queue = append(e.queue, &job{arrival: r.arrivals[index], index: index, sent: at})
+		r.wake(at, e)
+	})
+}
+
+func (r *run) wake(now time.Duration, e *engine) {
+	if e.busy {
+		return
+	}
+	d := e.begin(now, r)
+	if d == 0 {
+		return
+	}
+	e.busy = true
+	r.at(now+d, func(at time.Duration) {
+		for _, j := range e.end(at) {
+			r.finish(at, e, j)
+		}
+		e.busy = false
+		r.wake(at, e)
+	})
+}
+
+// Shed implements Host.
+func (r *run) Shed(now time.Duration, index int) { r.decide(now, index, shed) }
+
+func (r *run) decide(now time.Duration, index int, o outcome) {
+	if r.outcome[index] != undecided {
+		return
+	}
+	r.outcome[index] = o
+	r.open--
+	r.result.note(r.arrivals[index], o, now)
+}
+
+func (r *run) finish(now time.Duration, e *engine, j *job) {
+	a := j.arrival
+	deadline := time.Duration(a.AtMS*float64(time.Millisecond)) + time.Duration(a.DeadlineMS)*time.Millisecond
+	o := inTime
+	if now+2*r.network() > deadline {
+		o = late
+	}
+	r.result.prefill(j, o)
+	r.decide(now+2*r.network(), j.index, o)
+	f := Finish{Index: j.index, Computed: j.computed, Output: j.tokens, First: j.first - j.sent, Total: now - j.sent}
+	r.at(now+2*r.network(), func(at time.Duration) { r.sched.Finished(at, e.index, f) })
+}
