Grant only what the server can answer in time

Ruled out: late because of slow learning (load scales were right); a larger margin alone (it sheds what fast servers could still do).

Change: the prediction of the picking server, as loaded as it is, must end within the deadline; when the earliest request does not fit, the newest one is tried; what no server can answer any more is shed by the loaded prediction.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -219,6 +219,26 @@
 // it only within its miss budget; that bounds the waste and still lets no
 // request wait for ever.
 func (c *Cell) pickTier(s *server, q *tierQueue) *item {
+	it := c.candidate(s, q)
+	if it == nil || c.inTime(s, it) {
+		return it
+	}
+	// The earliest request is too late for this server; a faster one may
+	// still take it. The newest one has the most time left.
+	if newest := q.shed.min(); c.inTime(s, newest) {
+		return newest
+	}
+	return nil
+}
+
+// inTime reports whether s would answer it within its deadline if granted
+// now. What is started too late costs prefill and tokens for nothing.
+func (c *Cell) inTime(s *server, it *item) bool {
+	return c.now.Add(s.predict(c.now, &it.req).total) <= it.req.Deadline
+}
+
+// candidate is the request that s would take if deadlines did not matter.
+func (c *Cell) candidate(s *server, q *tierQueue) *item {
 	if !c.policy.ServerPicks {
 		return q.first()
 	}
--- a/internal/core/shed.go
+++ b/internal/core/shed.go
@@ -12,7 +12,7 @@
 	maxRetry = 60 * time.Second
 )
 
-// bestCase is the fastest that any usable server could be, taken as idle.
+// bestCase is the fastest that any usable server is, as loaded as it is now.
 // It is found anew at each tick and change of a server, not for each request.
 type bestCase struct {
 	usable   bool
@@ -27,20 +27,21 @@
 		if !s.usable() {
 			continue
 		}
+		n := max(1, s.load())
 		call := s.predictMiss(c.now, &Request{}, 0).total
 		if !b.usable {
-			b = bestCase{usable: true, perToken: s.tokenTime(1), prefill: s.prefillTime(chunkTokens, 1), call: call}
+			b = bestCase{usable: true, perToken: s.tokenTime(n), prefill: s.prefillTime(chunkTokens, n), call: call}
 			continue
 		}
-		b.perToken = min(b.perToken, s.tokenTime(1))
-		b.prefill = min(b.prefill, s.prefillTime(chunkTokens, 1))
+		b.perToken = min(b.perToken, s.tokenTime(n))
+		b.prefill = min(b.prefill, s.prefillTime(chunkTokens, n))
 		b.call = min(b.call, call)
 	}
 	return b
 }
 
 // latestStart is the last moment at which the best usable server could still
-// answer r in time, taken as idle and holding the prefix.
+// answer r in time, taken as holding the prefix.
 func (c *Cell) latestStart(r *Request) Time {
 	if !c.best.usable {
 		return r.Deadline
