Price a missed prefix by its size, not by the speed of the server that misses

Cause: a miss was priced at 16 times its compute on the server itself, so a 4x server paid a quarter, and took prefixes that others held; what a miss costs the cell is the prefix it pushes out, which has nothing to do with speed.

Ruled out: a higher price for all (slow servers would then never take over).

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -104,7 +104,7 @@
 	}
 	cost := s.predictMiss(c.now, r, r.PromptTokens).total
 	if held {
-		cost += time.Duration(float64(s.prefillTime(r.PrefixTokens, s.load())) * c.policy.MissPrice)
+		cost += time.Duration(float64(prefillStep) * float64(r.PrefixTokens) / chunkTokens * c.policy.MissPrice)
 	}
 	return cost
 }
