Price what a missed prefix pushes out of a cache

Cause: urgent work with short prefixes was placed wherever it ended first and pushed 30,000-token prefixes out; 1,650 of 3,470 glosses at 1x were misses, most of them of prefixes that nobody held any more.

Change: the cost of a miss includes the shared prefixes that would leave that server's cache (price 8), and a miss costs 48 times its compute at speed 1.

--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -22,8 +22,18 @@
 	build func([]replay.Line, replay.Line, replay.Host) replay.Scheduler
 }
 
-// policies are the ones to choose from; "ours" is what the daemon runs.
-func policies() []policy {
+// policies are the ones to choose from; "ours" is what the daemon runs, with
+// the numbers that the flags change.
+func policies(c *cli.Command) []policy {
+	ours := core.DefaultPolicy()
+	override(&ours.MissPrice, c.Float("miss-price"))
+	override(&ours.EvictPrice, c.Float("evict-price"))
+	override(&ours.AgeShare, c.Float("age-share"))
+	override(&ours.HeldAgeShare, c.Float("held-age-share"))
+	override(&ours.MissBudget, c.Float("miss-budget"))
+	override(&ours.Headroom, c.Int("headroom"))
+	override(&ours.UrgentPrefill, c.Duration("urgent-prefill"))
+	override(&ours.BulkPrefill, c.Duration("bulk-prefill"))
 	noPick := core.DefaultPolicy()
 	noPick.ServerPicks = false
 	bare := noPick
@@ -33,7 +43,16 @@
 		{"least-in-flight", replay.LeastInFlight},
 		{"queue-bare-miss", replay.Core(bare)},
 		{"queue-no-pick", replay.Core(noPick)},
-		{"ours", replay.Core(core.DefaultPolicy())},
+		{"ours", replay.Core(ours)},
+	}
+}
+
+// unchanged is the value of a policy flag that was not given.
+const unchanged = -1
+
+func override[T int | float64 | time.Duration](to *T, v T) {
+	if v != unchanged {
+		*to = v
 	}
 }
 
@@ -53,6 +72,14 @@
 			&cli.IntFlag{Name: "load-skew", Usage: "requests that load reports count too many"},
 			&cli.IntFlag{Name: "flood", Usage: "times its share that account 1 sends"},
 			&cli.BoolFlag{Name: "bound", Usage: "print goodput over the strict-order bound"},
+			&cli.FloatFlag{Name: "miss-price", Value: unchanged},
+			&cli.FloatFlag{Name: "evict-price", Value: unchanged},
+			&cli.FloatFlag{Name: "age-share", Value: unchanged},
+			&cli.FloatFlag{Name: "held-age-share", Value: unchanged},
+			&cli.FloatFlag{Name: "miss-budget", Value: unchanged},
+			&cli.IntFlag{Name: "headroom", Value: unchanged},
+			&cli.DurationFlag{Name: "urgent-prefill", Value: unchanged},
+			&cli.DurationFlag{Name: "bulk-prefill", Value: unchanged},
 			&cli.FloatFlag{Name: "slow-at", Usage: "second at which the first 4x server slows to a fifth; 0: never"},
 		},
 		Action: measure,
@@ -147,7 +174,7 @@
 		if _, err := fmt.Sscanf(load, "%g", &x); err != nil {
 			return fmt.Errorf("load %q: %w", load, err)
 		}
-		for _, p := range policies() {
+		for _, p := range policies(c) {
 			if !strings.Contains(","+c.String("policies")+",", ","+p.name+",") {
 				continue
 			}
--- a/internal/core/cache.go
+++ b/internal/core/cache.go
@@ -19,6 +19,7 @@
 	key      prefix.Key
 	tokens   int
 	used     Time // last dispatch that used it
+	shared   bool // some request named it as its prefix
 	doubtful bool // a gap in the events may have hidden its eviction
 }
 
@@ -38,7 +39,7 @@
 
 // touch makes the key the newest and returns the keys pushed out of size
 // tokens, and whether the key is new.
-func (c *cacheModel) touch(now Time, k prefix.Key, tokens, size int) (evicted []prefix.Key, added bool) {
+func (c *cacheModel) touch(now Time, k prefix.Key, tokens, size int, shared bool) (evicted []prefix.Key, added bool) {
 	if k == 0 || tokens <= 0 {
 		return nil, false
 	}
@@ -47,9 +48,10 @@
 		v := e.Value.(*cached)
 		v.used = now
 		v.doubtful = false
+		v.shared = v.shared || shared
 		return nil, false
 	}
-	c.keys[k] = c.recent.PushFront(&cached{key: k, tokens: tokens, used: now})
+	c.keys[k] = c.recent.PushFront(&cached{key: k, tokens: tokens, used: now, shared: shared})
 	c.tokens += tokens
 	for c.tokens > size && c.recent.Len() > 1 {
 		evicted = append(evicted, c.drop(c.recent.Back()))
@@ -57,6 +59,23 @@
 	return evicted, true
 }
 
+// evictLook bounds how many entries pushedOut looks at.
+const evictLook = 64
+
+// pushedOut counts the tokens of shared prefixes that would leave a cache of
+// size tokens if as many more came in.
+func (c *cacheModel) pushedOut(tokens, size int) int {
+	free, lost := size-c.tokens, 0
+	for e, n := c.recent.Back(), 0; e != nil && free < tokens && n < evictLook; e, n = e.Prev(), n+1 {
+		v := e.Value.(*cached)
+		free += v.tokens
+		if v.shared {
+			lost += v.tokens
+		}
+	}
+	return lost
+}
+
 func (c *cacheModel) drop(e *list.Element) prefix.Key {
 	v := c.recent.Remove(e).(*cached)
 	delete(c.keys, v.key)
@@ -103,14 +122,14 @@
 // noteUse updates the cache model of s and the index of holders after r was
 // granted to s: its prefix is fresh, its own part joins.
 func (c *Cell) noteUse(now Time, s *server, r *Request) {
-	c.cacheTouch(now, s, r.Prefix, r.PrefixTokens)
+	c.cacheTouch(now, s, r.Prefix, r.PrefixTokens, true)
 	if r.Whole != r.Prefix {
-		c.cacheTouch(now, s, r.Whole, r.PromptTokens-r.PrefixTokens)
+		c.cacheTouch(now, s, r.Whole, r.PromptTokens-r.PrefixTokens, false)
 	}
 }
 
-func (c *Cell) cacheTouch(now Time, s *server, k prefix.Key, tokens int) {
-	evicted, added := s.cache.touch(now, k, tokens, s.spec.CacheTokens)
+func (c *Cell) cacheTouch(now Time, s *server, k prefix.Key, tokens int, shared bool) {
+	evicted, added := s.cache.touch(now, k, tokens, s.spec.CacheTokens, shared)
 	for _, old := range evicted {
 		c.unindex(s, old)
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -97,16 +97,27 @@
 	return best
 }
 
-// cost predicts r's end on s, with a miss at its price.
+// cost predicts r's end on s, with a miss and what it pushes out at their
+// prices. Both are priced at speed 1: what they cost the cell is cache room,
+// which has nothing to do with the speed of s.
 func (c *Cell) cost(s *server, r *Request, held bool) time.Duration {
 	if s.heldMark == c.markNow {
 		return s.predictMiss(c.now, r, max(1, r.PromptTokens-r.PrefixTokens)).total
 	}
 	cost := s.predictMiss(c.now, r, r.PromptTokens).total
+	if r.PrefixTokens == 0 {
+		return cost
+	}
 	if held {
-		cost += time.Duration(float64(prefillStep) * float64(r.PrefixTokens) / chunkTokens * c.policy.MissPrice)
+		cost += computeAtOne(r.PrefixTokens, c.policy.MissPrice)
 	}
-	return cost
+	lost := s.cache.pushedOut(r.PromptTokens, s.spec.CacheTokens)
+	return cost + computeAtOne(lost, c.policy.EvictPrice)
+}
+
+// computeAtOne is the prefill of tokens at speed 1, times a price.
+func computeAtOne(tokens int, price float64) time.Duration {
+	return time.Duration(float64(prefillStep) * float64(tokens) / chunkTokens * price)
 }
 
 // waitForPlace estimates how long a request of a tier waits for s: places
@@ -137,7 +148,7 @@
 
 func (c *Cell) wait(q *tierQueue, it *item) {
 	it.aged = false
-	it.timerAt = c.agesAt(&it.req, it.arrived)
+	it.timerAt = c.agesAt(it, false)
 	if it.timerAt > c.latestStart(&it.req) {
 		it.timerAt = c.latestStart(&it.req)
 	}
@@ -156,8 +167,14 @@
 	c.waitCount--
 }
 
-func (c *Cell) agesAt(r *Request, arrived Time) Time {
-	return arrived.Add(time.Duration(float64(r.Deadline.Sub(arrived)) * c.policy.AgeShare))
+// agesAt is when a request has waited long enough for a holder of its prefix
+// or, if nobody holds it, behind others.
+func (c *Cell) agesAt(it *item, held bool) Time {
+	share := c.policy.AgeShare
+	if held {
+		share = c.policy.HeldAgeShare
+	}
+	return it.arrived.Add(time.Duration(float64(it.req.Deadline.Sub(it.arrived)) * share))
 }
 
 // workOf is a request's work in seconds at speed 1, prefix not deducted.
--- a/internal/core/policy.go
+++ b/internal/core/policy.go
@@ -8,12 +8,18 @@
 	// MissPrice multiplies the compute time of prefix tokens that another
 	// server holds: a miss also pushes another prefix out.
 	MissPrice float64
+	// EvictPrice multiplies the compute time of the shared prefixes that a
+	// missed one would push out of a server's cache.
+	EvictPrice float64
 	// ServerPicks lets a server that frees up choose a waiting request whose
 	// prefix it holds. Off, the first request of a tier takes any slot.
 	ServerPicks bool
-	// AgeShare is the part of its deadline window that a request waits for a
-	// holder of its prefix before any server may take it.
-	AgeShare float64
+	// AgeShare is the part of its deadline window that a request whose prefix
+	// nobody holds waits behind others before it goes first. HeldAgeShare is
+	// the part that one waits for the holders of its prefix before any server
+	// may take it.
+	AgeShare     float64
+	HeldAgeShare float64
 	// MissBudget bounds the time a busy server spends on aged requests whose
 	// prefix another server holds: one such prefill, then MissBudget times
 	// its length without.
@@ -31,9 +37,11 @@
 // DefaultPolicy is the policy the daemon runs.
 func DefaultPolicy() Policy {
 	return Policy{
-		MissPrice:     16,
+		MissPrice:     48,
+		EvictPrice:    8,
 		ServerPicks:   true,
 		AgeShare:      0.3,
+		HeldAgeShare:  0.8,
 		MissBudget:    8,
 		Headroom:      1,
 		UrgentPrefill: 400 * time.Millisecond,
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -56,7 +56,7 @@
 	if srv == nil {
 		return
 	}
-	c.cacheTouch(c.now, srv, in.Prefix, in.PrefixTokens)
+	c.cacheTouch(c.now, srv, in.Prefix, in.PrefixTokens, true)
 	if in.State == LedgerGranted && e.run == nil && e.state == LedgerGranted {
 		it := &item{req: Request{ID: in.ID, Holder: in.Holder, Prefix: in.Prefix, PrefixTokens: in.PrefixTokens}}
 		e.run = srv.start(c.now, it)
--- a/internal/core/shed.go
+++ b/internal/core/shed.go
@@ -64,15 +64,25 @@
 			c.shedLate(it)
 			continue
 		}
+		it.timerAt = last
 		if !it.aged {
-			it.aged = true
-			it.group.tier.aged.push(it)
+			c.age(it, last)
 		}
-		it.timerAt = last
 		c.timers.fix(it.inTimer)
 	}
 }
 
+// age lets any server take a request that waited long enough; one whose
+// prefix is held by now waits on.
+func (c *Cell) age(it *item, last Time) {
+	if at := c.agesAt(it, len(it.group.holders) > 0); c.now < at {
+		it.timerAt = min(at, last)
+		return
+	}
+	it.aged = true
+	it.group.tier.aged.push(it)
+}
+
 // shedLate ends a request that cannot be answered in time. That is shedding
 // too, so the tiers below it go first: no caller of a lower tier may keep
 // its place while a higher one is turned away.
