--- a/internal/core/policy.go
+++ b/internal/core/policy.go
@@ -45,7 +45,7 @@
 		MissBudget:    8,
 		Headroom:      1,
 		UrgentPrefill: 400 * time.Millisecond,
-		BulkPrefill:   40 * time.Millisecond,
+		BulkPrefill:   10 * time.Millisecond,
 	}
 }
 
