Take a request from its holders only when there is nothing else to do

Ruled out: a longer wait alone (held ones aged at 0.8 of their window before).

Change: aged requests whose prefix is held come last within their tier; the newest is only taken when its prefix is not held elsewhere.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -230,11 +230,13 @@
 	return nil
 }
 
-// pickTier lets the server pick within a tier: first a request whose prefix
-// it holds, then one that nobody holds, then one that has waited long enough
-// for its holder. The last costs a recomputed prefix, so a server pays for
-// it only within its miss budget; that bounds the waste and still lets no
-// request wait for ever.
+// pickTier lets the server pick within a tier, in this order: a request that
+// waited long for a prefix that nobody holds, within the server's miss
+// budget; one whose prefix it holds; one whose prefix nobody holds; one that
+// waited long although another server holds its prefix. Only the last
+// computes again what the cell has, and only when the server has nothing
+// else to do in the tier; so no request waits for ever, and caches are not
+// destroyed just when work is scarce.
 func (c *Cell) pickTier(s *server, q *tierQueue) *item {
 	it := c.candidate(s, q)
 	if it == nil || c.inTime(s, it) {
@@ -242,7 +244,9 @@
 	}
 	// The earliest request is too late for this server; a faster one may
 	// still take it. The newest one has the most time left.
-	if newest := q.shed.min(); c.inTime(s, newest) {
+	newest := q.shed.min()
+	elsewhere := len(newest.group.holders) > 0 && !s.cache.holds(newest.req.Prefix)
+	if !elsewhere && c.inTime(s, newest) {
 		return newest
 	}
 	return nil
@@ -260,11 +264,10 @@
 		return q.first()
 	}
 	ready := s.firstReady(q.rank)
-	if q.aged.len() > 0 && (c.now >= s.missUntil || s.load() == 0) {
-		old := q.aged.min()
-		if ready == nil || old.before(ready) {
-			return old
-		}
+	old := q.oldest(s)
+	budget := c.now >= s.missUntil || s.load() == 0
+	if old != nil && budget && len(old.group.holders) == 0 && (ready == nil || old.before(ready)) {
+		return old
 	}
 	if ready != nil {
 		return ready
@@ -272,6 +275,27 @@
 	if q.unheld.len() > 0 {
 		return q.unheld.min().head()
 	}
+	if budget {
+		return old
+	}
+	return nil
+}
+
+// oldest returns the aged request with the earliest tag, those first whose
+// prefix nobody holds. A request whose prefix came to be held since it aged
+// moves to the others.
+func (q *tierQueue) oldest(s *server) *item {
+	for q.aged.len() > 0 {
+		it := q.aged.min()
+		if len(it.group.holders) == 0 || s.cache.holds(it.req.Prefix) {
+			return it
+		}
+		q.aged.remove(it.inAged)
+		q.agedHeld.push(it)
+	}
+	if q.agedHeld.len() > 0 {
+		return q.agedHeld.min()
+	}
 	return nil
 }
 
@@ -289,7 +313,7 @@
 // grant books it at s and tells the holder.
 func (c *Cell) grant(s *server, it *item) {
 	r := &it.req
-	if !s.cache.holds(r.Prefix) && len(c.holders[r.Prefix]) > 0 {
+	if !s.cache.holds(r.Prefix) && it.aged {
 		cost := s.prefillTime(r.PrefixTokens, s.load())
 		s.missUntil = c.now.Add(time.Duration(float64(cost) * c.policy.MissBudget))
 	}
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -15,7 +15,8 @@
 	aged    bool
 	timerAt Time // next time that matters: aging, then the latest start
 
-	inGroup, inShed, inTimer, inAged int // places in the heaps, -1 outside
+	inGroup, inShed, inTimer int // places in the heaps, -1 outside
+	inAged, inAgedHeld       int
 }
 
 func (a *item) before(b *item) bool {
@@ -48,10 +49,12 @@
 	groups map[prefix.Key]*group
 	unheld indexedHeap[*group] // non-empty groups that no usable server holds
 	shed   indexedHeap[*item]  // latest tag first
-	aged   indexedHeap[*item]  // earliest tag first
-	flows  map[ident.AccountID]*flow
-	vtime  float64
-	work   float64 // seconds of work that wait, at speed 1
+	aged   indexedHeap[*item]  // waited long, earliest tag first
+	// agedHeld has the aged ones whose prefix some server holds.
+	agedHeld indexedHeap[*item]
+	flows    map[ident.AccountID]*flow
+	vtime    float64
+	work     float64 // seconds of work that wait, at speed 1
 }
 
 func newTierQueue(number int) *tierQueue {
@@ -68,6 +71,10 @@
 		less:  func(a, b *item) bool { return a.before(b) },
 		moved: func(it *item, i int) { it.inAged = i },
 	}
+	q.agedHeld = indexedHeap[*item]{
+		less:  func(a, b *item) bool { return a.before(b) },
+		moved: func(it *item, i int) { it.inAgedHeld = i },
+	}
 	return q
 }
 
@@ -131,6 +138,9 @@
 	if it.inAged >= 0 {
 		q.aged.remove(it.inAged)
 	}
+	if it.inAgedHeld >= 0 {
+		q.agedHeld.remove(it.inAgedHeld)
+	}
 	if g.items.len() > 0 {
 		q.placeGroup(g)
 		return
--- a/internal/core/resend.go
+++ b/internal/core/resend.go
@@ -230,7 +230,7 @@
 	}
 	q := c.tier(r.Tier)
 	c.nextSeq++
-	it := &item{req: r, arrived: c.now, seq: c.nextSeq, inGroup: -1, inShed: -1, inTimer: -1, inAged: -1}
+	it := &item{req: r, arrived: c.now, seq: c.nextSeq, inGroup: -1, inShed: -1, inTimer: -1, inAged: -1, inAgedHeld: -1}
 	if c.now >= c.latestStart(&r) {
 		c.refuseLate(it)
 		return
