--- a/internal/core/policy.go
+++ b/internal/core/policy.go
@@ -42,7 +42,7 @@
 		ServerPicks:   true,
 		AgeShare:      0.3,
 		HeldAgeShare:  0.8,
-		MissBudget:    8,
+		MissBudget:    1.5,
 		Headroom:      1,
 		UrgentPrefill: 400 * time.Millisecond,
 		BulkPrefill:   10 * time.Millisecond,
