A grant serves only the attempt it was made for

Cause: the property test found it after 4,871 orders: host B resends an id, the home asks host A to give it up and, not knowing the answer yet, still grants A's waiting attempt. A gives up, its caller asks A again, and the old grant arrives while the new attempt waits: A dispatches under a grant that the home had freed, while B is granted too.

Ruled out: holding grants back while a revocation is open: a withdrawal that crosses a grant has the same effect.

Change: a holder numbers its attempts at an id; a register carries the number, a grant carries it back, and the holder uses a grant only for that attempt.

--- a/internal/cellwire/holder.go
+++ b/internal/cellwire/holder.go
@@ -48,7 +48,7 @@
 		return nil, err
 	}
 	req := core.Request{
-		ID: id, Holder: holder, Account: ident.AccountID(r.GetAccount()), Tier: int(r.GetTier()),
+		ID: id, Holder: holder, Attempt: r.GetAttempt(), Account: ident.AccountID(r.GetAccount()), Tier: int(r.GetTier()),
 		PromptTokens: int(r.GetPromptTokens()), OutputTokens: int(r.GetOutputTokens()),
 		Prefix: prefix.Key(r.GetPrefix()), PrefixTokens: int(r.GetPrefixTokens()), Whole: prefix.Key(r.GetWhole()),
 		Deadline: now.Add(time.Duration(r.GetDeadlineMs()) * time.Millisecond),
@@ -92,7 +92,7 @@
 // to its deadline.
 func RegisterFrame(r *core.Request, left time.Duration) *wire.Frame {
 	msg := &wire.Register{
-		Id: r.ID[:], Account: uint32(r.Account), Tier: uint32(r.Tier),
+		Id: r.ID[:], Attempt: r.Attempt, Account: uint32(r.Account), Tier: uint32(r.Tier),
 		PromptTokens: uint32(r.PromptTokens), OutputTokens: uint32(r.OutputTokens),
 		Prefix: uint64(r.Prefix), PrefixTokens: uint32(r.PrefixTokens), Whole: uint64(r.Whole),
 		DeadlineMs: uint32(max(0, left.Milliseconds())), Resend: r.Resend, Claimed: r.Claimed,
--- a/internal/cellwire/home.go
+++ b/internal/cellwire/home.go
@@ -14,7 +14,7 @@
 func Frame(a core.Action) *wire.Frame {
 	switch a.Kind {
 	case core.Grant:
-		return &wire.Frame{Body: &wire.Frame_Grant{Grant: &wire.Grant{Id: a.ID[:], Server: uint32(a.Server), ValidUntil: int64(a.ValidUntil)}}}
+		return &wire.Frame{Body: &wire.Frame_Grant{Grant: &wire.Grant{Id: a.ID[:], Server: uint32(a.Server), ValidUntil: int64(a.ValidUntil), Attempt: a.Attempt}}}
 	case core.Shed:
 		return &wire.Frame{Body: &wire.Frame_Shed{Shed: &wire.Shed{Id: a.ID[:], Reason: string(a.Reason), RetryAfterMs: uint32(a.RetryAfter.Milliseconds())}}}
 	case core.Revoke:
@@ -35,7 +35,7 @@
 	switch b := f.Body.(type) {
 	case *wire.Frame_Grant:
 		raw = b.Grant.GetId()
-		a = core.Action{Kind: core.Grant, Server: ident.ServerID(b.Grant.GetServer()), ValidUntil: core.Stamp(b.Grant.GetValidUntil())}
+		a = core.Action{Kind: core.Grant, Server: ident.ServerID(b.Grant.GetServer()), ValidUntil: core.Stamp(b.Grant.GetValidUntil()), Attempt: b.Grant.GetAttempt()}
 	case *wire.Frame_Shed:
 		raw = b.Shed.GetId()
 		a = core.Action{
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -40,6 +41,7 @@
 	lastStamp core.Time
 	states    map[ident.RequestID]string // waiting, granted, dispatched, moved, attached, notrun
 	validity  map[ident.RequestID]core.Stamp
+	attempts  map[ident.RequestID]uint32
 	resends   map[ident.RequestID][]ident.Incarnation // held as a resend, with the holders tried
 	toHome    []core.Event
 	fromHome  []core.Action
@@ -91,7 +93,7 @@
 func (h *modelHolder) register(id ident.RequestID) core.Register {
 	tried, resend := h.resends[id]
 	return core.Register{Request: core.Request{
-		ID: id, Holder: h.inc, Tier: 2, PromptTokens: 100, OutputTokens: 10,
+		ID: id, Holder: h.inc, Attempt: h.attempts[id], Tier: 2, PromptTokens: 100, OutputTokens: 10,
 		Deadline: h.w.now.Add(time.Hour), Resend: resend, Tried: tried,
 	}}
 }
@@ -100,6 +102,9 @@
 	state := h.states[a.ID]
 	switch a.Kind {
 	case core.Grant:
+		if a.Attempt != h.attempts[a.ID] {
+			return
+		}
 		if state == "waiting" {
 			h.states[a.ID], h.validity[a.ID] = "granted", a.ValidUntil
 		} else if state != "granted" && state != "dispatched" {
@@ -108,7 +113,7 @@
 	case core.Shed:
 		if state == "waiting" {
 			h.states[a.ID] = "notrun"
-			h.w.notRun[a.ID] = true
+			h.w.tellNotRun(h, a.ID, "waiting", "granted", "attached")
 		}
 	case core.Revoke:
 		ans := core.RevokeAnswer{ID: a.ID, Holder: h.inc, Server: 1}
@@ -144,14 +149,14 @@
 		w.holders = append(w.holders, &modelHolder{
 			w: w, inc: inc, offset: core.Stamp(1e12 * (i + 1)),
 			states: map[ident.RequestID]string{}, validity: map[ident.RequestID]core.Stamp{},
-			resends: map[ident.RequestID][]ident.Incarnation{},
+			resends: map[ident.RequestID][]ident.Incarnation{}, attempts: map[ident.RequestID]uint32{},
 		})
 		live.Live = append(live.Live, inc)
 	}
 	for range 2 {
 		h := &modelHome{cell: core.NewCell(0, core.DefaultPolicy())}
 		h.cell.Step(0, core.Configure{
-			Servers: []core.ServerSpec{{ID: 1, Speed: 1, MaxSequences: 3, CacheTokens: 60000}}, Waiting: 6, Horizon: 120 * time.Second,
+			Servers: []core.ServerSpec{{ID: 1, Speed: 1, MaxSequences: 3, CacheTokens: 60000}}, Waiting: 2, Horizon: 120 * time.Second,
 		}, nil)
 		h.cell.Step(0, live, nil)
 		w.homes = append(w.homes, h)
@@ -220,10 +225,33 @@
 		}
 	}
 	h.states[id], h.resends[id] = "waiting", tried
+	h.attempts[id]++
 	delete(w.notRun, id)
 	h.toHome = append(h.toHome, h.register(id))
 }
 
+// tellNotRun notes the word of the newest attempt. While the caller has
+// another attempt in one of the given states at another holder, the word on
+// this one says nothing about that.
+func (w *world) tellNotRun(h *modelHolder, id ident.RequestID, elsewhere ...string) {
+	for _, o := range w.holders {
+		if o != h && slices.Contains(elsewhere, o.states[id]) {
+			return
+		}
+	}
+	w.notRun[id] = true
+}
+
+// withdraw takes a waiting request back: nobody reads it any more. Its caller
+// may ask again later.
+func (w *world) withdraw(t *rapid.T) {
+	h := choose(t, "holder", w.where(func(h *modelHolder) bool { return len(h.idsIn("waiting", "granted")) > 0 }))
+	id := choose(t, "id", h.idsIn("waiting", "granted"))
+	h.states[id] = "notrun"
+	w.tellNotRun(h, id, "waiting", "granted", "attached", "dispatched")
+	h.toHome = append(h.toHome, core.Withdraw{ID: id, Holder: h.inc})
+}
+
 func (w *world) toHome(t *rapid.T) {
 	h := choose(t, "holder", w.where(func(h *modelHolder) bool { return len(h.toHome) > 0 && h.homeAlive() }))
 	ev := h.toHome[0]
@@ -320,7 +348,7 @@
 		"to home": w.toHome, "to home too": w.toHome, "to home again": w.toHome,
 		"to holder": w.toHolder, "to holder too": w.toHolder,
 		"holder dies": w.die, "told of a death": w.tellDeath, "home dies": w.homeDies,
-		"goodbye": w.goodbye, "time": w.time, "time too": w.time,
+		"withdraw": w.withdraw, "goodbye": w.goodbye, "time": w.time, "time too": w.time,
 		"reconnect": func(t *rapid.T) {
 			h := choose(t, "holder", w.where((*modelHolder).homeAlive))
 			h.join(h.home)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -30,8 +30,12 @@
 
 // Request is what the home knows of a request; the body stays at the holder.
 type Request struct {
-	ID           ident.RequestID
-	Holder       ident.Incarnation
+	ID     ident.RequestID
+	Holder ident.Incarnation
+	// Attempt numbers the holder's attempts at the id. A grant carries it back:
+	// one that crossed a revocation or a withdrawal on its way belongs to an
+	// attempt that has ended, and must not serve a newer one of the same id.
+	Attempt      uint32
 	Account      ident.AccountID
 	Tier         int
 	PromptTokens int
@@ -254,6 +258,7 @@
 	Server     ident.ServerID
 	Holder     ident.Incarnation
 	ValidUntil Stamp
+	Attempt    uint32 // of a grant
 	Reason     failure.Code
 	RetryAfter time.Duration
 	State      chart.State
--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -25,11 +25,19 @@
 
 // granted takes a grant. Only a waiting request uses it; a request that has
 // ended meanwhile gives it back.
-func (r *Record) granted(l *link, server ident.ServerID, until core.Stamp) {
+//
+// Guard: a grant can cross a revocation or a withdrawal of its request on the
+// way here, and meet a newer attempt at the same id that waits by now. The
+// home has freed that grant and may have granted the id elsewhere since, so
+// using it would run the request twice. The attempt number tells.
+func (r *Record) granted(l *link, a core.Action) {
+	if a.Attempt != r.attempt {
+		return
+	}
 	r.mu.Lock()
 	ok := r.fire(evGrant)
 	if ok {
-		r.server = server
+		r.server = a.Server
 	}
 	ended := r.machine.Final()
 	r.mu.Unlock()
@@ -40,7 +48,7 @@
 		return
 	}
 	r.record(event.RequestGranted, "")
-	r.h.background(func(ctx context.Context) { r.use(ctx, l, server, until) })
+	r.h.background(func(ctx context.Context) { r.use(ctx, l, a.Server, a.ValidUntil) })
 }
 
 // use turns a grant into a dispatch.
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -14,6 +14,7 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/backend"
@@ -53,6 +54,8 @@
 	ctx   context.Context
 	tasks sync.WaitGroup
 
+	attempts atomic.Uint32 // records made so far
+
 	mu      sync.Mutex
 	records map[ident.RequestID]*Record
 	links   map[string]*link
--- a/internal/holder/link.go
+++ b/internal/holder/link.go
@@ -316,7 +316,7 @@
 	}
 	switch a.Kind {
 	case core.Grant:
-		r.granted(l, a.Server, a.ValidUntil)
+		r.granted(l, a)
 	case core.Shed:
 		r.refuse(&failure.Error{Code: a.Reason, Message: "shed by the home of " + l.service, RetryAfter: a.RetryAfter})
 	case core.Attach:
--- a/internal/holder/record.go
+++ b/internal/holder/record.go
@@ -83,6 +83,8 @@
 	Sub    Submission
 	answer *Answer
 	token  ident.RequestID // of the claim row, one for the life of the record
+	// attempt numbers the records of this host; see core.Request.Attempt.
+	attempt uint32
 
 	mu         sync.Mutex
 	machine    chart.Machine
@@ -98,7 +100,7 @@
 }
 
 func newRecord(h *Holder, sub Submission) *Record {
-	r := &Record{h: h, Sub: sub, answer: newAnswer(), machine: requestChart.Start(), token: ident.Mint(h.self), idleSince: time.Now()}
+	r := &Record{h: h, Sub: sub, answer: newAnswer(), machine: requestChart.Start(), token: ident.Mint(h.self), attempt: h.attempts.Add(1), idleSince: time.Now()}
 	r.deadline = time.AfterFunc(time.Until(sub.Deadline), r.deadlinePassed)
 	return r
 }
@@ -285,7 +287,7 @@
 func (r *Record) coreRequest() core.Request {
 	s := &r.Sub
 	return core.Request{
-		ID: s.ID, Holder: r.h.self, Account: ident.Account(s.Account), Tier: s.Tier,
+		ID: s.ID, Holder: r.h.self, Attempt: r.attempt, Account: ident.Account(s.Account), Tier: s.Tier,
 		PromptTokens: s.PromptTokens, OutputTokens: s.OutputTokens,
 		Prefix: s.Prefix, PrefixTokens: s.PrefixTokens, Whole: s.Whole,
 		Resend: s.Resend, Tried: s.Tried, Claimed: s.claimed(),
