Compare each request with the scale that its own prediction used

The learned prefill scale of healthy servers stood at 14 to 50: many requests predicted with one scale finished one after another, each was compared with the scale of now that the ones before had raised, so one error was added once for each of them; and a server that looks that slow gets no work to be learned anew from.

Ruled out: headroom, the bulk prefill limit, prices (400/s all the same); engine capacity (least in flight answered everything at 540/s).

Change: a request is compared with the scale of its own prediction; scales without news for 5 s go back to 1.

--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -227,7 +227,7 @@
 
 func (c *Cell) progress(e Progress) {
 	s := c.server(e.Server)
-	if s != nil && s.progress(e) {
+	if s != nil && s.progress(c.now, e) {
 		c.signal(e.Server, SignalFail)
 	}
 }
@@ -246,6 +246,9 @@
 
 func (c *Cell) tick() {
 	c.open()
+	for _, s := range c.servers {
+		s.forget(c.now)
+	}
 	c.best = c.findBest()
 	c.fireTimers()
 	c.expireOrphans()
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -347,7 +347,7 @@
 	if run == nil {
 		return
 	}
-	run.server.learn(run, e)
+	run.server.learn(c.now, run, e)
 	run.server.finish(c.now, run)
 	c.fill(run.server)
 }
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -12,14 +12,19 @@
 // server are learned, so these only have to have the right shape: a step
 // prefills up to chunkTokens, and every running sequence makes it longer.
 const (
-	chunkTokens    = 512
-	prefillStep    = 6 * time.Millisecond
-	decodeStep     = 3 * time.Millisecond
-	stepPerSeq     = 200 * time.Microsecond
-	plainCall      = 5 * time.Millisecond
-	learnRate      = 0.2
-	minScale       = 0.2
-	maxScale       = 50.0
+	chunkTokens = 512
+	prefillStep = 6 * time.Millisecond
+	decodeStep  = 3 * time.Millisecond
+	stepPerSeq  = 200 * time.Microsecond
+	plainCall   = 5 * time.Millisecond
+	learnRate   = 0.2
+	minScale    = 0.2
+	maxScale    = 20.0
+	// forgetAfter is how long a scale stands without news; after it the scale
+	// goes back to 1, by forgetRate at each tick, so that a server that was
+	// slow once gets work again and is learned anew.
+	forgetAfter    = 5 * time.Second
+	forgetRate     = 0.01
 	learnTokens    = 32 // fewer tokens say too little about a server's speed
 	stallTime      = 3 * time.Second
 	driftReports   = 2
@@ -32,9 +37,10 @@
 	server     *server
 	grantedAt  Time
 	missTokens int
-	predicted  Time // end
-	firstAt    Time // predicted first token
-	orphan     bool // its holder died; ends by the clock
+	predicted  Time    // end
+	firstAt    Time    // predicted first token
+	scale      float64 // prefill scale that the prediction used
+	orphan     bool    // its holder died; ends by the clock
 }
 
 // sample is the number of running requests from a moment on.
@@ -55,6 +61,8 @@
 	missUntil    Time    // no aged miss before this time
 	prefillScale float64
 	decodeScale  float64
+	prefillAt    Time          // when prefillScale was last learned
+	decodeAt     Time          // when decodeScale was last learned
 	stalled      time.Duration // streaming time without a single token
 	cache        cacheModel
 	ready        [][]*group // per tier rank: held groups with waiting requests
@@ -144,7 +152,7 @@
 	p := s.predict(now, &it.req)
 	r := &run{
 		item: it, server: s, grantedAt: now, missTokens: p.miss,
-		predicted: now.Add(p.total), firstAt: now.Add(p.first),
+		predicted: now.Add(p.total), firstAt: now.Add(p.first), scale: s.prefillScale,
 	}
 	s.prefillFree = now.Add(p.first)
 	s.runs = append(s.runs, r)
@@ -200,29 +208,48 @@
 }
 
 // learn corrects the speed scales by a finished request.
-func (s *server) learn(r *run, f Finished) {
+//
+// Guard: many requests predicted with one scale finish one after another.
+// Each is compared with the scale that its own prediction used; compared with
+// the scale of now, which the ones before it have raised already, the same
+// error would be added once for each of them and the scale run away.
+func (s *server) learn(now Time, r *run, f Finished) {
 	if f.Failed {
 		return
 	}
 	if s.spec.Plain {
+		s.decodeAt = now
 		s.decodeScale = blend(s.decodeScale, f.Total, time.Duration(float64(plainCall)/s.spec.Speed))
 		return
 	}
-	if f.PromptTokens >= chunkTokens && f.FirstToken > 0 {
-		expected := r.firstAt.Sub(r.grantedAt)
-		s.prefillScale = blendRatio(s.prefillScale, f.FirstToken, expected)
+	expected := r.firstAt.Sub(r.grantedAt)
+	if f.PromptTokens >= chunkTokens && f.FirstToken > 0 && expected > 0 {
+		s.prefillAt = now
+		target := r.scale * float64(f.FirstToken) / float64(expected)
+		s.prefillScale = clampScale(s.prefillScale + (target-s.prefillScale)*learnRate)
+	}
+}
+
+// forget lets scales without news go back to 1.
+func (s *server) forget(now Time) {
+	if now.Sub(s.prefillAt) > forgetAfter {
+		s.prefillScale += (1 - s.prefillScale) * forgetRate
+	}
+	if now.Sub(s.decodeAt) > forgetAfter {
+		s.decodeScale += (1 - s.decodeScale) * forgetRate
 	}
 }
 
 // progress corrects the decode scale and notices a server that stalls. It
 // comes once a second, long before the answers of a server that slowed down.
-func (s *server) progress(p Progress) (stalled bool) {
+func (s *server) progress(now Time, p Progress) (stalled bool) {
 	if p.Tokens > 0 {
 		s.stalled = 0
 	} else {
 		s.stalled += p.SeqTime
 	}
 	if p.Tokens >= learnTokens {
+		s.decodeAt = now
 		seen := p.SeqTime / time.Duration(p.Tokens)
 		s.decodeScale = blendRatio(s.decodeScale, seen, s.tokenTime(s.load()))
 	}
