--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,6 +59,7 @@
 	claims   *claim.Claimer
 	platform *httpplatform.Client
 	backends *http.Transport
+	traffic  peer.Traffic
 
 	callerServer *http.Server
 	adminServer  *http.Server
@@ -162,7 +163,7 @@
 		Members: d.members, Config: d.config, Backends: factory, Claims: d.claims, Events: d.events,
 	})
 	id := peer.Identity{Incarnation: d.inc, Host: d.set.Host, Fleet: d.set.Fleet}
-	d.peers = peer.NewManager(id, d.set.AdvertiseControl, d.serveStream, peerNews{d}, d.events)
+	d.peers = peer.NewManager(id, d.set.AdvertiseControl, d.serveStream, peerNews{d}, d.events, &d.traffic)
 	d.peers.DialFrom(d.control.Addr().(*net.TCPAddr).IP)
 	d.homes.SetPeers(d.peers)
 	d.holder.SetPeers(d.peers)
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -158,6 +158,8 @@
 	bytes := metrics.GetOrRegisterGauge("holder.bytes", d.metrics)
 	members := metrics.GetOrRegisterGauge("member.known", d.metrics)
 	version := metrics.GetOrRegisterGauge("config.version", d.metrics)
+	sent := metrics.GetOrRegisterGauge("control.sent_bytes", d.metrics)
+	received := metrics.GetOrRegisterGauge("control.received_bytes", d.metrics)
 	metrics.RegisterRuntimeMemStats(d.metrics)
 	tick := time.NewTicker(metricsPeriod)
 	defer tick.Stop()
@@ -171,6 +173,8 @@
 		records.Update(int64(s.Records))
 		open.Update(int64(s.InProgress))
 		bytes.Update(int64(s.HeldBytes))
+		sent.Update(d.traffic.Sent.Load() + d.gossip.Sent.Load())
+		received.Update(d.traffic.Received.Load() + d.gossip.Received.Load())
 		members.Update(int64(len(d.members.All())))
 		if c := d.config.Current(); c != nil {
 			version.Update(int64(c.Version))
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +48,10 @@
 	seeds  func() []string // control addresses from settings and host list
 	events *event.Recorder
 
+	// Sent and Received count the bytes of the datagrams.
+	Sent     atomic.Int64
+	Received atomic.Int64
+
 	mu         sync.Mutex
 	seq        uint32
 	waiting    map[uint32]chan struct{}
@@ -191,6 +196,7 @@
 	if err != nil || len(b) > maxDatagram {
 		return
 	}
+	g.Sent.Add(int64(len(b)))
 	_, _ = g.conn.WriteTo(b, to) // a lost datagram is the normal case of UDP
 }
 
@@ -204,6 +210,7 @@
 		if err != nil {
 			continue
 		}
+		g.Received.Add(int64(n))
 		var m wire.Gossip
 		if proto.Unmarshal(buf[:n], &m) != nil || m.Version != wire.Version || m.Fleet != g.fleet || m.From == nil {
 			continue // not of this fleet or version: as if never sent
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -67,6 +67,7 @@
 	handler Handler
 	news    Observer
 	events  *event.Recorder
+	traffic *Traffic
 
 	mu       sync.Mutex
 	sessions map[string]*session // by remote control address
@@ -83,9 +84,9 @@
 }
 
 // NewManager makes the sessions' owner. handler serves incoming streams.
-func NewManager(self Identity, address string, handler Handler, news Observer, events *event.Recorder) *Manager {
+func NewManager(self Identity, address string, handler Handler, news Observer, events *event.Recorder, traffic *Traffic) *Manager {
 	return &Manager{
-		self: self, address: address, handler: handler, news: news, events: events,
+		self: self, address: address, handler: handler, news: news, events: events, traffic: traffic,
 		sessions: map[string]*session{}, accepted: map[*session]bool{},
 	}
 }
@@ -105,7 +106,7 @@
 			time.Sleep(10 * time.Millisecond) // out of descriptors: let some close
 			continue
 		}
-		m.duties.Go(func() { m.accept(conn) })
+		m.duties.Go(func() { m.accept(countedConn{conn, m.traffic}) })
 	}
 }
 
@@ -271,6 +272,7 @@
 		}
 		return failure.Wrap(failure.PeerSilent, err, "dial %s", to.Address)
 	}
+	conn = countedConn{conn, m.traffic}
 	remote, err := m.greet(conn)
 	if err != nil {
 		_ = conn.Close()
