--- /dev/null
+++ b/bench/capacity/main.go
@@ -0,0 +1,145 @@
+// Command capacity works out what a node spends on control at a given size,
+// from measured points: it fits a line to each series of points.csv, prints
+// slope, intercept and the largest error, and projects.
+package main
+
+import (
+	"context"
+	_ "embed"
+	"encoding/csv"
+	"fmt"
+	"math"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+)
+
+//go:embed points.csv
+var points string
+
+func main() {
+	cmd := &cli.Command{
+		Name: "capacity", Usage: "project the cost of control from measured points",
+		Flags: []cli.Flag{
+			&cli.FloatFlag{Name: "nodes", Value: 390},
+			&cli.FloatFlag{Name: "servers", Value: 630},
+			&cli.FloatFlag{Name: "requests", Value: 9900, Usage: "a second, at peak"},
+			&cli.FloatFlag{Name: "models", Value: 14},
+			&cli.FloatFlag{Name: "regions", Value: 3},
+			&cli.FloatFlag{Name: "horizon", Value: 120, Usage: "seconds that ids are remembered"},
+			&cli.FloatFlag{Name: "claimed", Value: 0.01, Usage: "share of requests that need a claim row"},
+		},
+		Action: project,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+// line is a fitted straight line.
+type line struct {
+	slope, base, worst float64 // worst: largest error over the measured value
+	n                  int
+}
+
+func (l line) at(x float64) float64 { return l.base + l.slope*x }
+
+// read groups the points by series.
+func read() (map[string][][2]float64, error) {
+	rows, err := csv.NewReader(strings.NewReader(points)).ReadAll()
+	if err != nil {
+		return nil, err
+	}
+	out := map[string][][2]float64{}
+	for _, r := range rows[1:] {
+		x, errX := strconv.ParseFloat(r[1], 64)
+		y, errY := strconv.ParseFloat(r[2], 64)
+		if errX != nil || errY != nil {
+			return nil, fmt.Errorf("row %v", r)
+		}
+		out[r[0]] = append(out[r[0]], [2]float64{x, y})
+	}
+	return out, nil
+}
+
+// fit is the least squares line through the points.
+func fit(p [][2]float64) line {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(p))
+	for _, v := range p {
+		sx, sy = sx+v[0], sy+v[1]
+		sxx, sxy = sxx+v[0]*v[0], sxy+v[0]*v[1]
+	}
+	l := line{n: len(p)}
+	l.slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	l.base = (sy - l.slope*sx) / n
+	for _, v := range p {
+		l.worst = max(l.worst, math.Abs(l.at(v[0])-v[1])/math.Abs(v[1]))
+	}
+	return l
+}
+
+func project(_ context.Context, c *cli.Command) error {
+	series, err := read()
+	if err != nil {
+		return err
+	}
+	names := make([]string, 0, len(series))
+	for name := range series {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	lines := map[string]line{}
+	fmt.Println("series                         points      slope        base  worst error")
+	for _, name := range names {
+		l := fit(series[name])
+		lines[name] = l
+		fmt.Printf("%-30s %6d %10.4g  %10.4g  %10.1f%%\n", name, l.n, l.slope, l.base, l.worst*100)
+	}
+	printNode(c, lines)
+	return nil
+}
+
+// The limits for control of one node.
+const (
+	limitCPU   = 1.5 // percent of a core
+	limitMB    = 32.0
+	limitBytes = 26000.0
+	// hostsPerCell is the fan-in of a home (rules.lookup.hosts_per_service).
+	hostsPerCell = 9.0
+	ledgerBytes  = 200.0 // an id in a home's ledger: map entry, mark, pointer
+	writesLimit  = 300.0 // conditional writes a second that the table takes
+	readsLimit   = 2000.0
+)
+
+func printNode(c *cli.Command, l map[string]line) {
+	cells := c.Float("models") * c.Float("regions")
+	perCell := c.Float("requests") / cells
+	perNode := c.Float("requests") / c.Float("nodes")
+	nodes := c.Float("nodes")
+	fmt.Printf("\n%.0f cells, %.0f requests/s and %.0f servers a cell, %.0f requests/s a node\n", cells, perCell, c.Float("servers")/cells, perNode)
+	row := func(what string, value, limit float64, unit string) {
+		mark := "within"
+		if value > limit {
+			mark = "OVER"
+		}
+		fmt.Printf("%-58s %9.1f %-6s of %8.1f  %s\n", what, value, unit, limit, mark)
+	}
+	idleCPU := l["idle_cpu_percent_by_hosts"].at(hostsPerCell)
+	memberBytes := l["idle_sent_bytes_by_hosts"].at(nodes)
+	homeCPU := l["home_cpu_percent_by_rate"].slope * perCell
+	homeBytes := l["home_sent_bytes_by_rate"].slope * perCell
+	row("member: processor, idle host of a cell of 9", idleCPU, limitCPU, "%")
+	row("member: bytes sent, line extended to all nodes", memberBytes, limitBytes, "B/s")
+	row("home and entry in one process: processor", idleCPU+homeCPU, limitCPU, "%")
+	row("home and entry in one process: bytes sent", l["idle_sent_bytes_by_hosts"].at(hostsPerCell)+homeBytes, limitBytes, "B/s")
+	row("memory of an idle host", l["idle_memory_mb_by_hosts"].at(hostsPerCell), limitMB, "MB")
+	row("home: ledger of a horizon", perCell*c.Float("horizon")*ledgerBytes/1e6, limitMB, "MB")
+	row("table: reads of the version row", nodes/2, readsLimit, "1/s")
+	row("table: leases and claims", cells/1+c.Float("requests")*c.Float("claimed"), writesLimit, "1/s")
+	fmt.Printf("claims run out at a share of %.3f of all requests\n", (writesLimit-cells)/c.Float("requests"))
+}
--- a/internal/callerapi/decode.go
+++ b/internal/callerapi/decode.go
@@ -30,7 +30,6 @@
 	sub    holder.Submission
 	limits config.Limits
 	stream bool
-	ctx    context.Context
 }
 
 // attachRequest is the decoded form of a re-attachment.
@@ -74,7 +73,7 @@
 }
 
 // decodeModel reads a completion or chat completion.
-func (a *API) decodeModel(ctx context.Context, r *http.Request) (any, error) {
+func (a *API) decodeModel(_ context.Context, r *http.Request) (any, error) {
 	doc, account, err := a.caller(r)
 	if err != nil {
 		return nil, err
@@ -97,7 +96,7 @@
 	if svc.Kind != config.ModelService {
 		return nil, failure.New(failure.BadRequest, "service %q is not a model service", svc.Name)
 	}
-	req := &submitRequest{limits: doc.Rules.Limits, stream: p.Stream, ctx: ctx}
+	req := &submitRequest{limits: doc.Rules.Limits, stream: p.Stream}
 	if err := a.fill(&req.sub, doc, account, svc, r); err != nil {
 		return nil, err
 	}
@@ -142,19 +141,15 @@
 }
 
 // decodePlain reads a call of a plain service.
-func (a *API) decodePlain(ctx context.Context, r *http.Request) (any, error) {
-	doc, account, err := a.caller(r)
-	if err != nil {
-		return nil, err
-	}
-	svc, err := allow(doc, account, r.PathValue("service"))
+func (a *API) decodePlain(_ context.Context, r *http.Request) (any, error) {
+	doc, account, svc, err := a.callerOf(r, r.PathValue("service"))
 	if err != nil {
 		return nil, err
 	}
 	if svc.Kind != config.PlainService {
 		return nil, failure.New(failure.BadRequest, "service %q is not a plain service", svc.Name)
 	}
-	req := &submitRequest{limits: doc.Rules.Limits, ctx: ctx}
+	req := &submitRequest{limits: doc.Rules.Limits}
 	if req.sub.Body, err = readBody(r, doc.Rules.Limits); err != nil {
 		return nil, err
 	}
@@ -166,11 +161,7 @@
 
 // decodeAttach reads a re-attachment by id.
 func (a *API) decodeAttach(_ context.Context, r *http.Request) (any, error) {
-	doc, account, err := a.caller(r)
-	if err != nil {
-		return nil, err
-	}
-	svc, err := allow(doc, account, r.PathValue("service"))
+	doc, account, svc, err := a.callerOf(r, r.PathValue("service"))
 	if err != nil {
 		return nil, err
 	}
@@ -201,6 +192,16 @@
 	return doc, account, err
 }
 
+// callerOf is caller with the service that the account may use.
+func (a *API) callerOf(r *http.Request, service string) (*config.Document, *config.ClientAccount, *config.Service, error) {
+	doc, account, err := a.caller(r)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	svc, err := allow(doc, account, service)
+	return doc, account, svc, err
+}
+
 // fill takes identity, kind and deadline from the headers and the rules.
 func (a *API) fill(s *holder.Submission, doc *config.Document, account *config.ClientAccount, svc *config.Service, r *http.Request) error {
 	s.Account, s.Service = account.Name, svc.Name
--- a/internal/callerapi/lookup.go
+++ b/internal/callerapi/lookup.go
@@ -38,12 +38,9 @@
 }
 
 func (a *API) decodeLookup(_ context.Context, r *http.Request) (any, error) {
-	doc, account, err := a.caller(r)
-	if err != nil {
-		return nil, err
-	}
 	service := r.URL.Query().Get("service")
-	if _, err := allow(doc, account, service); err != nil {
+	doc, _, _, err := a.callerOf(r, service)
+	if err != nil {
 		return nil, err
 	}
 	return &lookupRequest{doc: doc, service: service, zone: r.URL.Query().Get("availability_zone")}, nil
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -9,6 +9,7 @@
 	"github.com/gentianflow/gentianflow/internal/config"
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/notify"
 	"github.com/gentianflow/gentianflow/internal/platform"
 )
 
@@ -28,8 +29,8 @@
 // fails when no peer has one.
 type PeerSource func(ctx context.Context, above uint64) (version uint64, changeID string, text []byte, err error)
 
-// Syncer holds the configuration in force. mu guards current, listeners,
-// lastStore and storeDown.
+// Syncer holds the configuration in force. mu guards current, lastStore and
+// storeDown.
 type Syncer struct {
 	table   platform.Table
 	objects platform.Objects
@@ -38,10 +39,11 @@
 
 	mu        sync.Mutex
 	current   *InForce
-	listeners []chan struct{}
 	lastStore time.Time
 	storeDown bool
 	wake      chan struct{}
+
+	changed notify.Set
 }
 
 // New makes a syncer without a configuration.
@@ -67,13 +69,7 @@
 }
 
 // Subscribe returns a channel that yields a token after each new version.
-func (s *Syncer) Subscribe() <-chan struct{} {
-	c := make(chan struct{}, 1)
-	s.mu.Lock()
-	s.listeners = append(s.listeners, c)
-	s.mu.Unlock()
-	return c
-}
+func (s *Syncer) Subscribe() <-chan struct{} { return s.changed.Subscribe() }
 
 // Wake makes Run look for a newer version at once, because a peer has one.
 func (s *Syncer) Wake() {
@@ -179,15 +175,10 @@
 	newer := s.current == nil || version > s.current.Version
 	if newer {
 		s.current = &InForce{Version: version, ChangeID: changeID, Text: bytes.Clone(text), Document: doc}
-		for _, c := range s.listeners {
-			select {
-			case c <- struct{}{}:
-			default:
-			}
-		}
 	}
 	s.mu.Unlock()
 	if newer {
+		s.changed.Notify()
 		s.events.Record(code, event.Fields{Detail: versionDetail(version, changeID)})
 	}
 }
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -57,6 +57,11 @@
 	work     float64 // seconds of work that wait, at speed 1
 }
 
+// earliestFirst makes a heap of items by tag that tells each its place.
+func earliestFirst(moved func(*item, int)) indexedHeap[*item] {
+	return indexedHeap[*item]{less: (*item).before, moved: moved}
+}
+
 func newTierQueue(number int) *tierQueue {
 	q := &tierQueue{number: number, groups: map[prefix.Key]*group{}, flows: map[ident.AccountID]*flow{}}
 	q.unheld = indexedHeap[*group]{
@@ -67,14 +72,8 @@
 		less:  func(a, b *item) bool { return b.before(a) },
 		moved: func(it *item, i int) { it.inShed = i },
 	}
-	q.aged = indexedHeap[*item]{
-		less:  func(a, b *item) bool { return a.before(b) },
-		moved: func(it *item, i int) { it.inAged = i },
-	}
-	q.agedHeld = indexedHeap[*item]{
-		less:  func(a, b *item) bool { return a.before(b) },
-		moved: func(it *item, i int) { it.inAgedHeld = i },
-	}
+	q.aged = earliestFirst(func(it *item, i int) { it.inAged = i })
+	q.agedHeld = earliestFirst(func(it *item, i int) { it.inAgedHeld = i })
 	return q
 }
 
@@ -97,10 +96,7 @@
 	g := q.groups[key]
 	if g == nil {
 		g = &group{key: key, tier: q, inUnheld: -1}
-		g.items = indexedHeap[*item]{
-			less:  func(a, b *item) bool { return a.before(b) },
-			moved: func(it *item, i int) { it.inGroup = i },
-		}
+		g.items = earliestFirst(func(it *item, i int) { it.inGroup = i })
 		q.groups[key] = g
 	}
 	return g
--- a/internal/history/check.go
+++ b/internal/history/check.go
@@ -260,13 +260,9 @@
 }
 
 func checkVersions(x *indexed) []Violation {
-	var out []Violation
-	newest := map[string]Event{}
+	version := func(e Event) (string, uint64) { return e.Source, e.Version }
+	out := goesBack(x.byKind[InForce], ConfigForward, " went back", version)
 	for _, e := range x.byKind[InForce] {
-		if before, ok := newest[e.Source]; ok && e.Version < before.Version {
-			out = append(out, Violation{ConfigForward, e.Source + " went back", []Event{before, e}})
-		}
-		newest[e.Source] = e
 		for _, a := range x.byKind[Accepted] {
 			if e.At > a.At+int64(ConfigLimit) && e.Version < a.Version && !x.unreachable(e) {
 				out = append(out, Violation{ConfigInTime, e.Source + " is behind", []Event{a, e}})
@@ -280,13 +276,23 @@
 func (x *indexed) unreachable(e Event) bool { return e.Reason == failure.Isolated }
 
 func checkFences(x *indexed) []Violation {
+	fence := func(e Event) (string, uint64) { return e.Server, e.Fence }
+	return goesBack(x.byKind[Ordered], FenceForward, " took an old order", fence)
+}
+
+// goesBack finds the events whose number is below an earlier one's of the
+// same subject.
+func goesBack(events []Event, p Promise, what string, number func(Event) (subject string, n uint64)) []Violation {
 	var out []Violation
 	newest := map[string]Event{}
-	for _, e := range x.byKind[Ordered] {
-		if before, ok := newest[e.Server]; ok && e.Fence < before.Fence {
-			out = append(out, Violation{FenceForward, e.Server + " took an old order", []Event{before, e}})
+	for _, e := range events {
+		subject, n := number(e)
+		before, seen := newest[subject]
+		if _, highest := number(before); seen && n < highest {
+			out = append(out, Violation{p, subject + what, []Event{before, e}})
+			continue
 		}
-		newest[e.Server] = e
+		newest[subject] = e
 	}
 	return out
 }
--- a/internal/history/linear.go
+++ b/internal/history/linear.go
@@ -22,11 +22,20 @@
 // RegisterLinearizable checks calls on the configuration register: versions
 // rise by one with each accepted change, and only on the version in force.
 func RegisterLinearizable(ops []RegisterOp) bool {
-	var list []porcupine.Operation
+	return porcupine.CheckOperations(registerModel(), operations(ops, func(op RegisterOp) (int, int64, int64) {
+		return op.Client, op.Call, op.Return
+	}))
+}
+
+// operations turns calls into porcupine's form; the call is its own input and
+// output.
+func operations[T any](ops []T, times func(T) (client int, call, ret int64)) []porcupine.Operation {
+	list := make([]porcupine.Operation, 0, len(ops))
 	for _, op := range ops {
-		list = append(list, porcupine.Operation{ClientId: op.Client, Input: op, Output: op, Call: op.Call, Return: op.Return})
+		client, call, ret := times(op)
+		list = append(list, porcupine.Operation{ClientId: client, Input: op, Output: op, Call: call, Return: ret})
 	}
-	return porcupine.CheckOperations(registerModel(), list)
+	return list
 }
 
 func registerModel() porcupine.Model {
@@ -70,11 +79,9 @@
 // ClaimsLinearizable checks that each key has one winner: a claim is won when
 // the key is free or holds the same token, and lost otherwise.
 func ClaimsLinearizable(ops []ClaimOp) bool {
-	var list []porcupine.Operation
-	for _, op := range ops {
-		list = append(list, porcupine.Operation{ClientId: op.Client, Input: op, Output: op, Call: op.Call, Return: op.Return})
-	}
-	return porcupine.CheckOperations(claimModel(), list)
+	return porcupine.CheckOperations(claimModel(), operations(ops, func(op ClaimOp) (int, int64, int64) {
+		return op.Client, op.Call, op.Return
+	}))
 }
 
 func claimModel() porcupine.Model {
--- a/internal/home/manager.go
+++ b/internal/home/manager.go
@@ -328,7 +328,6 @@
 	Running int                 `json:"running"`
 	Tiers   []core.TierCount    `json:"tiers"`
 	Servers []core.ServerStatus `json:"servers"`
-	Names   map[string]string   `json:"-"`
 }
 
 // Status lists the cells of this host.
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -7,13 +7,18 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"strconv"
 
 	"github.com/gentianflow/gentianflow/internal/failure"
 )
 
-// requestIDLen is the length of a request id in bytes.
-const requestIDLen = 16
+// requestIDLen is the length of a request id in bytes, incarnationDigits that
+// of an incarnation as text.
+const (
+	requestIDLen      = 16
+	incarnationDigits = 16
+)
 
 // Incarnation names one process start of one entry host. It is random, so a
 // host restarted on the same address is never mistaken for its predecessor.
@@ -30,17 +35,13 @@
 
 // String returns the incarnation as 16 hex digits.
 func (i Incarnation) String() string {
-	s := strconv.FormatUint(uint64(i), 16)
-	for len(s) < 16 {
-		s = "0" + s
-	}
-	return s
+	return fmt.Sprintf("%0*x", incarnationDigits, uint64(i))
 }
 
 // ParseIncarnation reads the form that String writes.
 func ParseIncarnation(s string) (Incarnation, error) {
 	v, err := strconv.ParseUint(s, 16, 64)
-	if err != nil || v == 0 {
+	if err != nil || v == 0 || len(s) != incarnationDigits {
 		return 0, failure.New(failure.BadRequest, "incarnation %q is not 16 hex digits", s)
 	}
 	return Incarnation(v), nil
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -19,6 +19,7 @@
 	"github.com/gentianflow/gentianflow/internal/chart"
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/notify"
 	"github.com/gentianflow/gentianflow/internal/wire"
 )
 
@@ -64,7 +65,7 @@
 	sends   int       // how often this line still rides along
 }
 
-// Table is the membership as one host sees it. mu guards all fields below it.
+// Table is the membership as one host sees it. mu guards self and members.
 type Table struct {
 	events  *event.Recorder
 	horizon time.Duration
@@ -72,7 +73,8 @@
 	mu      sync.Mutex
 	self    *wire.Member
 	members map[ident.Incarnation]*record
-	changed []chan struct{}
+
+	changed notify.Set
 }
 
 // NewTable makes a table that holds only the host itself.
@@ -81,23 +83,7 @@
 }
 
 // Subscribe returns a channel that yields a token after changes.
-func (t *Table) Subscribe() <-chan struct{} {
-	c := make(chan struct{}, 1)
-	t.mu.Lock()
-	t.changed = append(t.changed, c)
-	t.mu.Unlock()
-	return c
-}
-
-// notify wakes the subscribers. The caller holds mu.
-func (t *Table) notify() {
-	for _, c := range t.changed {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
-	}
-}
+func (t *Table) Subscribe() <-chan struct{} { return t.changed.Subscribe() }
 
 // Self returns the host's own line.
 func (t *Table) Self() Member {
@@ -159,7 +145,7 @@
 	t.mu.Lock()
 	t.self.State = wire.MemberState_MEMBER_LEAVING
 	t.self.Beat++
-	t.notify()
+	t.changed.Notify()
 	t.mu.Unlock()
 }
 
@@ -189,7 +175,7 @@
 	r.proved = true
 	t.fire(r, "die")
 	r.sends = t.rounds()
-	t.notify()
+	t.changed.Notify()
 	inc := ident.Incarnation(r.wire.Incarnation)
 	t.events.Record(event.MemberProvedBy, event.Fields{Peer: r.wire.Host, Detail: inc.String() + ": " + how})
 }
@@ -203,7 +189,7 @@
 	}
 	r.since = time.Now()
 	r.sends = t.rounds()
-	t.notify()
+	t.changed.Notify()
 	code := map[chart.State]event.Code{
 		Alive: event.MemberJoined, Suspect: event.MemberSuspect,
 		Leaving: event.MemberLeaving, Dead: event.MemberDead,
@@ -314,14 +300,14 @@
 		t.members[inc] = r
 		if w.State != wire.MemberState_MEMBER_DEAD {
 			t.replaceOthersAt(w)
-			t.notify()
+			t.changed.Notify()
 			t.events.Record(event.MemberJoined, event.Fields{Peer: w.Host, Detail: inc.String()})
 		}
 		return r
 	}
 	if w.Beat >= r.wire.Beat {
 		if w.ConfigVersion > r.wire.ConfigVersion {
-			t.notify()
+			t.changed.Notify()
 		}
 		if w.Beat > r.wire.Beat {
 			r.sends = t.rounds()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -377,7 +377,7 @@
 	return out
 }
 
-// order applies an order; a checking engine refuses an old fencing number.
+// applyOrder takes an order; a checking engine refuses an old fencing number.
 func (e *Engine) applyOrder(fence uint64, state string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- /dev/null
+++ b/test/badinput_test.go
@@ -0,0 +1,132 @@
+package test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/caller"
+	"github.com/gentianflow/gentianflow/internal/callerapi"
+	"github.com/gentianflow/gentianflow/internal/config"
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/wire"
+)
+
+// raw sends bytes to an address and returns what comes back.
+func raw(address, text string) string {
+	conn, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	_ = conn.SetReadDeadline(time.Now().Add(8 * time.Second))
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
+var _ = Describe("bad input", Ordered, func() {
+	// Story: a partner shop's client sends broken requests all day. Each must
+	// get a clear typed error, and the requests of others go on.
+	var f *fleet
+	BeforeAll(func() {
+		f = newFleet(fleetOptions{hosts: 2, engines: 1, speed: 1})
+		d := f.doc
+		d.Rules.Limits.BodyBytes = 20000
+		d.Rules.Limits.ReadTimeout = config.Duration(time.Second)
+		f.apply(d)
+		f.eventuallyInForce(f.version)
+	})
+	AfterAll(func() {
+		c := f.client(modelService)
+		a, err := c.Do(context.Background(), &caller.Request{Kind: "chat", Prompt: "still there?", MaxTokens: 3})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Body).NotTo(BeEmpty())
+		for _, h := range f.hosts {
+			Expect(h.session.ExitCode()).To(Equal(-1), "no panic")
+			Expect(h.timeline(event.DutyFailed)).To(BeEmpty())
+		}
+	})
+
+	DescribeTable("from callers gets a typed error",
+		func(path, body string, headers map[string]string, status int, code failure.Code) {
+			req, err := http.NewRequest(http.MethodPost, "http://"+f.hosts[0].caller+path, strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			req.Header.Set("Authorization", "Bearer "+secret)
+			for k, v := range headers {
+				req.Header.Set(k, v)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			var e callerapi.ErrorBody
+			Expect(json.NewDecoder(resp.Body).Decode(&e)).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(status))
+			Expect(e.Error.Code).To(Equal(code))
+			Expect(e.Error.Outcome).To(Equal(failure.NotRun))
+			Expect(e.Error.Message).NotTo(BeEmpty())
+		},
+		Entry("no JSON", "/v1/completions", "{", nil, 400, failure.BadRequest),
+		Entry("wrong type", "/v1/completions", `{"model":5}`, nil, 400, failure.BadRequest),
+		Entry("unknown service", "/v1/completions", `{"model":"x"}`, nil, 404, failure.UnknownService),
+		Entry("a plain service as a model", "/v1/completions", `{"model":"loop-app"}`, nil, 400, failure.BadRequest),
+		Entry("no account", "/v1/completions", `{"model":"tsumugi-llm"}`, map[string]string{"Authorization": "Bearer wrong"}, 401, failure.Unauthenticated),
+		Entry("oversized", "/v1/completions", `{"model":"tsumugi-llm","prompt":"`+strings.Repeat("x", 30000)+`"}`, nil, 413, failure.TooLarge),
+		Entry("a bad id", "/v1/completions", `{"model":"tsumugi-llm"}`, map[string]string{callerapi.HeaderRequestID: "xyz"}, 400, failure.BadRequest),
+		Entry("a bad kind", "/v1/completions", `{"model":"tsumugi-llm"}`, map[string]string{callerapi.HeaderKind: "poem"}, 400, failure.BadRequest),
+		Entry("a bad deadline", "/v1/completions", `{"model":"tsumugi-llm"}`, map[string]string{callerapi.HeaderDeadline: "-5"}, 400, failure.BadRequest),
+		Entry("bad hosts tried", "/v1/completions", `{"model":"tsumugi-llm"}`, map[string]string{callerapi.HeaderTried: "a,b"}, 400, failure.BadRequest),
+		Entry("too many tokens", "/v1/completions", `{"model":"tsumugi-llm","max_tokens":99999999}`, nil, 400, failure.BadRequest),
+		Entry("no such call", "/v1/poems", `{}`, nil, 400, failure.BadRequest),
+	)
+
+	It("that comes too slowly is refused within the time to read", func() {
+		head := fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{\"model\"", secret)
+		begin := time.Now()
+		Expect(raw(f.hosts[0].caller, head)).To(ContainSubstring("too_slow"))
+		Expect(time.Since(begin)).To(BeNumerically("<", 5*time.Second))
+	})
+
+	It("with oversized headers is refused", func() {
+		text := "GET /v1/lookup HTTP/1.1\r\nHost: x\r\nX-Long: " + strings.Repeat("y", 64<<10) + "\r\n\r\n"
+		Expect(raw(f.hosts[0].caller, text)).To(ContainSubstring("431"))
+	})
+
+	DescribeTable("on the internal port closes that connection only", func(send func(net.Conn)) {
+		conn, err := net.Dial("tcp", f.hosts[0].control)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		send(conn)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = io.Copy(io.Discard, conn)
+		var left net.Error // a reset closes it as well as an orderly end does
+		Expect(errors.As(err, &left) && left.Timeout()).To(BeFalse(), "closed, not left open")
+	},
+		Entry("noise", func(c net.Conn) { _, _ = c.Write([]byte(strings.Repeat("\xff", 300))) }),
+		Entry("a truncated greeting", func(c net.Conn) { _, _ = c.Write([]byte{20, 1}) }),
+		Entry("another version", func(c net.Conn) {
+			_ = wire.Write(c, &wire.Hello{Version: wire.Version + 1, Host: "old", Fleet: "test"})
+		}),
+		Entry("another fleet", func(c net.Conn) { _ = wire.Write(c, &wire.Hello{Version: wire.Version, Host: "x", Fleet: "other"}) }),
+	)
+
+	It("says in the log which version a refused peer speaks", func() {
+		conn, err := net.Dial("tcp", f.hosts[1].control)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		Expect(wire.Write(conn, &wire.Hello{Version: 99, Host: "old", Fleet: "test"})).To(Succeed())
+		_, _ = io.Copy(io.Discard, bufio.NewReader(conn))
+		Eventually(func() []event.Event { return f.hosts[1].timeline(event.PeerRefused) }, 5*time.Second).Should(
+			ContainElement(HaveField("Detail", ContainSubstring("speaks version 99"))))
+	})
+})
