--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -48,6 +48,18 @@
 
 func (l line) at(x float64) float64 { return l.base + l.slope*x }
 
+// between interpolates in measured points; outside of them it extends the
+// nearest pair. Processor time for each request falls with the rate, since one
+// wake-up then serves several, so a line through all points misleads.
+func between(p [][2]float64, x float64) float64 {
+	i := 1
+	for i < len(p)-1 && p[i][0] < x {
+		i++
+	}
+	a, b := p[i-1], p[i]
+	return a[1] + (b[1]-a[1])*(x-a[0])/(b[0]-a[0])
+}
+
 // read groups the points by series.
 func read() (map[string][][2]float64, error) {
 	rows, err := csv.NewReader(strings.NewReader(points)).ReadAll()
@@ -100,7 +112,7 @@
 		lines[name] = l
 		fmt.Printf("%-30s %6d %10.4g  %10.4g  %10.1f%%\n", name, l.n, l.slope, l.base, l.worst*100)
 	}
-	printNode(c, lines)
+	printNode(c, lines, series["home_cpu_percent_by_rate"])
 	return nil
 }
 
@@ -114,9 +126,10 @@
 	ledgerBytes  = 200.0 // an id in a home's ledger: map entry, mark, pointer
 	writesLimit  = 300.0 // conditional writes a second that the table takes
 	readsLimit   = 2000.0
+	leaseRenewal = 1.0 // seconds between two renewals, for cells with orders
 )
 
-func printNode(c *cli.Command, l map[string]line) {
+func printNode(c *cli.Command, l map[string]line, homeCPU [][2]float64) {
 	cells := c.Float("models") * c.Float("regions")
 	perCell := c.Float("requests") / cells
 	perNode := c.Float("requests") / c.Float("nodes")
@@ -131,15 +144,20 @@
 	}
 	idleCPU := l["idle_cpu_percent_by_hosts"].at(hostsPerCell)
 	memberBytes := l["idle_sent_bytes_by_hosts"].at(nodes)
-	homeCPU := l["home_cpu_percent_by_rate"].slope * perCell
 	homeBytes := l["home_sent_bytes_by_rate"].slope * perCell
 	row("member: processor, idle host of a cell of 9", idleCPU, limitCPU, "%")
 	row("member: bytes sent, line extended to all nodes", memberBytes, limitBytes, "B/s")
-	row("home and entry in one process: processor", idleCPU+homeCPU, limitCPU, "%")
+	row("home and entry in one process: processor", idleCPU+between(homeCPU, perCell), limitCPU, "%")
 	row("home and entry in one process: bytes sent", l["idle_sent_bytes_by_hosts"].at(hostsPerCell)+homeBytes, limitBytes, "B/s")
-	row("memory of an idle host", l["idle_memory_mb_by_hosts"].at(hostsPerCell), limitMB, "MB")
+	row("memory of a process, line extended to all nodes", l["idle_memory_mb_by_hosts"].at(nodes), limitMB, "MB")
 	row("home: ledger of a horizon", perCell*c.Float("horizon")*ledgerBytes/1e6, limitMB, "MB")
 	row("table: reads of the version row", nodes/2, readsLimit, "1/s")
-	row("table: leases and claims", cells/1+c.Float("requests")*c.Float("claimed"), writesLimit, "1/s")
-	fmt.Printf("claims run out at a share of %.3f of all requests\n", (writesLimit-cells)/c.Float("requests"))
+	leases := cells / leaseRenewal
+	row("table: leases and claims", leases+c.Float("requests")*c.Float("claimed"), writesLimit, "1/s")
+	fmt.Printf("claims run out at a share of %.3f of all requests\n", (writesLimit-leases)/c.Float("requests"))
+	most := perCell
+	for most > 1 && idleCPU+between(homeCPU, most) > limitCPU {
+		most--
+	}
+	fmt.Printf("a home stays within its processor time up to %.0f requests/s\n", most)
 }
--- /dev/null
+++ b/internal/home/home_test.go
@@ -0,0 +1,85 @@
+package home_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/internal/home"
+	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/member"
+)
+
+func TestHome(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "home")
+}
+
+func fleet(n int) []member.Member {
+	var out []member.Member
+	for i := range n {
+		out = append(out, member.Member{Incarnation: ident.Incarnation(i + 1), Host: fmt.Sprint(i), State: member.Alive})
+	}
+	return out
+}
+
+var _ = Describe("the home of a service", func() {
+	const services = 42
+
+	It("is the same on every host, whatever the order of its list", func() {
+		all := fleet(50)
+		for s := range services {
+			name := fmt.Sprint("service-", s)
+			first, _ := home.Of(name, all, 9)
+			all = append(all[7:], all[:7]...)
+			second, _ := home.Of(name, all, 9)
+			Expect(second).To(Equal(first))
+		}
+	})
+
+	// Story: one host dies and every queue of the fleet moves. Cause: homes
+	// that depend on the number of hosts.
+	It("moves only for the services of a host that dies", func() {
+		all := fleet(50)
+		for s := range services {
+			name := fmt.Sprint("service-", s)
+			before, _ := home.Of(name, all, 9)
+			after, _ := home.Of(name, all[1:], 9)
+			if before.Incarnation != all[0].Incarnation {
+				Expect(after).To(Equal(before))
+			}
+		}
+	})
+
+	It("spreads over the hosts", func() {
+		all := fleet(390)
+		homes := map[ident.Incarnation]int{}
+		for s := range services {
+			h, _ := home.Of(fmt.Sprint("service-", s), all, 9)
+			homes[h.Incarnation]++
+		}
+		for _, n := range homes {
+			Expect(n).To(BeNumerically("<=", 3))
+		}
+	})
+
+	It("is no host that leaves or is dead, and none when there is no other", func() {
+		all := fleet(3)
+		first, _ := home.Of("s", all, 9)
+		for i := range all {
+			if all[i].Incarnation == first.Incarnation {
+				all[i].State = member.Leaving
+			}
+		}
+		next, ok := home.Of("s", all, 9)
+		Expect(ok).To(BeTrue())
+		Expect(next.Incarnation).NotTo(Equal(first.Incarnation))
+		for i := range all {
+			all[i].State = member.Dead
+		}
+		_, ok = home.Of("s", all, 9)
+		Expect(ok).To(BeFalse())
+	})
+})
