A request that follows another host is never told not run by its own deadline

Cause: the whole suite found, with answers of the table lost, a pickup that started and was told "not run: deadline" by another host 7 s later. That host followed the answer of a third one; its own deadline ended the record by the way of a waiting request, which says not run. Three more causes behind it: - a claim row of an earlier attempt at the same host, which never ran and whose release was still on its way, made the host follow itself until its deadline; - a follower kept asking a host that answered "I do not hold it"; - two callers with one key revoked each other's waiting attempts in turn. And a follower could not be stopped: closing a yamux stream does not end a read on it.

Ruled out: a late start after the word (the start came first).

Change: the chart ends an attached request as not run only on the holder's own word; rows of our own unused tokens are taken over; "not held" ends the relay; a second caller of a key follows the first; Stream.Abort ends reads.

Before: "is told unknown when the deadline passes while another host runs it" red (not run), then red again (answered after 4.2 s, its deadline 1 s) until Abort. After: green; the six specs of non-idempotent requests 3 times green.

--- a/internal/core/resend.go
+++ b/internal/core/resend.go
@@ -42,12 +42,14 @@
 // registerKnown handles an id that the ledger has. The same holder only
 // repeats itself: a grant that was lost with an old session is settled by its
 // report. Another holder is attached to what was granted; what only waits is
-// revoked first.
+// revoked first when the caller says that it lost the other holder. Two
+// callers with one key each go on through their own host: the second one
+// follows the first, since revoking would let them revoke each other for ever.
 func (c *Cell) registerKnown(r Request, e *entry) {
 	switch {
 	case e.holder == r.Holder:
 		return
-	case e.state == LedgerWaiting:
+	case e.state == LedgerWaiting && (r.Resend || !c.granting(e.holder)):
 		tried := appendMissing(append([]ident.Incarnation(nil), r.Tried...), e.holder)
 		c.startResend(r, tried)
 	default:
--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -141,6 +141,11 @@
 	defer cancel()
 	mine := claim.Owner{Incarnation: r.h.self, Token: r.token, Server: server, Expires: time.Now().Add(r.h.claimHorizon())}
 	res := r.h.src.Claims.Claim(ctx, r.Sub.ID, mine, 0)
+	if res.Err == nil && !res.Won && r.h.unused.has(res.Owner.Token) {
+		// The row is of an earlier attempt at this host that never ran and
+		// whose release is still on its way.
+		res = r.h.src.Claims.Claim(ctx, r.Sub.ID, mine, res.Version)
+	}
 	switch {
 	case res.Err != nil:
 		// The row may be there or not. Nothing was dispatched, which is
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -55,6 +55,7 @@
 	tasks sync.WaitGroup
 
 	attempts atomic.Uint32 // records made so far
+	unused   unusedClaims
 
 	mu      sync.Mutex
 	records map[ident.RequestID]*Record
@@ -250,6 +251,7 @@
 		return
 	}
 	horizon := inForce.Document.Rules.Limits.Horizon.Std()
+	h.unused.expire(now.Add(-horizon))
 	for _, r := range h.list() {
 		r.mu.Lock()
 		ended, idle := r.endedAt, r.readers == 0
--- a/internal/holder/link.go
+++ b/internal/holder/link.go
@@ -148,7 +148,7 @@
 	l.home, l.clean = target, false
 	s := &session{st: st, gone: make(chan struct{}), noted: make(chan struct{}), echoed: time.Now()}
 	defer func() {
-		_ = st.Close()
+		st.Abort()
 		<-s.gone
 	}()
 	l.h.tasks.Go(func() { l.read(s) })
--- a/internal/holder/record.go
+++ b/internal/holder/record.go
@@ -41,6 +41,7 @@
 	evRevoke        chart.Event = "revoke"
 	evGiveUp        chart.Event = "give_up"
 	evAttach        chart.Event = "attach"
+	evNotRunThere   chart.Event = "not_run_there"
 )
 
 var requestChart = charts.MustLoad().Request
@@ -161,12 +162,17 @@
 }
 
 // refuse ends a request of which nothing ran. It reports false when the
-// chart does not allow it: then a dispatch won, and its outcome counts.
+// chart does not allow it: then a dispatch won, or another host holds the
+// request, and their outcome counts.
 //
 // Guard: an eviction, a shed or a deadline can cross a grant. All of them and
-// the dispatch take their step under mu, so exactly one wins.
-func (r *Record) refuse(e *failure.Error) bool {
-	if !r.step(evRefuse) {
+// the dispatch take their step under mu, so exactly one wins. A request that
+// follows another host's answer may run there: our own deadline says nothing
+// about it, only that host's word does (evNotRunThere).
+func (r *Record) refuse(e *failure.Error) bool { return r.endNotRun(evRefuse, e) }
+
+func (r *Record) endNotRun(ev chart.Event, e *failure.Error) bool {
+	if !r.step(ev) {
 		return false
 	}
 	r.answer.finish(e)
@@ -248,6 +254,7 @@
 	r.mu.Unlock()
 	if asked {
 		owner := claim.Owner{Incarnation: r.h.self, Token: r.token}
+		r.h.unused.add(r.token)
 		r.h.background(func(ctx context.Context) { r.h.src.Claims.Release(ctx, r.Sub.ID, owner) })
 	}
 }
--- a/internal/holder/relay.go
+++ b/internal/holder/relay.go
@@ -69,10 +69,12 @@
 			case relayEnded:
 				return
 			case relayNotHeld:
-				if server == 0 {
-					r.giveUp(&failure.Error{Code: failure.UnknownRequest, Message: "no host holds it"})
-					return
+				// The holder answers and does not have it: asking again does
+				// not help, only the server may still know it.
+				if server == 0 || !r.resumeAt(ctx, server) {
+					r.giveUp(&failure.Error{Code: failure.UnknownRequest, Message: "the host that had it does not hold it any more"})
 				}
+				return
 			}
 		}
 		if server != 0 && r.resumeAt(ctx, server) {
@@ -104,7 +106,6 @@
 		return relayBroke
 	}
 	defer func() { _ = st.Close() }()
-	context.AfterFunc(ctx, func() { _ = st.Close() })
 	ask := &wire.AttachRequest{Id: r.Sub.ID[:], Account: uint32(ident.Account(r.Sub.Account)), Offset: uint64(r.answer.size())}
 	if wire.Write(st, ask) != nil {
 		return relayBroke
@@ -116,7 +117,7 @@
 	if !head.Found {
 		return relayNotHeld
 	}
-	if r.copyParts(st) {
+	if r.copyParts(ctx, st) {
 		return relayEnded
 	}
 	return relayBroke
@@ -127,8 +128,9 @@
 // Guard: a relay that breaks off must never look like a whole answer. Only a
 // part marked as the end, whose length and checksum equal what is here, ends
 // the record; anything else makes the caller of copyParts try again.
-func (r *Record) copyParts(st *peer.Stream) bool {
-	for {
+func (r *Record) copyParts(ctx context.Context, st *peer.Stream) bool {
+	context.AfterFunc(ctx, st.Abort)
+	for ctx.Err() == nil {
 		var p wire.AnswerPart
 		if readWithin(st, &p, relaySilence) != nil {
 			return false
@@ -154,12 +156,13 @@
 		r.answered()
 		return true
 	}
+	return false
 }
 
 // endAs passes on the final word of the holder.
 func (r *Record) endAs(e *failure.Error) {
 	if e.Outcome() == failure.NotRun {
-		r.refuse(e)
+		r.endNotRun(evNotRunThere, e)
 		return
 	}
 	r.giveUp(e)
--- a/internal/home/link.go
+++ b/internal/home/link.go
@@ -17,7 +17,7 @@
 	ctx, cut := context.WithCancel(c.ctx)
 	defer cut()
 	l := &link{holder: st.Peer.Incarnation, out: ring.New[*wire.Frame](outputSize), cut: cut}
-	context.AfterFunc(ctx, func() { _ = st.Close() }) // ends the reads below
+	context.AfterFunc(ctx, st.Abort) // ends the reads below
 	c.done.Go(func() { c.writeLink(ctx, st, l) })
 	report, err := readReport(st)
 	if err != nil {
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -48,6 +48,16 @@
 	Open *wire.Open
 }
 
+// Abort ends the stream at once, with reads that are in progress.
+//
+// Guard: closing a yamux stream only ends what this end writes; a read goes on
+// until the other end closes too, which one that is paused or out of reach
+// does not. The deadline in the past ends it here.
+func (s *Stream) Abort() {
+	_ = s.SetDeadline(time.Unix(1, 0))
+	_ = s.Close()
+}
+
 // Handler serves a stream that another host opened. It owns the stream.
 type Handler func(*Stream)
 
--- a/test/resend_test.go
+++ b/test/resend_test.go
@@ -30,6 +30,8 @@
 	tried  []*host
 	tokens int
 	tier   int
+	// deadline of this attempt; zero takes the kind's.
+	deadline time.Duration
 }
 
 // send posts the attempt and records its final word, if one comes.
@@ -44,6 +46,9 @@
 	req.Header.Set(callerapi.HeaderRequestID, a.id)
 	kinds := map[int]string{2: "chat", 3: "appraisal", 4: "digest"}
 	req.Header.Set(callerapi.HeaderKind, kinds[a.tier])
+	if a.deadline > 0 {
+		req.Header.Set(callerapi.HeaderDeadline, strconv.FormatInt(a.deadline.Milliseconds(), 10))
+	}
 	if a.number > 1 {
 		req.Header.Set(callerapi.HeaderAttempt, strconv.Itoa(a.number))
 		var tried []string
@@ -162,6 +167,27 @@
 		f.keepsPromises()
 	})
 
+	// Story: a request runs at one host; its caller resends it through another
+	// one with a shorter deadline, which passes while that one still follows
+	// the answer. It said "not run" of what was running. Cause: the deadline
+	// of an attached request took the way of a waiting one.
+	It("is told unknown when the deadline passes while another host runs it", func() {
+		f := newFleet(fleetOptions{hosts: 3, engines: 1, speed: 0.1})
+		home := f.homeOf(modelService)
+		first := f.other(home)
+		second := f.other(home, first)
+		id := f.mint(first)
+		ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
+		defer cancel()
+		var running sync.WaitGroup
+		running.Go(func() { attempt{f: f, id: id, number: 1, tokens: 120, tier: 2}.send(ctx, first) })
+		Eventually(func() int { return f.startsAt("engine-1") }, 5*time.Second, 10*time.Millisecond).Should(Equal(1))
+		word := attempt{f: f, id: id, number: 2, tried: []*host{first}, tokens: 120, tier: 2, deadline: time.Second}.send(ctx, second)
+		running.Wait()
+		Expect(word.Outcome).To(Equal(failure.Unknown))
+		f.keepsPromises()
+	})
+
 	// Story: a host is paused in the middle of requests, the caller resends,
 	// the host wakes with grants that look valid. Cause: its clock went on,
 	// but it did not.
