A host's own word on a resend is unknown until the home has ruled

Cause: read with the promise in hand: a host that refuses or gives up a resend by itself (its deadline, its memory, draining) said "not run", which is proved only for its own attempt; the host tried before may have run the request. After a home's death a paused first host can hold a grant that nobody else knows of.

Ruled out: waiting for the first host's word past the deadline (a word that comes late is held back).

Change: such a word carries the outcome unknown, over relays too, until the home has granted the attempt once, which it does only with the word or the covered end of every holder tried. Refusals before a request is held look at the resend headers.

Before: "is told unknown when the deadline passes before the first host gave its word" red (not run). After: green, with the specs around it.

--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -54,7 +54,7 @@
 
 // Handler returns the HTTP handler for the callers' address.
 func (a *API) Handler() http.Handler {
-	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(a.encodeError)}
+	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(a.encodeError), kithttp.ServerBefore(markResend)}
 	submit := a.src.Meter.middleware(a.submit())
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/lookup", kithttp.NewServer(a.lookup(), a.decodeLookup, encodeJSON, options...))
--- a/internal/callerapi/encode.go
+++ b/internal/callerapi/encode.go
@@ -40,9 +40,25 @@
 	return json.NewEncoder(w).Encode(response)
 }
 
-func (a *API) encodeError(_ context.Context, err error, w http.ResponseWriter) {
-	a.src.Events.Record(event.RequestRefused, event.Fields{Detail: string(failure.From(err).Code)})
-	writeError(w, failure.From(err), "")
+// encodeError answers a call that was refused before it was held. A resend
+// that is refused here may have run through the host tried before.
+func (a *API) encodeError(ctx context.Context, err error, w http.ResponseWriter) {
+	e := *failure.From(err)
+	e.Unproved = e.Unproved || isResend(ctx)
+	a.src.Events.Record(event.RequestRefused, event.Fields{Detail: string(e.Code)})
+	writeError(w, &e, "")
+}
+
+// resendKey marks the context of a call that resends a request.
+type resendKey struct{}
+
+func markResend(ctx context.Context, r *http.Request) context.Context {
+	return context.WithValue(ctx, resendKey{}, r.Header.Get(HeaderTried) != "" || !firstAttempt(r.Header.Get(HeaderAttempt)))
+}
+
+func isResend(ctx context.Context) bool {
+	v, ok := ctx.Value(resendKey{}).(bool)
+	return ok && v
 }
 
 func writeError(w http.ResponseWriter, e *failure.Error, id string) {
@@ -251,3 +267,5 @@
 	}
 	return Completion{ID: r.Sub.ID.String(), Object: object, Created: time.Now().Unix(), Model: r.Sub.Service, Choices: []Choice{choice}}
 }
+
+func firstAttempt(header string) bool { return header == "" || header == "1" }
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -101,6 +101,9 @@
 	Code       Code
 	Message    string
 	RetryAfter time.Duration // 0: no advice on when to come back.
+	// Unproved says that the code holds for one attempt only while an earlier
+	// attempt at the same request may have run elsewhere.
+	Unproved bool
 }
 
 // Error implements error.
@@ -117,6 +120,9 @@
 // Outcome tells what a caller may conclude about its request. A code without
 // a class proves nothing, so it says Unknown.
 func (e *Error) Outcome() Outcome {
+	if e.Unproved {
+		return Unknown
+	}
 	if c, ok := classes[e.Code]; ok {
 		return c.outcome
 	}
--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -37,7 +37,7 @@
 	r.mu.Lock()
 	ok := r.fire(evGrant)
 	if ok {
-		r.server = a.Server
+		r.server, r.ruled = a.Server, true
 	}
 	ended := r.machine.Final()
 	r.mu.Unlock()
--- a/internal/holder/link.go
+++ b/internal/holder/link.go
@@ -101,7 +101,7 @@
 // longer has.
 func (l *link) refuseAll() {
 	for _, r := range l.h.recordsOf(l.service) {
-		r.refuse(&failure.Error{Code: failure.Removed, Message: "service " + l.service + " was removed"})
+		r.withdraw(&failure.Error{Code: failure.Removed, Message: "service " + l.service + " was removed"})
 	}
 }
 
--- a/internal/holder/record.go
+++ b/internal/holder/record.go
@@ -91,6 +91,7 @@
 	machine    chart.Machine
 	server     ident.ServerID
 	claimAsked bool
+	ruled      bool // the home granted this attempt once: no other holder can have run the id
 	deadline   *time.Timer
 	readers    int
 	idleSince  time.Time // when the last reader left
@@ -193,8 +194,15 @@
 	r.freeBody()
 }
 
-// withdraw ends a request of which nothing ran and tells the home.
+// withdraw ends a request of which nothing ran here and tells the home.
+//
+// Guard: a resend that the home has not ruled on may have run at a holder
+// tried before, whose word is missing. This host only knows that nothing ran
+// by its own attempt, so its word on the request is unknown.
 func (r *Record) withdraw(e *failure.Error) bool {
+	r.mu.Lock()
+	e.Unproved = r.Sub.Resend && !r.ruled
+	r.mu.Unlock()
 	if !r.refuse(e) {
 		return false
 	}
--- a/internal/holder/relay.go
+++ b/internal/holder/relay.go
@@ -146,7 +146,7 @@
 			continue
 		}
 		if p.Failure != "" {
-			r.endAs(&failure.Error{Code: failure.Code(p.Failure), Message: p.Message, RetryAfter: time.Duration(p.RetryAfterMs) * time.Millisecond})
+			r.endAs(&failure.Error{Code: failure.Code(p.Failure), Message: p.Message, RetryAfter: time.Duration(p.RetryAfterMs) * time.Millisecond, Unproved: p.Unproved})
 			return true
 		}
 		length, sum := r.answer.Whole()
@@ -289,6 +289,7 @@
 	if err != nil {
 		e := failure.From(err)
 		p.Failure, p.Message, p.RetryAfterMs = string(e.Code), e.Message, uint32(e.RetryAfter.Milliseconds())
+		p.Unproved = e.Unproved
 		return
 	}
 	length, sum := a.Whole()
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -36,7 +36,6 @@
 	queue   []*job
 	running []*job
 	cache   engineCache
-	stepEnd time.Duration
 	busy    bool
 	tokens  int           // since the last progress report
 	seqTime time.Duration // since the last progress report
--- a/test/resend_test.go
+++ b/test/resend_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/gentianflow/gentianflow/internal/callerapi"
+	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/history"
 	"github.com/gentianflow/gentianflow/internal/ident"
@@ -188,6 +189,31 @@
 		f.keepsPromises()
 	})
 
+	// Story: a request waits at a host that is paused; its caller resends it
+	// through another one, whose deadline passes before the paused host could
+	// give its word. "Not run" would be a guess: the paused host may hold a
+	// grant of a home that is gone. Cause: a host knows its own attempt only.
+	It("is told unknown when the deadline passes before the first host gave its word", func() {
+		f := newFleet(fleetOptions{hosts: 3, engines: 1, speed: 0.1, slots: 1})
+		home := f.homeOf(modelService)
+		first := f.other(home)
+		second := f.other(home, first)
+		ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
+		defer cancel()
+		var all sync.WaitGroup
+		all.Go(func() { attempt{f: f, id: f.mint(home), number: 1, tokens: 100, tier: 2}.send(ctx, home) })
+		Eventually(func() int { return f.startsAt("engine-1") }, 5*time.Second, 10*time.Millisecond).Should(Equal(1))
+		id := f.mint(first)
+		all.Go(func() { attempt{f: f, id: id, number: 1, tokens: 5, tier: 2}.send(ctx, first) })
+		Eventually(func() []event.Event { return first.timeline(event.RequestWaiting) }, 5*time.Second, 10*time.Millisecond).Should(HaveLen(1))
+		first.pause()
+		word := attempt{f: f, id: id, number: 2, tried: []*host{first}, tokens: 5, tier: 2, deadline: 1500 * time.Millisecond}.send(ctx, second)
+		first.resume()
+		all.Wait()
+		Expect(word.Outcome).To(Equal(failure.Unknown))
+		f.keepsPromises()
+	})
+
 	// Story: a host is paused in the middle of requests, the caller resends,
 	// the host wakes with grants that look valid. Cause: its clock went on,
 	// but it did not.
