--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/gentianflow/gentianflow/internal/configsync"
 	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/home"
 )
 
 // StartDrain begins a graceful shutdown; Run returns when it has ended.
@@ -32,13 +32,14 @@
 }
 
 // busy reports whether a request here has no final word yet, a caller has not
-// read its answer, or a cell has not moved.
+// read its answer, or a cell has not moved although another host could take it.
 func (d *Daemon) busy() bool {
 	if d.holder.InProgress() > 0 || d.holder.Readers() > 0 {
 		return true
 	}
+	members := d.members.All()
 	for _, s := range d.homes.Status() {
-		if s.Holders > 0 && len(d.members.All()) > 1 {
+		if _, other := home.Of(s.Service, members, 1); other && s.Holders > 0 {
 			return true
 		}
 	}
@@ -46,10 +47,7 @@
 }
 
 func (d *Daemon) lookupTTL() time.Duration {
-	return ttlOf(d.config.Current())
-}
-
-func ttlOf(c *configsync.InForce) time.Duration {
+	c := d.config.Current()
 	if c == nil {
 		return 0
 	}
--- a/test/resend_test.go
+++ b/test/resend_test.go
@@ -125,6 +125,27 @@
 	all.Wait()
 }
 
+// twoHolders is a fleet with one slow engine and an id for two of its hosts,
+// neither of them the home.
+type twoHolders struct {
+	f                   *fleet
+	home, first, second *host
+	id                  string
+	ctx                 context.Context
+}
+
+func newTwoHolders(slots int) twoHolders {
+	r := twoHolders{f: newFleet(fleetOptions{hosts: 3, engines: 1, speed: 0.1, slots: slots})}
+	r.home = r.f.homeOf(modelService)
+	r.first = r.f.other(r.home)
+	r.second = r.f.other(r.home, r.first)
+	r.id = r.f.mint(r.first)
+	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
+	DeferCleanup(cancel)
+	r.ctx = ctx
+	return r
+}
+
 var _ = Describe("an id that is sent through two hosts", func() {
 	// Story: a parent's phone sends a request, hears nothing, and sends it
 	// again through another host while the first one waits, is granted, runs
@@ -173,20 +194,14 @@
 	// the answer. It said "not run" of what was running. Cause: the deadline
 	// of an attached request took the way of a waiting one.
 	It("is told unknown when the deadline passes while another host runs it", func() {
-		f := newFleet(fleetOptions{hosts: 3, engines: 1, speed: 0.1})
-		home := f.homeOf(modelService)
-		first := f.other(home)
-		second := f.other(home, first)
-		id := f.mint(first)
-		ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
-		defer cancel()
+		r := newTwoHolders(1)
 		var running sync.WaitGroup
-		running.Go(func() { attempt{f: f, id: id, number: 1, tokens: 120, tier: 2}.send(ctx, first) })
-		Eventually(func() int { return f.startsAt("engine-1") }, 5*time.Second, 10*time.Millisecond).Should(Equal(1))
-		word := attempt{f: f, id: id, number: 2, tried: []*host{first}, tokens: 120, tier: 2, deadline: time.Second}.send(ctx, second)
+		running.Go(func() { attempt{f: r.f, id: r.id, number: 1, tokens: 120, tier: 2}.send(r.ctx, r.first) })
+		Eventually(func() int { return r.f.startsAt("engine-1") }, 5*time.Second, 10*time.Millisecond).Should(Equal(1))
+		word := attempt{f: r.f, id: r.id, number: 2, tried: []*host{r.first}, tokens: 120, tier: 2, deadline: time.Second}.send(r.ctx, r.second)
 		running.Wait()
 		Expect(word.Outcome).To(Equal(failure.Unknown))
-		f.keepsPromises()
+		r.f.keepsPromises()
 	})
 
 	// Story: a request waits at a host that is paused; its caller resends it
@@ -194,24 +209,18 @@
 	// give its word. "Not run" would be a guess: the paused host may hold a
 	// grant of a home that is gone. Cause: a host knows its own attempt only.
 	It("is told unknown when the deadline passes before the first host gave its word", func() {
-		f := newFleet(fleetOptions{hosts: 3, engines: 1, speed: 0.1, slots: 1})
-		home := f.homeOf(modelService)
-		first := f.other(home)
-		second := f.other(home, first)
-		ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
-		defer cancel()
+		r := newTwoHolders(1)
 		var all sync.WaitGroup
-		all.Go(func() { attempt{f: f, id: f.mint(home), number: 1, tokens: 100, tier: 2}.send(ctx, home) })
-		Eventually(func() int { return f.startsAt("engine-1") }, 5*time.Second, 10*time.Millisecond).Should(Equal(1))
-		id := f.mint(first)
-		all.Go(func() { attempt{f: f, id: id, number: 1, tokens: 5, tier: 2}.send(ctx, first) })
-		Eventually(func() []event.Event { return first.timeline(event.RequestWaiting) }, 5*time.Second, 10*time.Millisecond).Should(HaveLen(1))
-		first.pause()
-		word := attempt{f: f, id: id, number: 2, tried: []*host{first}, tokens: 5, tier: 2, deadline: 1500 * time.Millisecond}.send(ctx, second)
-		first.resume()
+		all.Go(func() { attempt{f: r.f, id: r.f.mint(r.home), number: 1, tokens: 100, tier: 2}.send(r.ctx, r.home) })
+		Eventually(func() int { return r.f.startsAt("engine-1") }, 5*time.Second, 10*time.Millisecond).Should(Equal(1))
+		all.Go(func() { attempt{f: r.f, id: r.id, number: 1, tokens: 5, tier: 2}.send(r.ctx, r.first) })
+		Eventually(func() []event.Event { return r.first.timeline(event.RequestWaiting) }, 5*time.Second, 10*time.Millisecond).Should(HaveLen(1))
+		r.first.pause()
+		word := attempt{f: r.f, id: r.id, number: 2, tried: []*host{r.first}, tokens: 5, tier: 2, deadline: 1500 * time.Millisecond}.send(r.ctx, r.second)
+		r.first.resume()
 		all.Wait()
 		Expect(word.Outcome).To(Equal(failure.Unknown))
-		f.keepsPromises()
+		r.f.keepsPromises()
 	})
 
 	// Story: a host is paused in the middle of requests, the caller resends,
