A claim that arrives after its release does not block its key

Cause: read as a newcomer: a release looked once for its row; an insert still on its way then arrived afterwards and kept the key for the claim horizon.

Ruled out: deleting without looking (the row may be another attempt's).

Change: a row that is not ours is looked at three times, a second apart; a claim won after its request has ended is released again.

Before: "deletes a row that arrives after its first look" red (row version 1). After: green.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -22,6 +22,9 @@
 	groupSize   = 64
 	retryPause  = 50 * time.Millisecond
 	releaseLife = 30 * time.Second
+	// A row that is not ours is looked at so often before a release ends.
+	releaseLooks = 3
+	releaseWait  = 1 * time.Second
 )
 
 // Owner is the value of a claim row.
@@ -96,15 +99,15 @@
 		n := min(groupSize, len(waiting))
 		again := c.insert(ctx, waiting[:n])
 		waiting = append(again, waiting[n:]...)
-		if len(again) > 0 && !pause(ctx) {
+		if len(again) > 0 && !pause(ctx, retryPause) {
 			return
 		}
 	}
 }
 
-func pause(ctx context.Context) bool {
+func pause(ctx context.Context, d time.Duration) bool {
 	select {
-	case <-time.After(retryPause):
+	case <-time.After(d):
 		return true
 	case <-ctx.Done():
 		return false
@@ -168,23 +171,43 @@
 	return Result{Won: owner.Token == a.mine.Token, Owner: owner, Version: row.Version}
 }
 
-// Release deletes the row of a claim that was not used, for as long as its
-// version is ours. It tries for releaseLife and gives up then: a row that
-// stays makes a later resend ask this host, which knows that nothing ran.
+// Release deletes the row of a claim that was not used, for as long as it is
+// ours. It tries for releaseLife and gives up then: a row that stays makes a
+// later resend ask this host, which knows that nothing ran.
+//
+// Guard: the insert may still be on its way when the claim is given up, and
+// arrive after a first look found nothing to delete; the row would then block
+// its key. So the row is looked at again a few times.
 func (c *Claimer) Release(ctx context.Context, id ident.RequestID, mine Owner) {
 	ctx, cancel := context.WithTimeout(ctx, releaseLife)
 	defer cancel()
-	for {
-		row, err := c.table.Get(ctx, Key(id))
+	for looks := 0; looks < releaseLooks; {
+		ours, err := c.deleteOurs(ctx, id, mine)
+		if err == nil && ours {
+			return
+		}
+		wait := retryPause
 		if err == nil {
-			var owner Owner
-			if json.Unmarshal(row.Value, &owner) != nil || owner.Token != mine.Token {
-				return
-			}
-			_, err = c.table.Apply(ctx, []platform.Write{{Key: Key(id), IfVersion: row.Version, Delete: true}})
+			looks++
+			wait = releaseWait
 		}
-		if err == nil || !pause(ctx) {
+		if !pause(ctx, wait) {
 			return
 		}
 	}
 }
+
+// deleteOurs deletes the row if it carries our token; ours tells whether it
+// did.
+func (c *Claimer) deleteOurs(ctx context.Context, id ident.RequestID, mine Owner) (ours bool, err error) {
+	row, err := c.table.Get(ctx, Key(id))
+	if err != nil {
+		return false, err
+	}
+	var owner Owner
+	if json.Unmarshal(row.Value, &owner) != nil || owner.Token != mine.Token {
+		return false, nil
+	}
+	_, err = c.table.Apply(ctx, []platform.Write{{Key: Key(id), IfVersion: row.Version, Delete: true}})
+	return err == nil, err
+}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http/httptest"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/history"
 	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/platform"
 	"github.com/gentianflow/gentianflow/internal/platform/httpplatform"
 	"github.com/gentianflow/gentianflow/internal/standin"
 )
@@ -25,6 +27,33 @@
 	RunSpecs(t, "claim")
 }
 
+var _ = Describe("a release", func() {
+	// Story: a claim is given up while its insert is still on its way. The
+	// release finds no row, the insert arrives after it, and the pickup's key
+	// is blocked for a day. Cause: two calls that overtake each other.
+	It("deletes a row that arrives after its first look", func() {
+		p := standin.NewPlatform(0)
+		server := httptest.NewServer(p.Handler())
+		DeferCleanup(server.Close)
+		client := httpplatform.New(server.URL, nil, time.Second)
+		DeferCleanup(client.Close)
+		c := claim.New(client, event.NewRecorder("h", "1", 10, log.NewNopLogger()))
+		id, mine := ident.Keyed("a", "k"), claim.Owner{Incarnation: 1, Token: ident.Mint(1)}
+		released := make(chan struct{})
+		go func() {
+			defer close(released)
+			c.Release(context.Background(), id, mine)
+		}()
+		time.Sleep(200 * time.Millisecond) // the first look is over
+		value, err := json.Marshal(mine)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Apply(context.Background(), []platform.Write{{Key: claim.Key(id), Value: value}})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(released, 10*time.Second).Should(BeClosed())
+		Expect(p.Row(claim.Key(id)).Version).To(BeZero())
+	})
+})
+
 var _ = Describe("claims of many hosts for the same keys", func() {
 	// Story: hosts claim the same pickups at once while the table loses
 	// answers or is slow. Each key must have one winner, whoever is asked.
--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -63,6 +63,7 @@
 	}
 	if !r.begin(until) {
 		r.giveBack(l, false)
+		r.dropLateClaim()
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -159,6 +160,18 @@
 	return false
 }
 
+// dropLateClaim releases a claim that was won after its request had ended:
+// the release at the end may have found nothing to delete yet.
+func (r *Record) dropLateClaim() {
+	r.mu.Lock()
+	late := r.machine.Final() && !ran(r.machine.State()) && r.Sub.claimed()
+	r.claimAsked = r.claimAsked || late
+	r.mu.Unlock()
+	if late {
+		r.releaseClaim()
+	}
+}
+
 func (h *Holder) claimHorizon() time.Duration {
 	if c := h.src.Config.Current(); c != nil {
 		return c.Document.Rules.Limits.ClaimHorizon.Std()
