--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -196,6 +196,9 @@
 	}
 	for _, h := range f.hosts {
 		h.session.Wait(5 * time.Second)
+		for _, fault := range []string{"DATA RACE", "panic:"} {
+			Expect(bytes.Contains(h.session.Err.Contents(), []byte(fault))).To(BeFalse(), "%s of %s:\n%s", fault, h.name, h.session.Err.Contents())
+		}
 		if h.relay != nil {
 			h.relay.close()
 		}
--- /dev/null
+++ b/test/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package test
+
+var raceArgs []string
--- a/test/suite_test.go
+++ b/test/suite_test.go
@@ -23,7 +23,7 @@
 
 var _ = BeforeSuite(func() {
 	var err error
-	gentiand, err = gexec.Build("github.com/gentianflow/gentianflow/cmd/gentiand")
+	gentiand, err = gexec.Build("github.com/gentianflow/gentianflow/cmd/gentiand", raceArgs...)
 	Expect(err).NotTo(HaveOccurred())
 	gentianctl, err = gexec.Build("github.com/gentianflow/gentianflow/cmd/gentianctl")
 	Expect(err).NotTo(HaveOccurred())
