A full host drops answers, not the word that they ran

The record was its only word that the id ran: a resend was taken as new, a new home would not have heard of it and could have granted the id again; and the old home, which knew, left the resend waiting until it said "not run".

Ruled out: refusing new work instead (a host would fill up for the horizon).

Change: the bytes go, the record stays for the horizon and answers answer_dropped (unknown). An id that its holder registers under a newer attempt than the granted one is pointed to the server that had it.

--- a/internal/core/cell_test.go
+++ b/internal/core/cell_test.go
@@ -214,6 +214,28 @@
 	})
 })
 
+var _ = Describe("an id that its holder registers again", func() {
+	// Story: a host no longer has its record of an id that ran, and takes a
+	// resend of it as new. It must be told where the answer is, not be left
+	// waiting until it says that nothing ran.
+	It("is pointed to the server that had it when it ran under an older attempt", func() {
+		b := newBench(100, one)
+		id, _ := b.ask(3, func(r *core.Request) { r.Attempt = 1 })
+		b.done(id)
+		out := b.step(core.Register{Request: core.Request{ID: id, Holder: holder, Attempt: 2, Tier: 3, PromptTokens: 10, OutputTokens: 5, Deadline: b.now.Add(time.Minute)}})
+		Expect(kinds(out, core.Grant)).To(BeEmpty())
+		Expect(kinds(out, core.Attach)).To(Equal([]ident.RequestID{id}))
+		Expect(out[0].Server).To(Equal(ident.ServerID(1)))
+	})
+
+	It("is not disturbed by a repeated message of the same attempt", func() {
+		b := newBench(100, one)
+		id, _ := b.ask(3, func(r *core.Request) { r.Attempt = 1 })
+		out := b.step(core.Register{Request: core.Request{ID: id, Holder: holder, Attempt: 1, Tier: 3, PromptTokens: 10, OutputTokens: 5, Deadline: b.now.Add(time.Minute)}})
+		Expect(out).To(BeEmpty())
+	})
+})
+
 var _ = Describe("a holder that falls silent", func() {
 	// Story: a host is paused with requests waiting. A grant sent now would
 	// have run out before it could be used, and would block the server.
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -14,9 +14,12 @@
 	holder ident.Incarnation
 	server ident.ServerID
 	state  LedgerState
-	since  Time
-	item   *item // while waiting
-	run    *run  // while granted
+	// attempt is the holder's attempt that was granted; 0 when known from a
+	// report only.
+	attempt uint32
+	since   Time
+	item    *item // while waiting
+	run     *run  // while granted
 }
 
 type mark struct {
@@ -44,7 +47,7 @@
 		e = &entry{id: r.ID, holder: r.Holder}
 		l.entries[r.ID] = e
 	}
-	e.item, e.run, e.server = nil, run, run.server.id()
+	e.item, e.run, e.server, e.attempt = nil, run, run.server.id(), r.Attempt
 	l.set(now, e, LedgerGranted)
 }
 
--- a/internal/core/resend.go
+++ b/internal/core/resend.go
@@ -47,8 +47,12 @@
 // follows the first, since revoking would let them revoke each other for ever.
 func (c *Cell) registerKnown(r Request, e *entry) {
 	switch {
-	case e.holder == r.Holder:
+	case e.holder == r.Holder && (e.state == LedgerWaiting || e.attempt == r.Attempt):
 		return
+	case e.holder == r.Holder:
+		// The holder took a new attempt for an id that an older one of its
+		// own was granted for: it does not have that record any more.
+		c.emit(Action{Kind: Attach, To: r.Holder, ID: r.ID, Holder: e.holder, Server: e.server})
 	case e.state == LedgerWaiting && (r.Resend || !c.granting(e.holder)):
 		tried := appendMissing(append([]ident.Incarnation(nil), r.Tried...), e.holder)
 		c.startResend(r, tried)
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -50,6 +50,7 @@
 	ServerLost      Code = "server_lost"
 	ServerError     Code = "server_error"
 	HolderLost      Code = "holder_lost"
+	AnswerDropped   Code = "answer_dropped"
 	Conflict        Code = "conflict"
 	BadConfig       Code = "bad_config"
 	BadFrame        Code = "bad_frame"
@@ -84,16 +85,17 @@
 	NoHome:          {http.StatusServiceUnavailable, NotRun},
 	NoServer:        {http.StatusServiceUnavailable, NotRun},
 	// The request runs elsewhere or will: the word at this host is unknown.
-	Moved:       {http.StatusConflict, Unknown},
-	Removed:     {http.StatusGone, NotRun},
-	Withdrawn:   {http.StatusConflict, NotRun},
-	StoreDown:   {http.StatusServiceUnavailable, NotRun},
-	NotCovered:  {http.StatusBadGateway, Unknown},
-	ServerLost:  {http.StatusBadGateway, Unknown},
-	ServerError: {http.StatusBadGateway, Unknown},
-	HolderLost:  {http.StatusBadGateway, Unknown},
-	Conflict:    {http.StatusConflict, NotRun},
-	BadConfig:   {http.StatusUnprocessableEntity, NotRun},
+	Moved:         {http.StatusConflict, Unknown},
+	Removed:       {http.StatusGone, NotRun},
+	Withdrawn:     {http.StatusConflict, NotRun},
+	StoreDown:     {http.StatusServiceUnavailable, NotRun},
+	NotCovered:    {http.StatusBadGateway, Unknown},
+	ServerLost:    {http.StatusBadGateway, Unknown},
+	ServerError:   {http.StatusBadGateway, Unknown},
+	HolderLost:    {http.StatusBadGateway, Unknown},
+	AnswerDropped: {http.StatusGone, Unknown},
+	Conflict:      {http.StatusConflict, NotRun},
+	BadConfig:     {http.StatusUnprocessableEntity, NotRun},
 }
 
 // Error is the one error type that crosses package borders.
--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -88,6 +88,15 @@
 	a.wake()
 }
 
+// drop frees the bytes of an ended answer; who reads it later is told so.
+func (a *Answer) drop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.data = nil
+	a.err = &failure.Error{Code: failure.AnswerDropped, Message: "it ran; its answer was not kept"}
+	a.wake()
+}
+
 func (a *Answer) size() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -163,7 +163,7 @@
 	return r.Sub.Account == "" || r.Sub.Account == account
 }
 
-// makeRoom frees memory for a body: finished answers go first, oldest first,
+// makeRoom frees memory for a body: answers nobody reads go first, oldest first,
 // then waiting requests of lower tiers, the lowest and newest first.
 func (h *Holder) makeRoom(sub *Submission, limit int) error {
 	need := len(sub.Body)
@@ -171,7 +171,7 @@
 		return nil
 	}
 	for _, r := range h.finishedOldestFirst() {
-		h.forget(r)
+		h.dropAnswer(r)
 		if h.held()+need <= limit {
 			return nil
 		}
@@ -234,6 +234,26 @@
 	return r.endedAt
 }
 
+// dropAnswer frees the bytes of an answer that nobody reads now.
+//
+// Guard: the record itself stays for the horizon. It is this host's only word
+// that the id ran; without it a resend would be taken as new here, and a new
+// home would not hear of it.
+func (h *Holder) dropAnswer(r *Record) {
+	r.mu.Lock()
+	size := r.kept
+	if r.readers > 0 {
+		size = 0
+	}
+	r.kept -= size
+	r.mu.Unlock()
+	if size > 0 {
+		r.answer.drop()
+		h.addBytes(-size)
+	}
+}
+
+// forget removes a record past the horizon.
 func (h *Holder) forget(r *Record) {
 	r.mu.Lock()
 	size := r.kept
@@ -242,8 +262,8 @@
 	h.mu.Lock()
 	if h.records[r.Sub.ID] == r {
 		delete(h.records, r.Sub.ID)
-		h.bytes -= size
 	}
+	h.bytes -= size
 	h.mu.Unlock()
 }
 
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/gentianflow/gentianflow/internal/chart"
+	"github.com/gentianflow/gentianflow/internal/core"
 	"github.com/gentianflow/gentianflow/internal/failure"
 )
 
@@ -94,6 +96,32 @@
 		Expect(h.Stats().HeldBytes).To(BeZero())
 	})
 
+	// Story: a host is full and drops finished answers to make room. A caller
+	// that lost its connection sends the id again; the host does not know it
+	// any more, says so to a new home, and the pickup runs a second time.
+	// Cause: the record was the only word on that id.
+	It("drop an answer for room, but not the word that it ran", func() {
+		h := New(context.Background(), 1, Sources{})
+		r := held(h, sub(2, 0), 1)
+		for _, e := range []chart.Event{evRegister, evGrant, evDispatch, evFirstByte, evFinish} {
+			Expect(r.step(e)).To(BeTrue())
+		}
+		r.answer.addPart(0, []byte("whole"), []byte("whole"))
+		r.answer.finish(nil)
+		r.kept = 5
+		h.addBytes(5)
+		s := sub(2, 100)
+		Expect(h.makeRoom(&s, 100)).To(Succeed())
+		Expect(h.Stats().HeldBytes).To(BeZero())
+		again, known := h.Get(r.Sub.ID)
+		Expect(known).To(BeTrue())
+		line, ok := again.ledgerLine()
+		Expect(ok).To(BeTrue())
+		Expect(line.State).To(Equal(core.LedgerDone))
+		_, _, err := again.Answer().Read(context.Background(), 0)
+		Expect(failure.From(err).Outcome()).To(Equal(failure.Unknown))
+	})
+
 	It("refuse a request when nothing of a lower tier can give way", func() {
 		h := New(context.Background(), 1, Sources{})
 		held(h, sub(2, 80), 1)
