Sessions between hosts are immutable once made

Cause: with the processes under the race detector the whole suite found a data race: a session that is dialed anew was written while the probe of the old one still read it (a probe could have closed the new session).

Ruled out: a lock around each use (what changes is which session is live, not the session).

Change: a slot for each address names the live session; sessions do not change.

--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -69,7 +69,8 @@
 	Broke(inc ident.Incarnation)
 }
 
-// Manager owns the sessions of one host. mu guards sessions and closed.
+// Manager owns the sessions of one host. mu guards sessions, the live field of
+// each slot, accepted and closed.
 type Manager struct {
 	self    Identity
 	address string       // our own control address, as others know it
@@ -80,24 +81,30 @@
 	traffic *Traffic
 
 	mu       sync.Mutex
-	sessions map[string]*session // by remote control address
+	sessions map[string]*slot // by remote control address
 	accepted map[*session]bool
 	closed   bool
 	duties   sync.WaitGroup
 }
 
-// session is one yamux session with its remote identity. once guards dialing.
+// session is one yamux session with its remote identity. Immutable.
 type session struct {
 	mux  *yamux.Session
 	peer Identity
+}
+
+// slot is the place of the session to one address. dial is held while one is
+// dialed, so that many streams that are opened at once share it.
+type slot struct {
 	dial sync.Mutex
+	live *session
 }
 
 // NewManager makes the sessions' owner. handler serves incoming streams.
 func NewManager(self Identity, address string, handler Handler, news Observer, events *event.Recorder, traffic *Traffic) *Manager {
 	return &Manager{
 		self: self, address: address, handler: handler, news: news, events: events, traffic: traffic,
-		sessions: map[string]*session{}, accepted: map[*session]bool{},
+		sessions: map[string]*slot{}, accepted: map[*session]bool{},
 	}
 }
 
@@ -222,7 +229,7 @@
 	}
 	conn, err := s.mux.Open()
 	if err != nil {
-		m.drop(to.Address, s)
+		_ = s.mux.Close()
 		return nil, failure.Wrap(failure.PeerSilent, err, "open stream to %s", to.Address)
 	}
 	if err := wire.Write(conn, open); err != nil {
@@ -243,23 +250,45 @@
 
 func (m *Manager) session(ctx context.Context, to Target) (*session, error) {
 	m.mu.Lock()
-	s := m.sessions[to.Address]
-	if s == nil {
-		s = &session{}
-		m.sessions[to.Address] = s
+	place := m.sessions[to.Address]
+	if place == nil {
+		place = &slot{}
+		m.sessions[to.Address] = place
 	}
 	m.mu.Unlock()
-	s.dial.Lock()
-	defer s.dial.Unlock()
-	if s.mux != nil && !s.mux.IsClosed() {
+	place.dial.Lock()
+	defer place.dial.Unlock()
+	m.mu.Lock()
+	s := place.live
+	m.mu.Unlock()
+	if s != nil && !s.mux.IsClosed() {
 		return s, m.expect(to, s.peer)
 	}
-	if err := m.connect(ctx, to, s); err != nil {
+	s, err := m.connect(ctx, to)
+	if err != nil {
 		return nil, err
 	}
+	if !m.keep(place, s) {
+		_ = s.mux.Close()
+		return nil, failure.New(failure.PeerSilent, "this host stops")
+	}
 	return s, m.expect(to, s.peer)
 }
 
+// keep makes s the live session of its place and starts its duties, unless
+// the manager has stopped.
+func (m *Manager) keep(place *slot, s *session) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	place.live = s
+	m.duties.Go(func() { m.probe(s) })
+	m.duties.Go(func() { m.serveStreams(s) })
+	return true
+}
+
 // expect compares who answered with who was expected.
 func (m *Manager) expect(to Target, got Identity) error {
 	if to.Incarnation == 0 || to.Incarnation == got.Incarnation {
@@ -269,8 +298,8 @@
 	return failure.New(failure.PeerSilent, "%s is now incarnation %s", to.Address, got.Incarnation)
 }
 
-// connect dials and greets. The caller holds s.dial.
-func (m *Manager) connect(ctx context.Context, to Target, s *session) error {
+// connect dials and greets. The caller holds the slot's dial.
+func (m *Manager) connect(ctx context.Context, to Target) (*session, error) {
 	dialer := net.Dialer{Timeout: DialTimeout}
 	if m.from != nil {
 		dialer.LocalAddr = m.from
@@ -280,31 +309,21 @@
 		if errors.Is(err, syscall.ECONNREFUSED) && to.Incarnation != 0 {
 			m.news.ProveDead(to.Incarnation, "its port refuses")
 		}
-		return failure.Wrap(failure.PeerSilent, err, "dial %s", to.Address)
+		return nil, failure.Wrap(failure.PeerSilent, err, "dial %s", to.Address)
 	}
 	conn = countedConn{conn, m.traffic}
 	remote, err := m.greet(conn)
 	if err != nil {
 		_ = conn.Close()
-		return err
+		return nil, err
 	}
 	mux, err := yamux.Client(conn, muxConfig())
 	if err != nil {
 		_ = conn.Close()
-		return failure.Wrap(failure.PeerSilent, err, "session to %s", to.Address)
+		return nil, failure.Wrap(failure.PeerSilent, err, "session to %s", to.Address)
 	}
-	m.mu.Lock()
-	closed := m.closed
-	m.mu.Unlock()
-	if closed {
-		_ = mux.Close()
-		return failure.New(failure.PeerSilent, "this host stops")
-	}
-	s.mux, s.peer = mux, remote
 	m.events.Record(event.PeerOpened, event.Fields{Peer: remote.Host})
-	m.duties.Go(func() { m.probe(s) })
-	m.duties.Go(func() { m.serveStreams(&session{mux: mux, peer: remote}) })
-	return nil
+	return &session{mux: mux, peer: remote}, nil
 }
 
 // probe closes a session that does not answer in time.
@@ -328,22 +347,13 @@
 	}
 }
 
-func (m *Manager) drop(address string, s *session) {
-	_ = s.mux.Close()
-	m.mu.Lock()
-	if m.sessions[address] == s {
-		delete(m.sessions, address)
-	}
-	m.mu.Unlock()
-}
-
 // Close ends all sessions and waits for their duties.
 func (m *Manager) Close() {
 	m.mu.Lock()
 	m.closed = true
-	for _, s := range m.sessions {
-		if s.mux != nil {
-			_ = s.mux.Close()
+	for _, place := range m.sessions {
+		if place.live != nil {
+			_ = place.live.mux.Close()
 		}
 	}
 	for s := range m.accepted {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -25,6 +25,7 @@
 	"github.com/gentianflow/gentianflow/internal/config"
 	"github.com/gentianflow/gentianflow/internal/configsync"
 	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/history"
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/standin"
@@ -485,6 +486,21 @@
 	return out
 }
 
+// unknownThoughStarted lists the ids told unknown that a server had begun.
+func (f *fleet) unknownThoughStarted() []string {
+	started := map[string]bool{}
+	for _, e := range f.log.Events() {
+		started[e.ID] = started[e.ID] || e.Kind == history.Started
+	}
+	var out []string
+	for _, e := range f.log.Events() {
+		if e.Kind == history.Told && e.Outcome == failure.Unknown && started[e.ID] {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
 // told counts the final words of an outcome.
 func (f *fleet) told(outcome string) int {
 	n := 0
