--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -184,7 +184,8 @@
 }
 
 // greet exchanges Hello messages and checks the other end's version and
-// fleet. The refused end is told why.
+// fleet. Each end speaks first, so both learn the other's version and name it
+// in their logs when they refuse.
 func (m *Manager) greet(conn net.Conn) (Identity, error) {
 	_ = conn.SetDeadline(time.Now().Add(helloTimeout))
 	defer func() { _ = conn.SetDeadline(time.Time{}) }()
