A holder that comes back over a new link is counted once

Its holders opened new links and asked again; the home woke, read the old links' asks too and booked both.

--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/peer"
@@ -31,6 +32,8 @@
 	zone   string
 	out    *ring.Ring[*wire.ToHolder]
 	stream *peer.Stream
+	// superseded is set when the holder has a newer link.
+	superseded atomic.Bool
 }
 
 // NewHome makes the scheduling side over a loop.
@@ -65,15 +68,30 @@
 	h.detach(l)
 }
 
-// attach makes l the link of its holder; an older one is cut.
+// attach makes l the link of its holder; an older one is cut, and what it had
+// booked is dropped as if the holder were gone.
+//
+// Guard: a holder tells all that waits and runs on its new link. What the home
+// still reads from the old one is older than that: a withdrawal would end an ask
+// of the new link, and its caller would wait for a word that never comes.
 func (h *Home) attach(l *holderLink) {
 	h.mu.Lock()
 	old := h.links[l.holder]
 	h.links[l.holder] = l
 	h.mu.Unlock()
-	if old != nil {
-		old.stream.Abort()
+	if old == nil {
+		return
 	}
+	old.superseded.Store(true)
+	h.holderGone(l.holder)
+	old.stream.Abort()
+}
+
+func (h *Home) holderGone(holder uint64) {
+	h.loop.push(context.Background(), func(now sched.Time, s *sched.Scheduler) []sched.Decision {
+		s.HolderGone(now, holder)
+		return nil
+	})
 }
 
 func (h *Home) detach(l *holderLink) {
@@ -84,16 +102,16 @@
 	}
 	h.mu.Unlock()
 	if newest {
-		h.loop.push(context.Background(), func(now sched.Time, s *sched.Scheduler) []sched.Decision {
-			s.HolderGone(now, l.holder)
-			return nil
-		})
+		h.holderGone(l.holder)
 	}
 }
 
 // take feeds one message of a holder to the loop.
 func (h *Home) take(ctx context.Context, l *holderLink, m *wire.ToHome) {
 	h.loop.push(ctx, func(now sched.Time, s *sched.Scheduler) []sched.Decision {
+		if l.superseded.Load() {
+			return nil
+		}
 		var out []sched.Decision
 		reply := &wire.ToHolder{Pong: m.Ping}
 		for _, r := range m.Running {
--- /dev/null
+++ b/internal/dispatch/home_test.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/peer"
+	"github.com/gentianflow/gentianflow/internal/sched"
+	"github.com/gentianflow/gentianflow/internal/wire"
+)
+
+// homeFor runs a home with one server that has one place.
+func homeFor() (*Home, *Loop) {
+	events := event.NewRecorder("h", "i", 64, log.NewNopLogger())
+	var h *Home
+	loop := NewLoop(sched.DefaultPolicy(), events, func(out []sched.Decision) { h.Deliver(out) })
+	h = NewHome(loop)
+	loop.Do(func(now sched.Time, s *sched.Scheduler) {
+		s.SetServices(now, []sched.Service{{Name: "svc"}})
+		s.SetServers(now, []sched.Server{{ID: "a", Service: "svc", Address: "a", Slots: 1}})
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go loop.Run(ctx)
+	return h, loop
+}
+
+// holderEnd is the holder's end of a link to the home.
+type holderEnd struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+// linkTo opens a link of one holder; every link of it bears the same incarnation.
+func linkTo(h *Home) *holderEnd {
+	near, far := net.Pipe()
+	st := &peer.Stream{Conn: far, R: bufio.NewReader(far), Peer: peer.Identity{Incarnation: self}, Open: &wire.Open{Service: "z"}}
+	go h.Serve(context.Background(), st)
+	DeferCleanup(near.Close)
+	return &holderEnd{conn: near, r: bufio.NewReader(near)}
+}
+
+func (e *holderEnd) say(m *wire.ToHome) {
+	Expect(e.conn.SetWriteDeadline(time.Now().Add(time.Second))).To(Succeed())
+	Expect(wire.Write(e.conn, m)).To(Succeed())
+}
+
+func (e *holderEnd) ask(id uint64) {
+	now := time.Now()
+	a := ask()
+	e.say(&wire.ToHome{Asks: []*wire.Ask{encodeAsk(now, id, a)}})
+}
+
+// placed reads until the home gives an ask its place.
+func (e *holderEnd) placed(id uint64) {
+	Expect(e.conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+	for {
+		m := &wire.ToHolder{}
+		Expect(wire.Read(e.r, m)).To(Succeed())
+		for _, p := range m.Places {
+			if p.Id == id {
+				return
+			}
+		}
+	}
+}
+
+func booked(l *Loop) (running, waiting int) {
+	l.Query(context.Background(), func(s *sched.Scheduler) { running, waiting = s.Running(), s.Waiting() })
+	return running, waiting
+}
+
+var _ = Describe("a holder that comes back over a new link", func() {
+	// The home stands still for a moment. Its holders take it for silent, open a
+	// new link and ask again for what waits; the home wakes and finds the same ask
+	// twice, once on each link. Counted twice, the server would lose a place for
+	// good: callers are refused while servers are free.
+	It("is asked for once what it asked for on both links", func() {
+		h, loop := homeFor()
+		first := linkTo(h)
+		first.ask(1)
+		Eventually(func() int { n, _ := booked(loop); return n }).Should(Equal(1))
+		second := linkTo(h) // the place of the first link was lost with it
+		second.ask(1)
+		second.placed(1)
+		Expect(booked(loop)).To(Equal(1))
+		second.say(&wire.ToHome{Outcomes: []*wire.Outcome{{Id: 1, Result: uint32(sched.OK)}}})
+		second.ask(2)
+		second.placed(2)
+	})
+
+	// The same, but the first link still holds a withdrawal that the home reads
+	// after the new link's ask: the request would wait for a word that never comes.
+	It("is not heard any more over the old one", func() {
+		h, loop := homeFor()
+		other := linkTo(h)
+		other.ask(1)
+		Eventually(func() int { n, _ := booked(loop); return n }).Should(Equal(1))
+		var old *holderLink
+		h.mu.Lock()
+		old = h.links[self]
+		h.mu.Unlock()
+		second := linkTo(h)
+		second.ask(1)
+		second.placed(1)
+		h.take(context.Background(), old, &wire.ToHome{Withdrawn: []uint64{1}, Asks: []*wire.Ask{encodeAsk(time.Now(), 1, ask())}})
+		Consistently(func() []int { r, w := booked(loop); return []int{r, w} }).WithTimeout(50 * time.Millisecond).Should(Equal([]int{1, 0}))
+	})
+})
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -24,6 +24,7 @@
 type queue struct {
 	lanes []*lane
 	size  int
+	keys  map[Key]struct{} // of all that wait
 }
 
 func (q *queue) add(w *waiting) {
@@ -33,6 +34,10 @@
 		at--
 	}
 	l.fresh = slices.Insert(l.fresh, at, w)
+	if q.keys == nil {
+		q.keys = map[Key]struct{}{}
+	}
+	q.keys[w.Key] = struct{}{}
 	q.size++
 }
 
@@ -46,6 +51,10 @@
 
 // remove takes a request out and returns it, nil when it does not wait here.
 func (q *queue) remove(k Key) *waiting {
+	if _, waits := q.keys[k]; !waits {
+		return nil
+	}
+	delete(q.keys, k)
 	match := func(w *waiting) bool { return w.Key == k }
 	for _, l := range q.lanes {
 		for _, list := range []*[]*waiting{&l.fresh, &l.late} {
@@ -75,6 +84,7 @@
 	for i, w := range *list {
 		drop, stop := f(w)
 		if drop {
+			delete(q.keys, w.Key)
 			q.size--
 		} else {
 			kept = append(kept, w)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -177,9 +177,11 @@
 }
 
 // Submit asks for a place. The decision may come now or after a later event;
-// it reports true when the request waits.
+// it reports true when the request waits. An ask under a known key replaces the
+// earlier one.
 func (s *Scheduler) Submit(now Time, r Request) (out []Decision, waits bool) {
 	s.out = nil
+	s.forget(now, r.Key)
 	svc := s.services[r.Service]
 	w := &waiting{Request: r, asked: now}
 	switch {
@@ -203,6 +205,31 @@
 	return s.out, !placed && !refused
 }
 
+// forget drops what is booked under a key.
+//
+// Guard: a holder that lost its link to the home, or took it for silent, asks
+// anew for what it has no place for, while the home still has the first ask. Were
+// both counted, the first one's place would be held for ever: the server takes
+// less and less, and callers are refused while it is idle.
+func (s *Scheduler) forget(now Time, k Key) {
+	s.unqueue(k)
+	if r := s.runs[k]; r != nil {
+		s.repay(now, r)
+		s.drop(r)
+	}
+}
+
+// unqueue takes a request out of the queue that it waits in, and reports whether
+// there was one.
+func (s *Scheduler) unqueue(k Key) bool {
+	for _, svc := range s.services {
+		if svc.queue.remove(k) != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // repeat draws on the retry budget of a service.
 func (s *Scheduler) repeat(now Time, svc *service) bool {
 	if svc.retries.level < 1 {
@@ -215,11 +242,8 @@
 // Withdraw takes a request back that waits, or gives back a place that was
 // not used.
 func (s *Scheduler) Withdraw(now Time, k Key) []Decision {
-	s.out = nil
-	for _, svc := range s.services {
-		if svc.queue.remove(k) != nil {
-			return nil
-		}
+	if s.unqueue(k) {
+		return nil
 	}
 	return s.Finish(now, Outcome{Key: k, Result: Unused})
 }
@@ -275,19 +299,21 @@
 	delete(s.runs, r.req.Key)
 }
 
-// Adopt books a run that another scheduler placed. Its holder reports its end.
+// Adopt books a run that another scheduler placed, or one of its own that its
+// holder still has. Its holder reports its end.
 func (s *Scheduler) Adopt(now Time, a Run) {
-	srv, svc := s.servers[a.Server], s.services[a.Service]
-	if srv == nil || svc == nil {
-		return
-	}
-	if old := s.runs[a.Key]; old != nil {
+	if old := s.runs[a.Key]; old != nil && old.server.ID == a.Server {
 		if old.orphan {
 			old.orphan = false
 			s.orphans--
 		}
 		return
 	}
+	s.forget(now, a.Key)
+	srv, svc := s.servers[a.Server], s.services[a.Service]
+	if srv == nil || svc == nil {
+		return
+	}
 	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens}
 	r := srv.start(now, svc, req)
 	r.ends = max(now, r.ends-a.Elapsed)
