A home that stands still for a moment keeps its queue; a host alone takes its even share

Cause: when the home was silent for 0.2 to 0.3 s, each host asked its own loop anew for all that waited, with 1.6 times its even share of every server. Now the home is suspect first: new asks are decided at their host, what waits stays for 0.4 s more, and a home that answers again goes on as before.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -60,6 +60,11 @@
 	// requests wait there.
 	silentAfter = 300 * time.Millisecond
 	pingPeriod  = 150 * time.Millisecond
+	// suspectTime is how long asks go on waiting at a home that fell silent. It
+	// outlasts the pauses seen of hosts whose processor is a quota or that are
+	// frozen for a moment (0.25 to 0.4 s with silentAfter before it), and leaves
+	// half of the 1.2 s that the shortest streams may wait.
+	suspectTime = 400 * time.Millisecond
 	watchPeriod = 20 * time.Millisecond
 	// staleAfter is how old a place may be when its holder gets to use it. A
 	// holder that was frozen wakes with places whose servers may have left.
@@ -271,8 +276,8 @@
 	}
 }
 
-// follow makes l the home; nil means that this host decides. What waits is
-// asked for anew there, and what runs is reported there.
+// follow makes l the home. What waits is asked for anew there, and what runs is
+// reported there.
 func (c *Client) follow(l *homeLink) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -280,18 +285,44 @@
 		return
 	}
 	c.link = l
+	c.move(func(via *homeLink) bool { return via != l })
+}
+
+// suspect sends new asks to the loop of this host, if l is followed. What waits
+// or runs at l stays there.
+func (c *Client) suspect(l *homeLink) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link == l {
+		c.link = nil
+	}
+}
+
+// unfollow ends a link for good: what waits or runs there moves to the home that
+// is followed now, or to the loop of this host.
+func (c *Client) unfollow(l *homeLink) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link == l {
+		c.link = nil
+	}
+	c.move(func(via *homeLink) bool { return via == l })
+}
+
+// move takes asks and runs from where they are to the home that is followed. The
+// caller holds mu.
+func (c *Client) move(from func(via *homeLink) bool) {
 	now := time.Now()
 	for id, p := range c.pending {
-		old := p.via
-		if old == l {
+		if !from(p.via) {
 			continue
 		}
-		c.leave(id, old)
+		c.leave(id, p.via)
 		if p.placed.IsZero() {
 			c.send(id, p)
 			continue
 		}
-		p.via = l
+		p.via = c.link
 		c.report(now, id, p)
 	}
 }
--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -12,6 +13,7 @@
 
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/peer"
+	"github.com/gentianflow/gentianflow/internal/ring"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/wire"
 )
@@ -114,3 +116,90 @@
 		Consistently(func() []int { r, w := booked(loop); return []int{r, w} }).WithTimeout(50 * time.Millisecond).Should(Equal([]int{1, 0}))
 	})
 })
+
+// pausedHome is a home whose answers come only when the test sends them.
+type pausedHome struct {
+	client *Client
+	loop   *Loop
+	link   *homeLink
+	watch  *linkWatch
+	clock  time.Time
+}
+
+func newPausedHome() *pausedHome {
+	c, loop := hostOf(never) // without servers: what is asked for here waits or is refused here
+	near, far := net.Pipe()
+	DeferCleanup(near.Close)
+	l := &homeLink{host: "home", stream: &peer.Stream{Conn: far}, out: ring.New[*wire.ToHome](linkOutputs), ended: make(chan struct{})}
+	c.follow(l)
+	return &pausedHome{client: c, loop: loop, link: l, watch: &linkWatch{client: c, link: l}, clock: time.Now()}
+}
+
+// pass lets time go by in the steps of the watch and returns the news in it.
+func (p *pausedHome) pass(d time.Duration) (news []linkNews) {
+	for end := p.clock.Add(d); p.clock.Before(end); {
+		p.clock = p.clock.Add(watchPeriod)
+		if n := p.watch.check(p.clock); n != linkSame {
+			news = append(news, n)
+			p.apply(n)
+		}
+		if slices.Contains(news, linkLost) {
+			break // the watch ends with its link
+		}
+	}
+	return news
+}
+
+func (p *pausedHome) apply(n linkNews) {
+	switch n {
+	case linkSuspect:
+		p.client.suspect(p.link)
+	case linkBack:
+		p.client.follow(p.link)
+	case linkLost:
+		p.client.unfollow(p.link)
+	}
+}
+
+// waitAt makes an ask wait in the queue of the home.
+func (p *pausedHome) waitAt() uint64 {
+	a := ask()
+	a.Deadline = a.Arrived.Add(time.Minute)
+	go func() { _, _ = p.client.Acquire(context.Background(), a) }() // ends with the test's process
+	Eventually(func() bool { return p.client.waitsAt(p.link) }).Should(BeTrue())
+	p.client.queued([]uint64{1}, p.link)
+	return 1
+}
+
+func (p *pausedHome) answerPing() { p.link.ponged.Store(p.watch.ping) }
+
+func (p *pausedHome) via(id uint64) *homeLink {
+	p.client.mu.Lock()
+	defer p.client.mu.Unlock()
+	return p.client.pending[id].via
+}
+
+var _ = Describe("a home that stands still", func() {
+	// The home's processor stands still for a third of a second under load. Were
+	// all that waits there asked for anew on each host, their own loops would put
+	// it into engines that are full, and callers would see seconds of late answers.
+	It("keeps what waits in its queue when it is back within a moment", func() {
+		h := newPausedHome()
+		id := h.waitAt()
+		h.pass(pingPeriod)
+		Expect(h.pass(silentAfter + 2*watchPeriod)).To(Equal([]linkNews{linkSuspect}))
+		Expect(h.client.link).To(BeNil(), "new asks are decided here")
+		Expect(h.via(id)).To(Equal(h.link))
+		h.answerPing()
+		Expect(h.pass(watchPeriod)).To(Equal([]linkNews{linkBack}))
+		Expect(h.client.link).To(Equal(h.link))
+		Expect(h.via(id)).To(Equal(h.link))
+	})
+
+	It("loses it when the silence lasts", func() {
+		h := newPausedHome()
+		id := h.waitAt()
+		Expect(h.pass(pingPeriod + silentAfter + suspectTime + 4*watchPeriod)).To(Equal([]linkNews{linkSuspect, linkLost}))
+		Expect(h.via(id)).To(BeNil())
+	})
+})
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -78,12 +78,13 @@
 // services, so that quotas and retry budgets are counted in one place.
 const homeOf = "scheduler"
 
-// A host without a home takes these parts of its even share. Of servers more
-// than that: few hosts are alone at a time, and what an engine cannot take it
-// rejects. Of quotas less: the home goes on giving out all of them, and what
-// all hosts give out together is bounded.
+// A host without a home takes these parts of its even share. Of servers just
+// that: when a home stands still all hosts are alone at once, and with 1.6 they
+// put that much more into engines that were full (a day of such moments was
+// worth 0.03 less). Of quotas less: the home goes on giving out all of them, and
+// what all hosts give out together is bounded.
 const (
-	aloneServers = 1.6
+	aloneServers = 1.0
 	aloneLimits  = 0.7
 )
 
@@ -202,8 +203,8 @@
 }
 
 func (f *Follower) drop(l *homeLink) {
-	f.client.follow(nil)
 	if l != nil {
+		f.client.unfollow(l)
 		l.stream.Abort()
 	}
 }
@@ -268,27 +269,27 @@
 // Guard: a home that is frozen, cut off or overloaded leaves asks unanswered
 // while its connection stays open. An ask that gets no word in time goes to the
 // loop of this host, which owes nothing to the home. One that gets none within
-// ackMost, or a ping none within silentAfter, ends the link, and all that
-// waited there is asked for here.
+// ackMost, or a ping none within silentAfter, makes the home suspect: new asks
+// are decided here. What waits in its queue stays there for suspectTime, since
+// most such pauses are short, and a fleet that asks anew for all that waits fills
+// its engines twice over. After that the link ends, and all is asked for here.
 func (f *Follower) watch(ctx context.Context, l *homeLink, address string) {
 	tick := time.NewTicker(watchPeriod)
 	defer tick.Stop()
-	var ping uint32
-	var sent time.Time
+	w := linkWatch{client: f.client, link: l}
 	for {
-		now := time.Now()
-		open := ping != l.ponged.Load()
-		switch {
-		case open && now.Sub(sent) > silentAfter, f.client.overdue(l, now):
+		switch w.check(time.Now()) {
+		case linkSuspect:
 			f.events.Record(event.PeerSilent, event.Fields{Peer: l.host, Detail: "the home does not answer"})
+			f.client.suspect(l)
+		case linkBack:
+			f.events.Record(event.HomeMoved, event.Fields{Peer: l.host, Detail: "it answers again"})
+			f.client.follow(l)
+		case linkLost:
 			f.client.unfollow(l)
 			f.sessions.Discard(address)
 			l.stream.Abort()
 			return
-		case !open && (ping == 0 || now.Sub(sent) > pingPeriod && f.client.waitsAt(l)):
-			ping++
-			sent = now
-			l.push(&wire.ToHome{Ping: ping})
 		}
 		select {
 		case <-tick.C:
@@ -298,12 +299,49 @@
 	}
 }
 
-// unfollow goes back to the loop of this host, if l is still followed.
-func (c *Client) unfollow(l *homeLink) {
-	c.mu.Lock()
-	followed := c.link == l
-	c.mu.Unlock()
-	if followed {
-		c.follow(nil)
+// linkNews is what a look at a link tells.
+type linkNews uint8
+
+const (
+	linkSame linkNews = iota
+	linkSuspect
+	linkBack
+	linkLost
+)
+
+// linkWatch judges a link to the home by its answers.
+type linkWatch struct {
+	client  *Client
+	link    *homeLink
+	ping    uint32 // newest
+	sent    time.Time
+	suspect time.Time // since when; zero while it answers
+}
+
+func (w *linkWatch) check(now time.Time) linkNews {
+	open := w.ping != w.link.ponged.Load()
+	overdue := w.client.overdue(w.link, now)
+	switch {
+	case !w.suspect.IsZero() && !open:
+		w.suspect = time.Time{}
+		return linkBack
+	case !w.suspect.IsZero() && now.Sub(w.suspect) > suspectTime:
+		return linkLost
+	case w.suspect.IsZero() && (overdue || open && now.Sub(w.sent) > silentAfter):
+		w.suspect = now
+		if !open {
+			w.send(now)
+		}
+		return linkSuspect
+	case !open && (w.ping == 0 || now.Sub(w.sent) > pingPeriod && w.client.waitsAt(w.link)):
+		w.send(now)
 	}
+	return linkSame
+}
+
+// send pings the home; its answer comes after those to all earlier messages.
+func (w *linkWatch) send(now time.Time) {
+	w.ping++
+	w.sent = now
+	w.link.push(&wire.ToHome{Ping: w.ping})
 }
