A long stream waits for a server that can end it in time

A request that the server's speed alone cannot end in time is left to a faster one, if there is one.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -49,7 +49,10 @@
 }
 
 // choose returns the server with room at which r costs least, nil when there
-// is none. One that cannot end it in time is taken only if no other can.
+// is none. One that cannot end it in time is taken only if no other can, now or
+// when it has room: under load only one server has room as a rule, and a long
+// stream that takes the first of them runs for its whole deadline on a slow one,
+// in vain.
 func (s *Scheduler) choose(now Time, svc *service, r *Request) *server {
 	var best *server
 	bestCost := time.Duration(math.MaxInt64)
@@ -64,9 +67,20 @@
 			best, bestCost = srv, cost
 		}
 	}
+	if best != nil && now+best.alone(svc, r) > r.Deadline && svc.endsInTime(now, r) {
+		return nil
+	}
 	return best
 }
 
+// endsInTime reports whether a usable server, full or not, would end r in time
+// if it had nothing else to do.
+func (svc *service) endsInTime(now Time, r *Request) bool {
+	return slices.ContainsFunc(svc.servers, func(srv *server) bool {
+		return srv.usable(now) && now+srv.alone(svc, r) <= r.Deadline
+	})
+}
+
 // cost is the predicted first event, a part of the predicted end, and what
 // the server's failures and its distance add. Ending after the deadline costs
 // more than anything else.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -81,6 +81,16 @@
 	return p
 }
 
+// alone is how long r takes without others before it and nothing of its prompt
+// kept.
+func (s *server) alone(svc *service, r *Request) time.Duration {
+	if !svc.Engine {
+		return plainCall
+	}
+	tokens := float64(r.PromptTokens)*promptPerToken + float64(r.OutputTokens)
+	return time.Duration(tokens * float64(s.tokenTime))
+}
+
 // failureShare is the share of failures, faded by the time since the newest.
 func (s *server) failureShare(now Time) float64 {
 	if s.failing == 0 {
