--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -66,10 +67,27 @@
 	open    map[uint64]*loadRequest
 	results [3]loadResult
 	speeds  map[string]float64
+	// lengths draws the length of an answer and what its caller expects.
+	lengths func(mean int) (real, expected int)
+}
+
+// known draws lengths that the caller knows.
+func (d *heavyDay) known(mean int) (real, expected int) {
+	n := 1 + int(d.rng.ExpFloat64()*float64(mean))
+	return n, n
+}
+
+// guessed draws lengths as they are seen: one in ten is four times the mean or
+// more, and what the caller expects is right at the median only.
+func (d *heavyDay) guessed(mean int) (real, expected int) {
+	const spread, error = 1.3, 0.5 // deviations of the logarithms
+	n := float64(mean) * math.Exp(spread*d.rng.NormFloat64()-spread*spread/2)
+	return 1 + int(n), 1 + int(n*math.Exp(error*d.rng.NormFloat64()))
 }
 
 type loadRequest struct {
 	Request
+	length  int // of the answer in tokens; OutputTokens is what the caller expects
 	kind    int
 	started Time // the caller's first attempt
 	again   bool
@@ -79,6 +97,7 @@
 func newHeavyDay(seed uint64) *heavyDay {
 	d := &heavyDay{s: New(DefaultPolicy()), rng: rand.New(rand.NewPCG(seed, 1)), open: map[uint64]*loadRequest{}, speeds: map[string]float64{}}
 	d.s.SetServices(0, []Service{{Name: engine, Engine: true, KVTokens: 220_000, Stride: 3}})
+	d.lengths = d.known
 	var list []Server
 	for i := range loadEngines {
 		id := fmt.Sprintf("e%02d", i)
@@ -109,7 +128,7 @@
 	r := &loadRequest{kind: k, started: now}
 	r.Service, r.Priority = engine, kind.priority
 	r.PromptTokens = int(d.rng.ExpFloat64() * float64(kind.prompt))
-	r.OutputTokens = 1 + int(d.rng.ExpFloat64()*float64(kind.output))
+	r.length, r.OutputTokens = d.lengths(kind.output)
 	r.Aim, r.Deadline = now+kind.aim, now+kind.deadline
 	d.submit(now, r)
 	if now < burstLength {
@@ -162,13 +181,13 @@
 func (d *heavyDay) serve(now Time, r *loadRequest, speed float64) {
 	first := time.Duration(2 * float64(r.PromptTokens) / 39.3 / speed * float64(ms))
 	pace := time.Duration(9 * float64(ms) / speed)
-	end := now + first + time.Duration(r.OutputTokens)*pace
+	end := now + first + time.Duration(r.length)*pace
 	d.at(min(end, r.Deadline), func(now Time) {
 		delete(d.open, r.ID)
 		switch {
 		case end > r.Deadline:
 			d.results[r.kind].lost++
-		case end-time.Duration(r.OutputTokens)*pace-r.started <= loadKinds[r.kind].aim:
+		case end-time.Duration(r.length)*pace-r.started <= loadKinds[r.kind].aim:
 			d.results[r.kind].inTime++
 		default:
 			d.results[r.kind].late++
@@ -219,3 +238,28 @@
 		})
 	}
 })
+
+var _ = Describe("a burst of answers whose lengths differ a hundredfold", func() {
+	served := func(seed uint64, weight float64) (n int, results [3]loadResult) {
+		d := newHeavyDay(seed)
+		d.s.policy.LengthWeight = weight
+		d.lengths = d.guessed
+		d.run()
+		for _, r := range d.results {
+			n += r.inTime + r.late
+		}
+		return n, d.results
+	}
+	// Ground for the bound: one answer in ten takes half of the places' time, and
+	// in a burst they are worth no more than others. Callers' guesses are off by a
+	// half, so not all of it can be won.
+	for seed := range uint64(3) {
+		It(fmt.Sprintf("serves more callers by letting short answers go first (seed %d)", seed), func() {
+			without, before := served(seed, 0)
+			with, after := served(seed, DefaultPolicy().LengthWeight)
+			fmt.Fprintf(GinkgoWriter, "%d %+v\n%d %+v\n", without, before, with, after)
+			Expect(float64(with)).To(BeNumerically(">", 1.03*float64(without)))
+			Expect(after[0].onTime()).To(BeNumerically(">", 0.9))
+		})
+	}
+})
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -29,6 +29,12 @@
 	// FailurePenalty is what a server costs in predicted time when all its
 	// newest answers failed.
 	FailurePenalty time.Duration
+	// LengthWeight puts a request behind others of its priority by this part of
+	// the time that its answer takes at a middling engine. Answers differ a
+	// hundredfold in length, and in a burst one long answer keeps many callers
+	// from theirs. On the heaviest day of the large fleet 0.82 of the requests are
+	// served with it and 0.80 without; a weight of 4 does no more.
+	LengthWeight float64
 	// TotalWeight prices a request's predicted end against its first token.
 	TotalWeight float64
 }
@@ -44,6 +50,7 @@
 		RetryRatio:     0.15,
 		RetryBurst:     20,
 		FailurePenalty: 2 * time.Second,
+		LengthWeight:   1,
 		TotalWeight:    0.2,
 	}
 }
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -9,6 +9,7 @@
 type waiting struct {
 	Request
 	asked Time // when this ask came in; Arrived may be earlier
+	rank  Time // place in its lane: Arrived, put off by the length of its answer
 }
 
 // lane holds the waiting requests of one priority in order of arrival. A
@@ -30,7 +31,7 @@
 func (q *queue) add(w *waiting) {
 	l := q.lane(w.Priority)
 	at := len(l.fresh)
-	for at > 0 && l.fresh[at-1].Arrived > w.Arrived {
+	for at > 0 && l.fresh[at-1].rank > w.rank {
 		at--
 	}
 	l.fresh = slices.Insert(l.fresh, at, w)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -198,6 +198,7 @@
 		s.refuse(now, w, Quota, max(wait, s.policy.RetryAfter))
 		return s.out, false
 	}
+	w.rank = r.Arrived + time.Duration(float64(r.OutputTokens)*float64(defaultTokenTime)*s.policy.LengthWeight)
 	svc.queue.add(w)
 	s.fill(now, svc)
 	_, placed := s.runs[r.Key]
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -438,3 +438,41 @@
 func plainAsk(id uint64) Request {
 	return Request{Key: Key{Holder: 1, ID: id}, Service: "plain", Aim: 100 * ms, Deadline: 600 * ms}
 }
+
+var _ = Describe("a long stream among engines of unlike speed", func() {
+	// A burst: the fast engine is full, the slow one has room. A stream of 1,500
+	// tokens that takes the slow one runs for all of its 15 s and is cut off; its
+	// caller has waited for nothing, and the place was taken from others.
+	fastAndSlow := func() *Scheduler {
+		s := newScheduler(2, 1)
+		s.servers["e0"].tokenTime = 5 * ms
+		s.servers["e1"].tokenTime = 20 * ms
+		return s
+	}
+	long := func(id uint64) Request {
+		r := stream(id, 0, 0)
+		r.OutputTokens, r.Deadline = 1500, 15*time.Second
+		return r
+	}
+
+	It("waits for the one that can end it in time", func() {
+		s := fastAndSlow()
+		out, _ := s.Submit(0, stream(1, 0, 0))
+		Expect(out[0].Server).To(Equal("e0"))
+		_, waits := s.Submit(0, long(2))
+		Expect(waits).To(BeTrue())
+		out = finish(s, 50*ms, 1, OK)
+		Expect(placed(out)).To(Equal([]uint64{2}))
+		Expect(out[0].Server).To(Equal("e0"))
+	})
+
+	It("takes what there is when none can", func() {
+		s := fastAndSlow()
+		s.Submit(0, stream(1, 0, 0))
+		r := long(2)
+		r.OutputTokens = 6000
+		out, waits := s.Submit(0, r)
+		Expect(waits).To(BeFalse())
+		Expect(out[0].Server).To(Equal("e1"))
+	})
+})
