--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,13 @@
 	return n, nil
 }
 
+// gcPercent is how much garbage may gather, as a part of what lives. Memory is
+// dear on these hosts and processors are idle: against 100 a process needs 32 to
+// 26 MB at its peak on the heaviest day of six hosts, and 10 in 100 more time.
+const gcPercent = 50
+
 func limitMemory(bytes int64) {
+	debug.SetGCPercent(gcPercent)
 	if bytes > 0 {
 		debug.SetMemoryLimit(int64(float64(bytes) * memoryShare))
 	}
