Requests over a part of a quota wait for the home

A scheduler with a part of the quotas lets a request wait as long as quotas may be waited for, and calls it back like one that found no room.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -144,6 +144,14 @@
 	return b.waitBehind(now, ahead, r.Units)
 }
 
+// wholeQuotas reports whether this scheduler gives out the accounts' quotas alone.
+//
+// Guard: with a part of them its buckets tell little. When all hosts start at once
+// each has a 72nd, less than one request needs, and accounts far below their limits
+// would be refused until there is a home, half a second later. Their requests wait
+// for it instead.
+func (s *Scheduler) wholeQuotas() bool { return s.share.Limits >= 1 }
+
 func (s *Scheduler) longestQuotaWait(r *Request) time.Duration {
 	return time.Duration(float64(r.Deadline-r.Arrived) * s.policy.QuotaWaitShare)
 }
@@ -158,11 +166,7 @@
 func (s *Scheduler) overdue(now Time, svc *service, w *waiting) bool {
 	window := w.Deadline - w.Arrived
 	if quota := s.quotaWait(now, &w.Request); quota > 0 {
-		if now+quota-w.Arrived > time.Duration(float64(window)*s.policy.QuotaWaitShare) {
-			s.refuse(now, w, Quota, max(quota, s.policy.RetryAfter))
-			return true
-		}
-		return false
+		return s.overQuota(now, w, quota)
 	}
 	since := w.Arrived
 	if w.Repeat {
@@ -185,6 +189,20 @@
 	return false
 }
 
+// overQuota refuses w when its account's quota, refilled after wait, comes too
+// late, and reports whether it did.
+func (s *Scheduler) overQuota(now Time, w *waiting, wait time.Duration) bool {
+	after := max(wait, s.policy.RetryAfter)
+	if !s.wholeQuotas() {
+		after, wait = s.returnAfter(now, w), 0
+	}
+	if now+wait-w.Arrived <= s.longestQuotaWait(&w.Request) {
+		return false
+	}
+	s.refuse(now, w, Quota, after)
+	return true
+}
+
 // returnAfter is when the caller of a request that found no room in time should
 // come back.
 func (s *Scheduler) returnAfter(now Time, w *waiting) time.Duration {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -194,7 +194,7 @@
 	case !r.Repeat:
 		svc.retries.give(now, s.policy.RetryRatio)
 	}
-	if wait := s.quotaQueue(now, svc, &r); wait > s.longestQuotaWait(&r) {
+	if wait := s.quotaQueue(now, svc, &r); s.wholeQuotas() && wait > s.longestQuotaWait(&r) {
 		s.refuse(now, w, Quota, max(wait, s.policy.RetryAfter))
 		return s.out, false
 	}
