Long shared parts of prompts draw requests to the engines that keep them

A miss was priced at its bare reading time, and under load the request that is first took the first place whatever the engine keeps; the guess of what is kept held 32 requests of an engine that keeps a hundred. Specs fail with a price of 0.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -18,6 +19,7 @@
 	for _, l := range svc.queue.lanes {
 		l.age(now, svc.lead.high())
 	}
+	s.preferHeld(now, svc)
 	svc.queue.each(func(w *waiting) (drop, stop bool) {
 		if s.quotaWait(now, &w.Request) > 0 {
 			return false, false
@@ -31,6 +33,38 @@
 	})
 }
 
+// preferHeld lets the only server with room choose among the first requests of
+// each lane: one whose prompt it keeps goes ahead of others by the time that
+// reading the kept part is worth. Under load a request cannot choose its server,
+// and shared parts would be read again on each.
+func (s *Scheduler) preferHeld(now Time, svc *service) {
+	if !svc.Engine {
+		return
+	}
+	var free *server
+	for _, srv := range svc.servers {
+		if !srv.room(now, s.places(srv)) {
+			continue
+		}
+		if free != nil {
+			return
+		}
+		free = srv
+	}
+	for _, l := range svc.queue.lanes {
+		first := l.fresh[:min(len(l.fresh), choosesFrom)]
+		for _, w := range first {
+			w.order = w.rank - s.missCost(free.cache.held(w.Parts))
+		}
+		slices.SortStableFunc(first, func(a, b *waiting) int { return cmp.Compare(a.order, b.order) })
+	}
+}
+
+// missCost is what reading tokens of a prompt again is priced at.
+func (s *Scheduler) missCost(tokens int) time.Duration {
+	return time.Duration(float64(tokens) * promptPerToken * float64(defaultTokenTime) * s.policy.MissWeight)
+}
+
 func (s *Scheduler) anyRoom(now Time, svc *service) bool {
 	return slices.ContainsFunc(svc.servers, func(srv *server) bool { return srv.room(now, s.places(srv)) })
 }
@@ -93,6 +127,9 @@
 	if srv.Zone != r.Zone {
 		c += crossZone
 	}
+	if svc.Engine {
+		c += s.missCost(r.PromptTokens - srv.cache.held(r.Parts))
+	}
 	penalty := s.policy.FailurePenalty
 	if !svc.Engine {
 		penalty = plainPenalty
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -35,6 +35,11 @@
 	// from theirs. On the heaviest day of the large fleet 0.82 of the requests are
 	// served with it and 0.80 without; a weight of 4 does no more.
 	LengthWeight float64
+	// MissWeight prices a prompt token that a server has to read though it may be
+	// kept elsewhere, in times of what reading it takes. It also pushes other parts
+	// out. With shared parts of 900 tokens, a calm day reads 0.63 of those that it
+	// reads again with 4, and 0.37 with 16; with parts of 60 tokens nothing changes.
+	MissWeight float64
 	// TotalWeight prices a request's predicted end against its first token.
 	TotalWeight float64
 }
@@ -51,6 +56,7 @@
 		RetryBurst:     20,
 		FailurePenalty: 2 * time.Second,
 		LengthWeight:   1,
+		MissWeight:     12,
 		TotalWeight:    0.2,
 	}
 }
@@ -70,7 +76,9 @@
 	// Samples outside these are a pause of the host or of the link.
 	maxTokenTime = 200 * time.Millisecond
 	minTokenTime = 500 * time.Microsecond
-	paceRate     = 0.3 // weight of a new sample of a server's speed
+	// choosesFrom is how many waiting requests a server with room may choose from.
+	choosesFrom = 16
+	paceRate    = 0.3 // weight of a new sample of a server's speed
 	// failureRate is the weight of the newest answer in a server's share of
 	// failures, benchShare the share at which lost answers take it out.
 	failureRate = 0.25
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -10,6 +10,7 @@
 	Request
 	asked Time // when this ask came in; Arrived may be earlier
 	rank  Time // place in its lane: Arrived, put off by the length of its answer
+	order Time // rank as the server that chooses sees it
 }
 
 // lane holds the waiting requests of one priority in order of arrival. A
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -510,3 +510,48 @@
 		Expect(out[0].RetryAfter).To(BeNumerically("<", 2*time.Second))
 	})
 })
+
+// shared is a stream whose prompt begins with a shared part of 900 tokens.
+func shared(id uint64, now Time, part uint64) Request {
+	r := stream(id, now, 0)
+	r.Parts = []Part{{Key: part, Tokens: 900}, {Key: 1000 + id, Tokens: 100}}
+	return r
+}
+
+var _ = Describe("long parts that prompts share", func() {
+	// Accounts send prompts that begin with one of a few long parts. Spread over
+	// all engines, each engine reads each part again and again, and pushes others
+	// out: callers wait for reading that another engine has done already.
+	It("draw requests to the engine that keeps them, against a little waiting", func() {
+		s := newScheduler(3, 4)
+		out, _ := s.Submit(0, shared(1, 0, 7))
+		holder := out[0].Server
+		for id := uint64(2); id < 5; id++ {
+			out, _ := s.Submit(0, shared(id, 0, 7))
+			Expect(out[0].Server).To(Equal(holder))
+		}
+		out, _ = s.Submit(0, shared(5, 0, 7))
+		Expect(out[0].Server).NotTo(Equal(holder), "it is full")
+	})
+
+	// A burst: all engines are full and one place opens. The first in line would
+	// take it whatever the engine keeps; nearly all parts would be read again.
+	It("let an engine with room choose, among the first in line, what it keeps", func() {
+		s := newScheduler(1, 1)
+		s.Submit(0, shared(1, 0, 7))
+		s.Submit(1*ms, shared(2, 1*ms, 8))
+		s.Submit(2*ms, shared(3, 2*ms, 9))
+		s.Submit(3*ms, shared(4, 3*ms, 7))
+		Expect(placed(finish(s, 50*ms, 1, OK))).To(Equal([]uint64{4}))
+		Expect(placed(finish(s, 90*ms, 4, OK))).To(Equal([]uint64{2}))
+	})
+
+	It("do not hold up for long what the engine does not keep", func() {
+		s := newScheduler(1, 1)
+		s.Submit(0, shared(1, 0, 7))
+		s.Submit(1*ms, shared(2, 1*ms, 8))
+		later := 500 * ms // longer than reading the part is worth
+		s.Submit(later, shared(3, later, 7))
+		Expect(placed(finish(s, later+50*ms, 1, OK))).To(Equal([]uint64{2}))
+	})
+})
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -69,7 +68,7 @@
 		d := plainCall * time.Duration(s.running+s.Slots) / time.Duration(max(1, s.Slots))
 		return prediction{first: d, total: d}
 	}
-	prompt := r.PromptTokens - s.cache.held(now, r.Parts)
+	prompt := r.PromptTokens - s.cache.held(r.Parts)
 	var p prediction
 	p.prefill = time.Duration(float64(prompt) * promptPerToken * float64(s.tokenTime))
 	p.first = max(0, s.prefillFree-now) + p.prefill + s.tokenTime
@@ -158,48 +157,3 @@
 	s.failing = f + (1-f)*failureRate
 	s.failedAt = now
 }
-
-// partCache is a guess at the prompt parts that a server keeps, from what was
-// placed there: the newest ones up to its memory.
-type partCache struct {
-	capacity int
-	tokens   int
-	parts    []cachedPart // least recently used first
-}
-
-type cachedPart struct {
-	Part
-	used Time
-}
-
-// maxCachedParts bounds the guess; older parts are seldom asked for again.
-const maxCachedParts = 64
-
-// held counts the leading tokens of a prompt that are kept: a part counts
-// only when all parts before it are kept too.
-func (c *partCache) held(_ Time, parts []Part) int {
-	n := 0
-	for _, p := range parts {
-		if !slices.ContainsFunc(c.parts, func(have cachedPart) bool { return have.Key == p.Key }) {
-			return n
-		}
-		n += p.Tokens
-	}
-	return n
-}
-
-func (c *partCache) use(now Time, parts []Part) {
-	for _, p := range parts {
-		i := slices.IndexFunc(c.parts, func(have cachedPart) bool { return have.Key == p.Key })
-		if i >= 0 {
-			c.parts = slices.Delete(c.parts, i, i+1)
-		} else {
-			c.tokens += p.Tokens
-		}
-		c.parts = append(c.parts, cachedPart{p, now})
-	}
-	for len(c.parts) > 0 && (len(c.parts) > maxCachedParts || c.capacity > 0 && c.tokens > c.capacity) {
-		c.tokens -= c.parts[0].Tokens
-		c.parts = slices.Delete(c.parts, 0, 1)
-	}
-}
