--- a/cmd/gentianlab/load.go
+++ b/cmd/gentianlab/load.go
@@ -3,77 +3,101 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/gentianflow/gentianflow/internal/lab"
 	"github.com/gentianflow/gentianflow/platform/standin"
 )
 
 const (
-	loadLength  = 10 * time.Second
 	lookupEvery = time.Second
 	readyWait   = 10 * time.Second
 )
 
-// kind is one kind of request of the load.
-type kind struct {
-	name  string
-	share float64
-	make  func() standin.Call
-}
-
-var mix = []kind{
-	{"confirmation (runs once)", 0.2, func() standin.Call {
-		return standin.Call{Path: standin.ConfirmPath + "locker", Body: "code", Deadline: 600 * time.Millisecond}
-	}},
-	{"check (may repeat)", 0.1, func() standin.Call {
-		return standin.Call{Path: standin.CheckPath + "coat", Deadline: 600 * time.Millisecond}
-	}},
-	{"appraisal (urgent stream)", 0.35, func() standin.Call {
-		return standin.Call{Path: standin.StreamPath + "box", Prompt: 1000 + rand.IntN(4000), Output: 30 + rand.IntN(60), Body: "box", Deadline: 8 * time.Second}
-	}},
-	{"digest (bulk stream)", 0.35, func() standin.Call {
-		return standin.Call{Path: standin.BulkPath + "month", Prompt: 500 + rand.IntN(2000), Output: 20 + rand.IntN(40), Body: "month", Deadline: 4 * time.Second}
-	}},
-}
-
-// tally is what came of one kind.
-type tally struct {
-	sent, ok, refused, other, wrong int
-	first                           []time.Duration
-}
-
-// loader sends the load. mu guards addresses and tallies.
+// loader sends the load. mu guards addresses and report.
 type loader struct {
 	hosts     []string // look-up addresses
 	caller    *standin.Caller
+	load      lab.Load
 	mu        sync.Mutex
 	addresses []string
-	tallies   []tally
+	report    *lab.Result
 }
 
 func sendLoad(ctx context.Context, cmd *cli.Command) error {
-	l := &loader{caller: standin.NewCaller(), tallies: make([]tally, len(mix))}
+	load, err := lab.ReadLoad(cmd.String("load"))
+	if err != nil {
+		return err
+	}
+	if rate := cmd.Float("rate"); rate > 0 {
+		load.Rate = rate
+	}
+	if length := cmd.Duration("for"); length > 0 {
+		load.Length = length
+	}
+	seed := cmd.Uint64("seed")
+	l := &loader{caller: standin.NewCaller(), load: load, report: lab.NewResult(cmd.String("label"), seed, load)}
 	if err := l.readHosts(cmd.String("dir")); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, readyWait+cmd.Duration("for"))
+	ctx, cancel := context.WithTimeout(ctx, readyWait+load.Length)
 	defer cancel()
 	for len(l.current()) < len(l.hosts) && ctx.Err() == nil {
 		l.lookup()
 		time.Sleep(100 * time.Millisecond)
 	}
-	l.run(ctx, cmd.Float("rate"), cmd.Duration("for"))
-	return l.print()
+	l.run(ctx, load.Draw(seed))
+	return l.conclude(cmd.String("report"))
+}
+
+// conclude prints what came of the load; an answer that is whole but not the
+// server's is an error.
+func (l *loader) conclude(path string) error {
+	l.report.Print(os.Stdout)
+	var err error
+	if path != "" {
+		err = l.report.Write(path)
+	}
+	wrong := 0
+	for _, t := range l.report.Kinds {
+		wrong += t.Ends[lab.Wrong]
+	}
+	if wrong > 0 {
+		err = errors.Join(err, fmt.Errorf("%d answers were whole but wrong", wrong))
+	}
+	return err
+}
+
+// compareReports prints two reports beside each other, and plots them.
+func compareReports(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 2 {
+		return errors.New("compare needs two reports, as `gentianlab load --report` writes them")
+	}
+	var reports []*lab.Result
+	for _, path := range cmd.Args().Slice() {
+		r, err := lab.ReadResult(path)
+		if err != nil {
+			return err
+		}
+		reports = append(reports, r)
+	}
+	if err := lab.Compare(os.Stdout, reports[0], reports[1]); err != nil {
+		return err
+	}
+	if path := cmd.String("plot"); path != "" {
+		return lab.Plot(path, reports...)
+	}
+	return nil
 }
 
 // readHosts finds the look-up addresses in the settings files.
@@ -127,35 +151,30 @@
 	}
 }
 
-func (l *loader) run(ctx context.Context, rate float64, length time.Duration) {
+// run sends each request at its time, looking up hosts as callers do.
+func (l *loader) run(ctx context.Context, requests []lab.Request) {
 	var calls sync.WaitGroup
-	tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
-	defer tick.Stop()
-	looked := time.Now()
-	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; <-tick.C {
+	start := time.Now()
+	looked := start
+	for _, q := range requests {
+		select {
+		case <-time.After(time.Until(start.Add(q.At))):
+		case <-ctx.Done():
+		}
 		if time.Since(looked) > lookupEvery {
 			looked = time.Now()
 			calls.Go(l.lookup)
 		}
-		k := draw()
-		calls.Go(func() { l.one(ctx, k) })
+		calls.Go(func() { l.one(ctx, q) })
 	}
 	calls.Wait()
 }
 
-func draw() int {
-	x := rand.Float64()
-	for i, k := range mix {
-		if x -= k.share; x < 0 {
-			return i
-		}
+func (l *loader) one(ctx context.Context, q lab.Request) {
+	k := l.load.Kinds[q.Kind]
+	c := standin.Call{
+		Path: k.Path, Body: k.Body, Key: standin.AccountKey, Prompt: q.Prompt, Output: q.Output, Deadline: k.Deadline,
 	}
-	return len(mix) - 1
-}
-
-func (l *loader) one(ctx context.Context, k int) {
-	c := mix[k].make()
-	c.Key = standin.AccountKey
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline)
 	defer cancel()
 	addresses := l.current()
@@ -163,41 +182,27 @@
 		return
 	}
 	r := l.caller.Send(ctx, addresses[rand.IntN(len(addresses))], c)
+	end, latency := judge(k, c, r)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := &l.tallies[k]
-	t.sent++
-	switch {
-	case r.Status == http.StatusOK && r.Whole && r.Body == c.Expected(r.Attempt):
-		t.ok++
-		t.first = append(t.first, r.FirstByte)
-	case r.Status == http.StatusOK && r.Whole:
-		t.wrong++
-	case r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests:
-		t.refused++
-	default:
-		t.other++
-	}
+	l.report.Add(q, end, latency)
 }
 
-// print writes a table; an answer that is whole but not the server's is an
-// error.
-func (l *loader) print() error {
-	wrong := 0
-	fmt.Printf("%-27s %6s %6s %8s %6s %9s %9s\n", "kind", "sent", "whole", "refused", "other", "p50", "p99")
-	for i, t := range l.tallies {
-		slices.Sort(t.first)
-		at := func(q float64) time.Duration {
-			if len(t.first) == 0 {
-				return 0
-			}
-			return t.first[int(q*float64(len(t.first)-1))].Round(time.Millisecond)
-		}
-		fmt.Printf("%-27s %6d %6d %8d %6d %9s %9s\n", mix[i].name, t.sent, t.ok, t.refused, t.other, at(0.5), at(0.99))
-		wrong += t.wrong
+// judge tells how a request ended for its caller.
+func judge(k lab.Kind, c standin.Call, r standin.Reply) (lab.End, time.Duration) {
+	latency := r.Took
+	if c.Prompt > 0 {
+		latency = r.FirstByte
 	}
-	if wrong > 0 {
-		return fmt.Errorf("%d answers were whole but wrong", wrong)
+	switch {
+	case r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests:
+		return lab.Refused, latency
+	case r.Status != http.StatusOK || !r.Whole:
+		return lab.Failed, latency
+	case r.Body != c.Expected(r.Attempt):
+		return lab.Wrong, latency
+	case latency > k.Aim:
+		return lab.Late, latency
 	}
-	return nil
+	return lab.InTime, latency
 }
--- a/cmd/gentianlab/main.go
+++ b/cmd/gentianlab/main.go
@@ -38,14 +38,25 @@
 				Action: servePlatform,
 			},
 			{
-				Name: "load", Usage: "send a mixed load, check every answer, print what came of it",
+				Name: "load", Usage: "send a load described in a file, check every answer, print what came of it",
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "dir", Usage: "the folder of the settings files", Required: true},
-					&cli.FloatFlag{Name: "rate", Usage: "requests a second", Value: 60},
-					&cli.DurationFlag{Name: "for", Usage: "length of the load", Value: loadLength},
+					&cli.StringFlag{Name: "load", Usage: "the load's file", Value: "traces/loads/mixed.yaml"},
+					&cli.Uint64Flag{Name: "seed", Usage: "draws the same requests each time", Value: 1},
+					&cli.FloatFlag{Name: "rate", Usage: "requests a second, instead of the file's"},
+					&cli.DurationFlag{Name: "for", Usage: "length of the load, instead of the file's"},
+					&cli.StringFlag{Name: "label", Usage: "names the build or policy in the report", Value: "this build"},
+					&cli.StringFlag{Name: "report", Usage: "write a report for compare to this file"},
 				},
 				Action: sendLoad,
 			},
+			{
+				Name: "compare", Usage: "print two reports of the same work beside each other", ArgsUsage: "REPORT REPORT",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "plot", Usage: "draw worth by kind over time into this file (.svg, .png, .pdf)"},
+				},
+				Action: compareReports,
+			},
 		},
 	}
 }
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,144 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/gentianflow/gentianflow/internal/failure"
+)
+
+// End is how a request ended for its caller.
+type End string
+
+// The ends of a request.
+const (
+	InTime  End = "in_time" // whole and within its latency objective
+	Late    End = "late"    // whole
+	Refused End = "refused" // told that it did not run
+	Failed  End = "failed"  // anything else
+	Wrong   End = "wrong"   // looked whole and was not the server's answer
+)
+
+// LateWorth is what a late answer is worth against one in time.
+const LateWorth = 0.3
+
+// latencies are recorded in ms up to a minute.
+const latencyMost = 60_000
+
+// Tally counts what came of requests.
+type Tally struct {
+	Ends map[End]int `json:"ends"`
+	// First are the latencies, in ms, of whole answers: to the first event of
+	// a stream, to the end of a plain one.
+	First map[string]int64 `json:"first_ms,omitempty"`
+	first *hdrhistogram.Histogram
+}
+
+func newTally() *Tally {
+	return &Tally{Ends: map[End]int{}, first: hdrhistogram.New(1, latencyMost, 3)}
+}
+
+func (t *Tally) all() (n int) {
+	for _, c := range t.Ends {
+		n += c
+	}
+	return n
+}
+
+// worth is the part of what was asked that was earned.
+func (t *Tally) worth() float64 {
+	if t.all() == 0 {
+		return 0
+	}
+	return (float64(t.Ends[InTime]) + LateWorth*float64(t.Ends[Late])) / float64(t.all())
+}
+
+// Result is what came of a load.
+type Result struct {
+	Label string `json:"label"` // the build or policy
+	Seed  uint64 `json:"seed"`
+	Load  Load   `json:"load"`
+	// Kinds are tallies by kind, Seconds by kind and second of arrival.
+	Kinds   []*Tally   `json:"kinds"`
+	Seconds [][]*Tally `json:"seconds"`
+}
+
+// NewResult makes an empty report of a load.
+func NewResult(label string, seed uint64, l Load) *Result {
+	r := &Result{Label: label, Seed: seed, Load: l}
+	for range l.Kinds {
+		r.Kinds = append(r.Kinds, newTally())
+		seconds := make([]*Tally, int(l.Length.Seconds())+1)
+		for i := range seconds {
+			seconds[i] = newTally()
+		}
+		r.Seconds = append(r.Seconds, seconds)
+	}
+	return r
+}
+
+// Add counts one request. latency is to the first event or the whole answer. It
+// is not safe for concurrent use.
+func (r *Result) Add(q Request, end End, latency time.Duration) {
+	r.Kinds[q.Kind].Ends[end]++
+	r.Seconds[q.Kind][int(q.At.Seconds())].Ends[end]++
+	if end == InTime || end == Late {
+		_ = r.Kinds[q.Kind].first.RecordValue(min(latencyMost, max(1, latency.Milliseconds()))) // within its bounds
+	}
+}
+
+// Worth is the part of what was asked that was earned, over all kinds by their
+// worth.
+func (r *Result) Worth() float64 {
+	earned, asked := 0.0, 0.0
+	for i, t := range r.Kinds {
+		w := r.Load.Kinds[i].Worth * float64(t.all())
+		earned += w * t.worth()
+		asked += w
+	}
+	if asked == 0 {
+		return 0
+	}
+	return earned / asked
+}
+
+// Write writes the report as JSON.
+func (r *Result) Write(path string) error {
+	for _, t := range r.Kinds {
+		t.First = map[string]int64{"p50": t.first.ValueAtQuantile(50), "p99": t.first.ValueAtQuantile(99)}
+	}
+	text, err := json.Marshal(r)
+	if err != nil {
+		return failure.Wrap(failure.BadSetting, err, "encode the report")
+	}
+	return failure.Wrap(failure.BadSetting, os.WriteFile(path, text, 0o644), "write the report")
+}
+
+// ReadResult reads a result. It fails with BadSetting.
+func ReadResult(path string) (*Result, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, failure.Wrap(failure.BadSetting, err, "read the report")
+	}
+	r := &Result{}
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, failure.Wrap(failure.BadSetting, err, "decode the report %s", path)
+	}
+	return r, nil
+}
+
+// Print writes a table of the report.
+func (r *Result) Print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%-27s %6s %7s %6s %8s %7s %7s %7s\n", "kind", "sent", "in time", "late", "refused", "failed", "p50", "p99")
+	for i, t := range r.Kinds {
+		p50, p99 := t.first.ValueAtQuantile(50), t.first.ValueAtQuantile(99)
+		_, _ = fmt.Fprintf(w, "%-27s %6d %7d %6d %8d %7d %5dms %5dms\n", r.Load.Kinds[i].Name, t.all(),
+			t.Ends[InTime], t.Ends[Late], t.Ends[Refused], t.Ends[Failed]+t.Ends[Wrong], p50, p99)
+	}
+	_, _ = fmt.Fprintf(w, "worth %.3f of what was asked\n", r.Worth())
+}
