A fleet that starts anew does not give out quotas once for each host

Each host came back with 0.12 of every quota (it took itself for one of 6) for 0.25 s and half of it ready, then with a 97th, less than one request, which passes on credit when the bucket is full; the debts are forgotten when there is a home (share_changed of 68 hosts within 0.25 s in the log). Now: a bucket of a host that is not the home starts empty and gets its half when it becomes the home; until the store has told of other hosts the part is 0.001; a host that has just started looks each 50 ms whether it knows more. The two specs failed before.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -70,6 +70,9 @@
 	// holder that was frozen wakes with places whose servers may have left.
 	staleAfter   = 500 * time.Millisecond
 	redialPeriod = 250 * time.Millisecond
+	// startPeriod is the same for a host that has just started and learns of
+	// others from one moment to the next.
+	startPeriod = 50 * time.Millisecond
 )
 
 // pending is an ask that waits, or the run that came of it.
--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -53,6 +53,14 @@
 		Expect(followerWith(100*time.Millisecond, 0, 0, 0, lead).Limits).To(BeNumerically("<", 0.5))
 	})
 
+	// All of 68 hosts start at once. In the quarter of a second until the store has
+	// told them of each other, each took itself for one of six and gave out eight
+	// times the quotas together.
+	It("is next to nothing of the limits while the number of hosts is not known", func() {
+		got := followerWith(100*time.Millisecond, 0, 0, 0, lead)
+		Expect(got.Limits).To(BeNumerically("<", 1.0/390))
+	})
+
 	// Two of six hosts are cut off from the others, which go on. Both sides
 	// have a home, and both gave out the whole quota.
 	It("is a part of the limits for the home of the fewer hosts", func() {
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -91,10 +91,13 @@
 const (
 	// settleTime is enough for a host that starts to hear of all others by way
 	// of one; a host that hears of nobody for lonelyTime takes itself for the
-	// only one. Until then it reckons with unknownHosts.
-	settleTime   = 600 * time.Millisecond
-	lonelyTime   = 3 * time.Second
-	unknownHosts = 6
+	// only one. Until then it reckons with unknownHosts for servers, and with
+	// unknownLimits of the quotas, less than an even part of any fleet's: what
+	// goes beyond it waits a moment until the store has told of the others.
+	settleTime    = 600 * time.Millisecond
+	lonelyTime    = 3 * time.Second
+	unknownHosts  = 6
+	unknownLimits = 0.001
 	// silentHosts is how long a host that fell silent may still be at work on
 	// the other side of a cut; cuts heal within it as a rule.
 	silentHosts = 15 * time.Second
@@ -105,8 +108,10 @@
 	changed := f.members.Subscribe()
 	var link *homeLink
 	var home member.Member
-	timer := time.NewTicker(redialPeriod)
+	timer := time.NewTicker(startPeriod)
 	defer timer.Stop()
+	settled := time.AfterFunc(lonelyTime, func() { timer.Reset(redialPeriod) })
+	defer settled.Stop()
 	for {
 		want, ok := HomeOf(f.members)
 		switch {
@@ -182,7 +187,8 @@
 	live, silent := f.count()
 	n := max(live+silent, f.listed())
 	if n == 1 && time.Since(f.started) < lonelyTime {
-		n = unknownHosts
+		f.setShare(sched.Share{Servers: aloneServers / unknownHosts, Limits: unknownLimits})
+		return
 	}
 	even := 1 / float64(n)
 	f.setShare(sched.Share{Servers: min(1, aloneServers*even), Limits: aloneLimits * even})
--- a/internal/sched/bucket.go
+++ b/internal/sched/bucket.go
@@ -8,6 +8,24 @@
 	burst float64
 	level float64
 	at    Time
+	// held is set while the first half of the burst is kept back: the bucket was
+	// made by a host that is not the home.
+	held bool
+}
+
+// newBucket makes an account's bucket. It starts half full: the host that decided
+// before may have given out the other half.
+//
+// Guard: of a host with a part of the quota it starts empty, and gets its half when
+// the host is the home. Hosts of a fleet that starts anew have less than a request
+// each; were that ready at once, each would let one pass on credit, and an account
+// would have its quota several times over in a second.
+func newBucket(now Time, rate, burst float64, whole bool) *bucket {
+	b := &bucket{rate: rate, burst: burst, at: now, held: !whole}
+	if whole {
+		b.level = burst / 2
+	}
+	return b
 }
 
 func (b *bucket) refill(now Time) {
@@ -66,6 +84,10 @@
 		b.level *= factor
 	}
 	if factor > 1 {
+		if b.held {
+			b.held = false
+			b.level += b.burst / 2
+		}
 		b.level = min(b.level, b.burst/2)
 	}
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -78,8 +78,7 @@
 	s.regroup()
 }
 
-// SetAccounts takes over the configuration's quotas. A new bucket starts half
-// full: the host that decided before may have given out the other half.
+// SetAccounts takes over the configuration's quotas.
 func (s *Scheduler) SetAccounts(now Time, accounts []Account) {
 	s.quotas = accounts
 	kept := map[string]*bucket{}
@@ -90,7 +89,7 @@
 		rate, burst := a.Rate*s.share.Limits, math.Max(1, a.Burst*s.share.Limits)
 		b := s.accounts[a.Name]
 		if b == nil {
-			b = &bucket{rate: rate, burst: burst, level: burst / 2, at: now}
+			b = newBucket(now, rate, burst, s.wholeQuotas())
 		} else {
 			b.resize(now, rate, burst)
 		}
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -555,3 +555,26 @@
 		Expect(placed(finish(s, later+50*ms, 1, OK))).To(Equal([]uint64{2}))
 	})
 })
+
+// An account runs 6% over its bound on the day when all 68 hosts lose power. Each
+// comes back with a part of the quota that is smaller than one request, half of it
+// ready; half a second later each lets one request pass and leaves a debt, which is
+// forgotten when there is a home.
+var _ = Describe("a fleet that starts anew", func() {
+	It("does not give out an account's quota once for each host", func() {
+		const hosts, rate = 68, 30_000
+		units := 0.0
+		for range hosts {
+			s := newScheduler(2, 8)
+			s.SetShare(0, Share{Servers: 1, Limits: 0.7 / hosts})
+			s.SetAccounts(0, []Account{{Name: "acc", Rate: rate, Burst: rate}})
+			for id := range uint64(4) {
+				r := stream(id, 0, 0)
+				out, _ := s.Submit(0, r)
+				units += float64(len(placed(out))) * r.Units
+			}
+			units += float64(len(placed(s.Tick(700*ms)))) * 1060
+		}
+		Expect(units).To(BeNumerically("<=", 0.7*rate))
+	})
+})
