--- /dev/null
+++ b/cmd/gentianctl/platform.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/platform"
+)
+
+// platformCommand checks what gentianhost reads on the prepared platform, before
+// a host does.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name: "platform", Usage: "check the files of hosts on the prepared platform",
+		Commands: []*cli.Command{
+			{Name: "settings", Usage: "check settings files, as gentianhost reads them", ArgsUsage: "FILE...", Action: checkEach(checkSettings)},
+			{Name: "config", Usage: "check operators' configurations (JSON) before they are written to the store", ArgsUsage: "FILE...", Action: checkEach(checkConfig)},
+		},
+	}
+}
+
+// checkEach checks all files and fails when one of them is wrong.
+func checkEach(check func(path string) (string, error)) cli.ActionFunc {
+	return func(_ context.Context, c *cli.Command) error {
+		if c.Args().Len() == 0 {
+			return failure.New(failure.BadRequest, "give one FILE or more")
+		}
+		var wrong error
+		for _, path := range c.Args().Slice() {
+			says, err := check(path)
+			if err != nil {
+				fmt.Fprintf(os.Stderr, "%s: %s\n", path, failure.From(err).Message)
+				wrong = err
+				continue
+			}
+			fmt.Printf("%s: %s\n", path, says)
+		}
+		if wrong != nil {
+			return failure.New(failure.From(wrong).Code, "not all files are sound")
+		}
+		return nil
+	}
+}
+
+func checkSettings(path string) (string, error) {
+	set, err := platform.ReadSettingsFile(path)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("host %s in %s, callers at %s, store at %s", set.Host, set.AvailabilityZone, set.EntryAddress, set.Store), nil
+}
+
+func checkConfig(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", failure.Wrap(failure.BadRequest, err, "read the configuration")
+	}
+	c, err := platform.CheckConfig(text)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("version %d, %d routes, %d services, %d accounts", c.Version, len(c.Routes), len(c.Services), len(c.Accounts)), nil
+}
--- /dev/null
+++ b/internal/routing/check.go
@@ -0,0 +1,73 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Check lists what is wrong with a configuration, one line each that names the
+// item and what is allowed; none when it is sound. Hosts take what the store
+// accepted; this is for operators before they write it.
+func (c *Config) Check() (faults []string) {
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+	services := map[string]bool{}
+	for _, s := range c.Services {
+		if services[s.Name] {
+			fault("service %q stands twice", s.Name)
+		}
+		services[s.Name] = true
+	}
+	prefixes := map[string]string{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		for _, text := range r.check(services) {
+			fault("route %q: %s", r.Name, text)
+		}
+		at := strings.ToLower(r.Host) + r.Prefix
+		if first, taken := prefixes[at]; taken {
+			fault("route %q has the host and prefix of route %q", r.Name, first)
+		}
+		prefixes[at] = r.Name
+	}
+	keys := map[string]string{}
+	for i := range c.Accounts {
+		a := &c.Accounts[i]
+		if a.Rate < 0 || a.Burst < 0 {
+			fault("account %q: rate and burst are 0 (no limit) or more", a.Name)
+		}
+		for _, key := range a.Keys {
+			if holder, taken := keys[key]; taken {
+				fault("account %q has a key of account %q", a.Name, holder)
+			}
+			keys[key] = a.Name
+		}
+	}
+	return faults
+}
+
+func (r *Route) check(services map[string]bool) (faults []string) {
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+	if r.Host == "" {
+		fault("it needs a host")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		fault("prefix %q must begin and end with a slash", r.Prefix)
+	}
+	if r.Aim > 0 && r.Timeout > 0 && r.Aim > r.Timeout {
+		fault("its latency objective %s is longer than its timeout %s", r.Aim, r.Timeout)
+	}
+	total := 0
+	for _, t := range r.Targets {
+		if !services[t.Service] {
+			fault("there is no service %q", t.Service)
+		}
+		if t.Weight < 0 {
+			fault("the weight of %q is negative", t.Service)
+		}
+		total += t.Weight
+	}
+	if total <= 0 {
+		fault("it needs a service with a weight above 0")
+	}
+	return faults
+}
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -73,3 +73,38 @@
 		Expect(c.Get().Version).To(BeNumerically("==", 4))
 	})
 })
+
+var _ = Describe("a configuration's check", func() {
+	sound := func() Config {
+		return Config{
+			Services: []sched.Service{{Name: "app"}},
+			Routes: []Route{
+				{Name: "r", Host: "h", Prefix: "/a/", Aim: time.Second, Timeout: 2 * time.Second, Targets: []Target{{Service: "app", Weight: 1}}},
+				{Name: "s", Host: "h", Prefix: "/b/", Targets: []Target{{Service: "app", Weight: 1}}},
+			},
+			Accounts: []Account{{Account: sched.Account{Name: "one"}, Keys: []string{"k1"}}, {Account: sched.Account{Name: "two"}, Keys: []string{"k2"}}},
+		}
+	}
+
+	It("passes a sound one", func() {
+		c := sound()
+		Expect(c.Check()).To(BeEmpty())
+	})
+
+	DescribeTable("names what is wrong",
+		func(fault string, change func(c *Config)) {
+			c := sound()
+			change(&c)
+			Expect(c.Check()).To(Equal([]string{fault}))
+		},
+		Entry("a service twice", `service "app" stands twice`, func(c *Config) { c.Services = append(c.Services, c.Services[0]) }),
+		Entry("no host", `route "r": it needs a host`, func(c *Config) { c.Routes[0].Host = "" }),
+		Entry("a prefix without a slash", `route "r": prefix "/a" must begin and end with a slash`, func(c *Config) { c.Routes[0].Prefix = "/a" }),
+		Entry("an unknown service", `route "r": there is no service "ap"`, func(c *Config) { c.Routes[0].Targets[0].Service = "ap" }),
+		Entry("weights of 0", `route "r": it needs a service with a weight above 0`, func(c *Config) { c.Routes[0].Targets[0].Weight = 0 }),
+		Entry("an objective beyond the timeout", `route "r": its latency objective 3s is longer than its timeout 2s`, func(c *Config) { c.Routes[0].Aim = 3 * time.Second }),
+		Entry("a prefix twice", `route "s" has the host and prefix of route "r"`, func(c *Config) { c.Routes[1].Prefix = "/a/" }),
+		Entry("a key twice", `account "two" has a key of account "one"`, func(c *Config) { c.Accounts[1].Keys[0] = "k1" }),
+		Entry("a negative rate", `account "one": rate and burst are 0 (no limit) or more`, func(c *Config) { c.Accounts[0].Rate = -1 }),
+	)
+})
