Look-ups draw up to 64 hosts

Cause: all live hosts were told in one order, 72 in the large fleet; callers take no more than 64, so some hosts would see no callers.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -315,15 +316,29 @@
 	return nil
 }
 
-// addresses lists the entry addresses for a look-up: hosts that answer, and
-// this one unless it leaves.
+// addresses lists the entry addresses for a look-up, and how long they hold.
 func (n *Node) addresses() (list []string, ttl time.Duration, ok bool) {
-	for _, m := range n.members.All() {
+	list = lookupAddresses(n.members.All())
+	return list, lookupTTL, len(list) > 0
+}
+
+// maxAddresses is the most that a look-up may tell.
+const maxAddresses = 64
+
+// lookupAddresses draws the hosts that a caller is told: those that answer, and
+// not this one when it leaves.
+//
+// Guard: callers take no more than maxAddresses. Told in the same order, a fleet
+// of 72 would leave the last 8 without callers and the others with more.
+func lookupAddresses(members []member.Member) []string {
+	var list []string
+	for _, m := range members {
 		if m.State == member.Alive && m.CallerAddress != "" {
 			list = append(list, m.CallerAddress)
 		}
 	}
-	return list, lookupTTL, len(list) > 0
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), maxAddresses)]
 }
 
 // ready reports whether callers should come here.
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/store"
 )
@@ -63,3 +65,25 @@
 		Expect(s.known["a"].ColdFor).To(Equal(time.Second))
 	})
 })
+
+var _ = Describe("a look-up in a large fleet", func() {
+	// 72 hosts are told in one order and callers keep the first 64: eight hosts
+	// never see a caller.
+	It("tells every host to someone, and no more than callers take", func() {
+		var fleet []member.Member
+		for i := range 72 {
+			fleet = append(fleet, member.Member{State: member.Alive, CallerAddress: fmt.Sprint("10.0.0.", i, ":1")})
+		}
+		fleet = append(fleet, member.Member{State: member.Dead, CallerAddress: "dead"}, member.Member{State: member.Alive})
+		told := map[string]bool{}
+		for range 100 {
+			list := lookupAddresses(fleet)
+			Expect(list).To(HaveLen(maxAddresses))
+			for _, a := range list {
+				told[a] = true
+			}
+		}
+		Expect(told).To(HaveLen(72))
+		Expect(told).NotTo(HaveKey("dead"))
+	})
+})
