A host that decides alone has a part of the retry budget

Cause: read against the rule before raising the budget: each scheduler had the whole burst of 20 repeats whatever its share, so 72 hosts that are alone for a moment could send 1,440 where 184 are allowed. The spec failed with 1,440.

--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -23,7 +23,8 @@
 	// RetryRatio and RetryBurst bound the requests that are sent once more, as
 	// a part of a service's requests and as a number beyond that. Both stay
 	// under the platform's bound over all hosts with room for a second home
-	// during a partition.
+	// during a partition. A host that decides alone has a part of RetryBurst, like
+	// one of the quotas.
 	RetryRatio float64
 	RetryBurst float64
 	// FailurePenalty is what a server costs in predicted time when all its
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -37,7 +37,7 @@
 // decides alone.
 type Share struct {
 	Servers float64 // of every server's places
-	Limits  float64 // of every account's quota
+	Limits  float64 // of every account's quota and service's retry budget
 }
 
 // New makes a scheduler with no services.
@@ -51,8 +51,12 @@
 
 // SetShare changes the part that this scheduler has.
 func (s *Scheduler) SetShare(now Time, share Share) {
+	factor := share.Limits / s.share.Limits
 	for _, b := range s.accounts {
-		b.rescale(now, share.Limits/s.share.Limits)
+		b.rescale(now, factor)
+	}
+	for _, svc := range s.services {
+		svc.retries.rescale(now, factor)
 	}
 	s.share = share
 	s.SetAccounts(now, s.quotas)
@@ -64,7 +68,8 @@
 	for _, spec := range services {
 		svc := s.services[spec.Name]
 		if svc == nil {
-			svc = &service{retries: bucket{burst: s.policy.RetryBurst, level: s.policy.RetryBurst, at: now}}
+			burst := s.policy.RetryBurst * s.share.Limits
+			svc = &service{retries: bucket{burst: burst, level: burst, at: now}}
 			s.services[spec.Name] = svc
 		}
 		svc.Service = spec
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -578,3 +578,34 @@
 		Expect(units).To(BeNumerically("<=", 0.7*rate))
 	})
 })
+
+// All hosts of a fleet are alone for a moment, after a loss of power, while servers
+// fail. Each had the whole retry budget: 72 hosts sent 1,440 requests once more
+// where 184 are allowed, into servers that were failing.
+var _ = Describe("retries of hosts that decide alone", func() {
+	It("stay within the service's budget together", func() {
+		const hosts = 72
+		repeats := 0
+		for range hosts {
+			s := newScheduler(1, 1000)
+			s.SetShare(0, Share{Servers: 1, Limits: 1.0 / hosts})
+			for id := range uint64(30) {
+				r := stream(id, 0, 0)
+				r.Repeat = true
+				out, _ := s.Submit(0, r)
+				repeats += len(placed(out))
+			}
+		}
+		Expect(repeats).To(BeNumerically("<=", DefaultPolicy().RetryBurst))
+	})
+
+	It("are whole again at a home", func() {
+		s := newScheduler(1, 1000)
+		s.SetShare(0, Share{Servers: 1, Limits: 1.0 / 72})
+		s.SetShare(0, Share{Servers: 1, Limits: 1})
+		r := stream(1, 0, 0)
+		r.Repeat = true
+		out, _ := s.Submit(0, r)
+		Expect(placed(out)).To(HaveLen(1))
+	})
+})
