--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -1,12 +1,8 @@
 package sched
 
 import (
-	"encoding/binary"
-	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Scheduler owns the queues of all services. One goroutine owns it; nothing
@@ -49,123 +45,6 @@
 	}
 }
 
-// SetShare changes the part that this scheduler has.
-func (s *Scheduler) SetShare(now Time, share Share) {
-	factor := share.Limits / s.share.Limits
-	for _, b := range s.accounts {
-		b.rescale(now, factor)
-	}
-	for _, svc := range s.services {
-		svc.retries.rescale(now, factor)
-	}
-	s.share = share
-	s.SetAccounts(now, s.quotas)
-}
-
-// SetServices takes over the configuration's services. Requests that wait for
-// one that is gone are refused at the next Tick.
-func (s *Scheduler) SetServices(now Time, services []Service) {
-	for _, spec := range services {
-		svc := s.services[spec.Name]
-		if svc == nil {
-			burst := s.policy.RetryBurst * s.share.Limits
-			svc = &service{retries: bucket{burst: burst, level: burst, at: now}}
-			s.services[spec.Name] = svc
-		}
-		svc.Service = spec
-	}
-	for name, svc := range s.services {
-		known := slices.ContainsFunc(services, func(spec Service) bool { return spec.Name == name })
-		if !known && svc.queue.size == 0 {
-			delete(s.services, name)
-		}
-	}
-	s.regroup()
-}
-
-// SetAccounts takes over the configuration's quotas.
-func (s *Scheduler) SetAccounts(now Time, accounts []Account) {
-	s.quotas = accounts
-	kept := map[string]*bucket{}
-	for _, a := range accounts {
-		if a.Rate <= 0 {
-			continue
-		}
-		rate, burst := a.Rate*s.share.Limits, math.Max(1, a.Burst*s.share.Limits)
-		b := s.accounts[a.Name]
-		if b == nil {
-			b = newBucket(now, rate, burst, s.wholeQuotas())
-		} else {
-			b.resize(now, rate, burst)
-		}
-		kept[a.Name] = b
-	}
-	s.accounts = kept
-}
-
-// SetServers takes over the list of backend servers. What is known of those
-// that stay is kept; runs at those that are gone end by themselves.
-func (s *Scheduler) SetServers(now Time, list []Server) {
-	listed := map[string]bool{}
-	for _, spec := range list {
-		listed[spec.ID] = true
-		have := s.servers[spec.ID]
-		if have == nil {
-			svc := s.services[spec.Service]
-			if svc == nil {
-				svc = &service{Service: Service{Name: spec.Service}}
-			}
-			s.servers[spec.ID] = newServer(now, spec, svc)
-			s.servers[spec.ID].lot = lot(s.owner, spec.ID)
-			continue
-		}
-		spec.Draining = spec.Draining || have.Draining && spec.Address == have.Address
-		have.Server = spec
-	}
-	for id := range s.servers {
-		if !listed[id] {
-			delete(s.servers, id)
-		}
-	}
-	s.regroup()
-}
-
-// SetOwner names the host that runs this scheduler. It comes before servers.
-func (s *Scheduler) SetOwner(incarnation uint64) { s.owner = incarnation }
-
-// lot is a number from 0 to 1 that differs between hosts and servers.
-func lot(owner uint64, server string) float64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(server) // never fails
-	_, _ = d.Write(binary.BigEndian.AppendUint64(nil, owner))
-	return float64(d.Sum64()>>11) / (1 << 53)
-}
-
-func (s *Scheduler) regroup() {
-	for _, svc := range s.services {
-		svc.servers = svc.servers[:0]
-	}
-	for _, srv := range s.servers {
-		if svc := s.services[srv.Service]; svc != nil {
-			svc.servers = append(svc.servers, srv)
-			srv.cache.capacity = svc.KVTokens
-		}
-	}
-	for _, svc := range s.services {
-		slices.SortFunc(svc.servers, func(a, b *server) int { return compareText(a.ID, b.ID) })
-	}
-}
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // typicalTokenTime is what a server of unknown speed is taken to need for a
 // token: the middle of those that are known.
 func (svc *service) typicalTokenTime() time.Duration {
