--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -309,10 +309,10 @@
 type linkNews uint8
 
 const (
-	linkSame linkNews = iota
-	linkSuspect
-	linkBack
-	linkLost
+	linkSame    linkNews = iota
+	linkSuspect          // the home left an ask or a ping unanswered
+	linkBack             // it answered after all
+	linkLost             // the silence lasted
 )
 
 // linkWatch judges a link to the home by its answers.
@@ -324,6 +324,8 @@
 	suspect time.Time // since when; zero while it answers
 }
 
+// check looks at the link; it is called each watchPeriod. A suspect home is back
+// when it answers the ping that is open then, which check sends if there is none.
 func (w *linkWatch) check(now time.Time) linkNews {
 	open := w.ping != w.link.ponged.Load()
 	overdue := w.client.overdue(w.link, now)
