--- a/charts/charts.go
+++ b/charts/charts.go
@@ -20,12 +20,16 @@
 //go:embed member.yaml
 var memberYAML []byte
 
+//go:embed link.yaml
+var linkYAML []byte
+
 // Set holds the checked charts.
 type Set struct {
 	Request *chart.Chart
 	Server  *chart.Chart
 	Lease   *chart.Chart
 	Member  *chart.Chart
+	Link    *chart.Chart
 }
 
 // Load parses all charts; it fails when any of them is damaged.
@@ -34,7 +38,7 @@
 	for _, c := range []struct {
 		text []byte
 		to   **chart.Chart
-	}{{requestYAML, &s.Request}, {serverYAML, &s.Server}, {leaseYAML, &s.Lease}, {memberYAML, &s.Member}} {
+	}{{requestYAML, &s.Request}, {serverYAML, &s.Server}, {leaseYAML, &s.Lease}, {memberYAML, &s.Member}, {linkYAML, &s.Link}} {
 		parsed, err := chart.Parse(c.text)
 		if err != nil {
 			return Set{}, err
--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -4,13 +4,13 @@
 	"bufio"
 	"context"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/gentianflow/gentianflow/internal/chart"
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/ring"
@@ -132,29 +132,27 @@
 	DeferCleanup(near.Close)
 	l := &homeLink{host: "home", stream: &peer.Stream{Conn: far}, out: ring.New[*wire.ToHome](linkOutputs), ended: make(chan struct{})}
 	c.follow(l)
-	return &pausedHome{client: c, loop: loop, link: l, watch: &linkWatch{client: c, link: l}, clock: time.Now()}
+	return &pausedHome{client: c, loop: loop, link: l, watch: newLinkWatch(c, l), clock: time.Now()}
 }
 
-// pass lets time go by in the steps of the watch and returns the news in it.
-func (p *pausedHome) pass(d time.Duration) (news []linkNews) {
-	for end := p.clock.Add(d); p.clock.Before(end); {
+// pass lets time go by in the steps of the watch and returns the states that its
+// link enters meanwhile.
+func (p *pausedHome) pass(d time.Duration) (entered []chart.State) {
+	for end := p.clock.Add(d); p.clock.Before(end) && p.watch.state() != linkLost; {
 		p.clock = p.clock.Add(watchPeriod)
-		if n := p.watch.check(p.clock); n != linkSame {
-			news = append(news, n)
-			p.apply(n)
-		}
-		if slices.Contains(news, linkLost) {
-			break // the watch ends with its link
+		if p.watch.check(p.clock) {
+			entered = append(entered, p.watch.state())
+			p.apply(p.watch.state())
 		}
 	}
-	return news
+	return entered
 }
 
-func (p *pausedHome) apply(n linkNews) {
-	switch n {
+func (p *pausedHome) apply(s chart.State) {
+	switch s {
 	case linkSuspect:
 		p.client.suspect(p.link)
-	case linkBack:
+	case linkAnswering:
 		p.client.follow(p.link)
 	case linkLost:
 		p.client.unfollow(p.link)
@@ -187,11 +185,11 @@
 		h := newPausedHome()
 		id := h.waitAt()
 		h.pass(pingPeriod)
-		Expect(h.pass(silentAfter + 2*watchPeriod)).To(Equal([]linkNews{linkSuspect}))
+		Expect(h.pass(silentAfter + 2*watchPeriod)).To(Equal([]chart.State{linkSuspect}))
 		Expect(h.client.link).To(BeNil(), "new asks are decided here")
 		Expect(h.via(id)).To(Equal(h.link))
 		h.answerPing()
-		Expect(h.pass(watchPeriod)).To(Equal([]linkNews{linkBack}))
+		Expect(h.pass(watchPeriod)).To(Equal([]chart.State{linkAnswering}))
 		Expect(h.client.link).To(Equal(h.link))
 		Expect(h.via(id)).To(Equal(h.link))
 	})
@@ -199,7 +197,7 @@
 	It("loses it when the silence lasts", func() {
 		h := newPausedHome()
 		id := h.waitAt()
-		Expect(h.pass(pingPeriod + silentAfter + suspectTime + 4*watchPeriod)).To(Equal([]linkNews{linkSuspect, linkLost}))
+		Expect(h.pass(pingPeriod + silentAfter + suspectTime + 4*watchPeriod)).To(Equal([]chart.State{linkSuspect, linkLost}))
 		Expect(h.via(id)).To(BeNil())
 	})
 })
