--- a/cmd/gentianlab/load.go
+++ b/cmd/gentianlab/load.go
@@ -15,6 +15,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/lab"
 	"github.com/gentianflow/gentianflow/platform/standin"
 )
@@ -73,7 +74,7 @@
 		wrong += t.Ends[lab.Wrong]
 	}
 	if wrong > 0 {
-		err = errors.Join(err, fmt.Errorf("%d answers were whole but wrong", wrong))
+		err = errors.Join(err, failure.New(failure.ServerError, "%d answers were whole but wrong", wrong))
 	}
 	return err
 }
@@ -81,7 +82,7 @@
 // compareReports prints two reports beside each other, and plots them.
 func compareReports(_ context.Context, cmd *cli.Command) error {
 	if cmd.Args().Len() != 2 {
-		return errors.New("compare needs two reports, as `gentianlab load --report` writes them")
+		return failure.New(failure.BadRequest, "compare needs two reports, as `gentianlab load --report` writes them")
 	}
 	var reports []*lab.Result
 	for _, path := range cmd.Args().Slice() {
@@ -160,6 +161,8 @@
 		select {
 		case <-time.After(time.Until(start.Add(q.At))):
 		case <-ctx.Done():
+			calls.Wait()
+			return
 		}
 		if time.Since(looked) > lookupEvery {
 			looked = time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,8 +119,8 @@
 }
 
 // gcPercent is how much garbage may gather, as a part of what lives. Memory is
-// dear on these hosts and processors are idle: against 100 a process needs 32 to
-// 26 MB at its peak on the heaviest day of six hosts, and 10 in 100 more time.
+// dear on these hosts and processors are idle: a process peaks at 26 MB instead of
+// 32 with 100, on the heaviest day of six hosts, and takes a tenth more time.
 const gcPercent = 50
 
 func limitMemory(bytes int64) {
