--- a/bench/compare.sh
+++ b/bench/compare.sh
@@ -17,8 +17,8 @@
 }
 cleanup() {
   stop
-  git worktree prune
   rm -rf "$work"
+  git worktree prune
 }
 trap cleanup EXIT
 fail() { echo "compare: $1" >&2; exit 1; }
