--- /dev/null
+++ b/internal/sched/alone_test.go
@@ -0,0 +1,89 @@
+package sched
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("quotas of a host that decides for itself", func() {
+	// All hosts are killed and start again. For the half second until they have a
+	// home each has a 72nd of every quota, less than one request needs. Callers far
+	// below their limits were told that they are over it, and to come back after
+	// the ten seconds in which a 72nd refills.
+	alone := func() *Scheduler {
+		s := newScheduler(1, 8)
+		s.SetAccounts(0, []Account{{Name: "acc", Rate: 30_000, Burst: 30_000}})
+		s.SetShare(0, Share{Servers: 1, Limits: 0.01})
+		return s
+	}
+
+	It("keep a request waiting for the home", func() {
+		s := alone()
+		s.Submit(0, stream(1, 0, 0)) // more than the whole bucket; it leaves a debt
+		Expect(placed(s.Tick(600 * ms))).To(Equal([]uint64{1}))
+		out, waits := s.Submit(610*ms, stream(2, 610*ms, 0))
+		Expect(out).To(BeEmpty())
+		Expect(waits).To(BeTrue())
+		Expect(s.Tick(700 * ms)).To(BeEmpty())
+		s.SetShare(710*ms, Share{Servers: 1, Limits: 1})
+		Expect(placed(s.Tick(800 * ms))).To(Equal([]uint64{2}))
+	})
+
+	It("refuse it when it has waited as long as may be, and call it back soon", func() {
+		s := alone()
+		s.Submit(0, stream(1, 0, 0))
+		s.Submit(0, stream(2, 0, 0))
+		out := s.Tick(2500 * ms) // 0.3 of its 8 s
+		Expect(refused(out)).To(Equal(map[uint64]Reason{2: Quota}))
+		Expect(out[0].RetryAfter).To(BeNumerically("<", 2*time.Second))
+	})
+})
+
+var _ = Describe("a fleet that starts anew", func() {
+	It("does not give out an account's quota once for each host", func() {
+		const hosts, rate = 68, 30_000
+		units := 0.0
+		for range hosts {
+			s := newScheduler(2, 8)
+			s.SetShare(0, Share{Servers: 1, Limits: 0.7 / hosts})
+			s.SetAccounts(0, []Account{{Name: "acc", Rate: rate, Burst: rate}})
+			for id := range uint64(4) {
+				r := stream(id, 0, 0)
+				out, _ := s.Submit(0, r)
+				units += float64(len(placed(out))) * r.Units
+			}
+			units += float64(len(placed(s.Tick(700*ms)))) * 1060
+		}
+		Expect(units).To(BeNumerically("<=", 0.7*rate))
+	})
+})
+
+var _ = Describe("retries of hosts that decide alone", func() {
+	It("stay within the service's budget together", func() {
+		const hosts = 72
+		repeats := 0
+		for range hosts {
+			s := newScheduler(1, 1000)
+			s.SetShare(0, Share{Servers: 1, Limits: 1.0 / hosts})
+			for id := range uint64(30) {
+				r := stream(id, 0, 0)
+				r.Repeat = true
+				out, _ := s.Submit(0, r)
+				repeats += len(placed(out))
+			}
+		}
+		Expect(repeats).To(BeNumerically("<=", DefaultPolicy().RetryBurst))
+	})
+
+	It("are whole again at a home", func() {
+		s := newScheduler(1, 1000)
+		s.SetShare(0, Share{Servers: 1, Limits: 1.0 / 72})
+		s.SetShare(0, Share{Servers: 1, Limits: 1})
+		r := stream(1, 0, 0)
+		r.Repeat = true
+		out, _ := s.Submit(0, r)
+		Expect(placed(out)).To(HaveLen(1))
+	})
+})
--- /dev/null
+++ b/internal/sched/place_test.go
@@ -0,0 +1,90 @@
+package sched
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a long stream among engines of unlike speed", func() {
+	// A burst: the fast engine is full, the slow one has room. A stream of 1,500
+	// tokens that takes the slow one runs for all of its 15 s and is cut off; its
+	// caller has waited for nothing, and the place was taken from others.
+	fastAndSlow := func() *Scheduler {
+		s := newScheduler(2, 1)
+		s.servers["e0"].tokenTime = 5 * ms
+		s.servers["e1"].tokenTime = 20 * ms
+		return s
+	}
+	long := func(id uint64) Request {
+		r := stream(id, 0, 0)
+		r.OutputTokens, r.Deadline = 1500, 15*time.Second
+		return r
+	}
+
+	It("waits for the one that can end it in time", func() {
+		s := fastAndSlow()
+		out, _ := s.Submit(0, stream(1, 0, 0))
+		Expect(out[0].Server).To(Equal("e0"))
+		_, waits := s.Submit(0, long(2))
+		Expect(waits).To(BeTrue())
+		out = finish(s, 50*ms, 1, OK)
+		Expect(placed(out)).To(Equal([]uint64{2}))
+		Expect(out[0].Server).To(Equal("e0"))
+	})
+
+	It("takes what there is when none can", func() {
+		s := fastAndSlow()
+		s.Submit(0, stream(1, 0, 0))
+		r := long(2)
+		r.OutputTokens = 6000
+		out, waits := s.Submit(0, r)
+		Expect(waits).To(BeFalse())
+		Expect(out[0].Server).To(Equal("e1"))
+	})
+})
+
+func shared(id uint64, now Time, part uint64) Request {
+	r := stream(id, now, 0)
+	r.Parts = []Part{{Key: part, Tokens: 900}, {Key: 1000 + id, Tokens: 100}}
+	return r
+}
+
+var _ = Describe("long parts that prompts share", func() {
+	// Accounts send prompts that begin with one of a few long parts. Spread over
+	// all engines, each engine reads each part again and again, and pushes others
+	// out: callers wait for reading that another engine has done already.
+	It("draw requests to the engine that keeps them, against a little waiting", func() {
+		s := newScheduler(3, 4)
+		out, _ := s.Submit(0, shared(1, 0, 7))
+		holder := out[0].Server
+		for id := uint64(2); id < 5; id++ {
+			out, _ := s.Submit(0, shared(id, 0, 7))
+			Expect(out[0].Server).To(Equal(holder))
+		}
+		out, _ = s.Submit(0, shared(5, 0, 7))
+		Expect(out[0].Server).NotTo(Equal(holder), "it is full")
+	})
+
+	// A burst: all engines are full and one place opens. The first in line would
+	// take it whatever the engine keeps; nearly all parts would be read again.
+	It("let an engine with room choose, among the first in line, what it keeps", func() {
+		s := newScheduler(1, 1)
+		s.Submit(0, shared(1, 0, 7))
+		s.Submit(1*ms, shared(2, 1*ms, 8))
+		s.Submit(2*ms, shared(3, 2*ms, 9))
+		s.Submit(3*ms, shared(4, 3*ms, 7))
+		Expect(placed(finish(s, 50*ms, 1, OK))).To(Equal([]uint64{4}))
+		Expect(placed(finish(s, 90*ms, 4, OK))).To(Equal([]uint64{2}))
+	})
+
+	It("do not hold up for long what the engine does not keep", func() {
+		s := newScheduler(1, 1)
+		s.Submit(0, shared(1, 0, 7))
+		s.Submit(1*ms, shared(2, 1*ms, 8))
+		later := 500 * ms // longer than reading the part is worth
+		s.Submit(later, shared(3, later, 7))
+		Expect(placed(finish(s, later+50*ms, 1, OK))).To(Equal([]uint64{2}))
+	})
+})
