A server that starts again under its name is a new server; entries of others name none

Cause: the list of servers took names as never used again. An entry that told of a new start kept what was believed of the one before: a server that had been draining was never used again (a spec over real processes fails so on the code before). An entry without address, slots or a known state counted as ready; a row that could not be read left the one before in force and was logged at each reread.

Now the adapter makes an incarnation of name and start, and everything that is held by server (queue, pool, places on their way, what left) ends with it.

Ruled out: a rule in the scheduler for a changed start under one id, which each of pool, followers and refused lists would need as well.

Answers are logged with their server, their aim and the longest pause.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,6 +100,7 @@
 	tried  []string      // servers not to be asked again
 	repeat bool          // the next send comes on top of an earlier one
 	erred  string        // the server whose failure is kept
+	server string        // of the newest place
 	kept   *answer       // a server's failure, for want of anything better
 	waited time.Duration // for places
 	first  time.Duration // from the newest send to its first event or whole answer
@@ -124,6 +125,7 @@
 			x.giveUp(ctx, err)
 			return
 		}
+		x.server = place.Server
 		if x.try(ctx, place) == final {
 			return
 		}
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -99,20 +99,22 @@
 
 // note writes the line that explains the request's end.
 func (x *exchange) note(code event.Code, detail string) {
-	f := event.Fields{Request: x.head.ID, Service: x.service, Detail: detail}
+	f := event.Fields{Request: x.head.ID, Service: x.service, Server: x.server, Detail: detail}
 	if x.route != nil {
-		f.Detail += " route=" + x.route.Name
+		f.Detail += " route=" + x.route.Name + " aim=" + milliseconds(x.route.Aim)
 	}
 	if x.account != nil {
 		f.Detail += " account=" + x.account.Name + " units=" + strconv.Itoa(x.units())
 	}
-	f.Detail += " waited=" + x.waited.Round(time.Millisecond).String() + " first=" + x.first.Round(time.Millisecond).String() + " after=" + time.Since(x.arrived).Round(time.Millisecond).String() +
+	f.Detail += " waited=" + milliseconds(x.waited) + " first=" + milliseconds(x.first) + " after=" + milliseconds(time.Since(x.arrived)) +
 		" sends=" + strconv.Itoa(x.sends) + " runs=" + strconv.Itoa(x.runs)
 	if x.head.HasTokens {
 		f.Detail += " prompt=" + strconv.Itoa(x.head.PromptTokens) + " output=" + strconv.Itoa(x.head.OutputTokens) + " hint=" + strconv.Itoa(x.head.OutputHint)
 	}
-	if len(x.tried) > 0 {
-		f.Server = x.tried[len(x.tried)-1]
+	if x.stream.events > 1 {
+		f.Detail += " pause=" + milliseconds(x.stream.pause) + " most=" + milliseconds(x.route.GapAim)
 	}
 	x.h.Events.Record(code, f)
 }
+
+func milliseconds(d time.Duration) string { return d.Round(time.Millisecond).String() }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -19,10 +19,11 @@
 
 // stream is what the caller has of a streamed answer, over all its runs.
 type stream struct {
-	started bool      // the head has been written
-	events  int       // passed on whole
-	lastID  string    // of the newest event
-	newest  time.Time // when it was passed on
+	started bool          // the head has been written
+	events  int           // passed on whole
+	lastID  string        // of the newest event
+	newest  time.Time     // when it was passed on
+	pause   time.Duration // the longest between events, over all runs
 }
 
 const (
@@ -125,8 +126,12 @@
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return failure.Wrap(failure.Withdrawn, err, "flush events")
 	}
+	now := time.Now()
+	if x.stream.events > 0 {
+		x.stream.pause = max(x.stream.pause, now.Sub(x.stream.newest))
+	}
 	x.stream.events += bytes.Count(events, endOfEvent)
-	x.stream.newest = time.Now()
+	x.stream.newest = now
 	if id := lastID(events); id != "" {
 		x.stream.lastID = id
 	}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/store"
 )
@@ -20,29 +21,33 @@
 	lapseGrace = 2200 * time.Millisecond
 	// sweepPeriod is how often missing servers are looked at.
 	sweepPeriod = 500 * time.Millisecond
-	// goneMemory is how long a server that left is remembered: longer than a
+	// goneMemory is how long an incarnation that left is remembered: longer than a
 	// home can go on without the store.
 	goneMemory = 5 * time.Minute
 )
 
-// servers is the list of backend servers as the store tells it.
+// servers is the list of backend servers as the store tells it. Rows are kept by
+// their key, the name of a server; what left is kept by incarnation, since a server
+// may start again under its name.
 // mu guards all fields.
 type servers struct {
-	decode func(id string, value []byte) (sched.Server, error)
+	decode func(name string, value []byte) (sched.Server, error)
 	events *event.Recorder
 	apply  func([]sched.Server)
 
 	mu       sync.Mutex
-	known    map[string]sched.Server
-	missing  map[string]time.Time // since when; lapsed during an outage
-	gone     map[string]time.Time // since when; ids are never used again
-	returned time.Time            // when the store came back last
+	known    map[string]sched.Server // by name
+	missing  map[string]time.Time    // by name, since when; lapsed during an outage
+	unusable map[string]string       // by name, why its entry names no server
+	gone     map[string]time.Time    // by incarnation, since when
+	returned time.Time               // when the store came back last
 }
 
 func newServers(decode func(string, []byte) (sched.Server, error), events *event.Recorder, apply func([]sched.Server)) *servers {
 	return &servers{
 		decode: decode, events: events, apply: apply,
-		known: map[string]sched.Server{}, missing: map[string]time.Time{}, gone: map[string]time.Time{},
+		known: map[string]sched.Server{}, missing: map[string]time.Time{},
+		unusable: map[string]string{}, gone: map[string]time.Time{},
 	}
 }
 
@@ -58,21 +63,16 @@
 		return
 	}
 	before := maps.Clone(s.known)
-	listed := map[string]bool{}
-	for _, row := range u.Rows {
-		listed[row.Key] = true
-		if row.Deleted {
-			s.remove(row.Key, now)
+	listed := s.read(u.Rows)
+	for name, row := range listed {
+		if row.deleted {
+			s.remove(name, now)
 			continue
 		}
-		s.add(row)
+		s.add(name, row)
 	}
 	if u.Whole {
-		for id := range s.known {
-			if !listed[id] {
-				s.remove(id, now)
-			}
-		}
+		s.removeUnlisted(listed, now)
 	}
 	s.sweep(now)
 	if !maps.Equal(before, s.known) {
@@ -80,22 +80,75 @@
 	}
 }
 
-func (s *servers) add(row store.Row) {
-	srv, err := s.decode(row.Key, row.Value)
-	if err != nil {
-		s.events.Record(event.ConfigRefused, event.Fields{Server: row.Key, Detail: err.Error()})
+// serverRow is a row as it was read.
+type serverRow struct {
+	server  sched.Server
+	err     error // it names no server to use
+	deleted bool
+}
+
+// read decodes rows; of several for one name the last counts.
+//
+// Guard: an entry that does not tell its server's start, among others that do, was
+// written by somebody else: callers would be sent wherever it points to.
+func (s *servers) read(rows []store.Row) map[string]serverRow {
+	entries := make(map[string]serverRow, len(rows))
+	dated := false
+	for _, row := range rows {
+		e := serverRow{deleted: row.Deleted}
+		if !row.Deleted {
+			e.server, e.err = s.decode(row.Key, row.Value)
+		}
+		dated = dated || e.server.Born != 0
+		entries[row.Key] = e
+	}
+	for _, srv := range s.known {
+		dated = dated || srv.Born != 0
+	}
+	for name, e := range entries {
+		if dated && !e.deleted && e.err == nil && e.server.Born == 0 {
+			e.err = failure.New(failure.BadConfig, "the entry of server %s does not tell its start, as others do", name)
+			entries[name] = e
+		}
+	}
+	return entries
+}
+
+func (s *servers) add(name string, e serverRow) {
+	if e.err != nil {
+		s.refuse(name, e.err)
 		return
 	}
-	delete(s.missing, row.Key)
-	delete(s.gone, row.Key)
-	have, ok := s.known[row.Key]
+	delete(s.unusable, name)
+	delete(s.missing, name)
+	srv := e.server
+	have, ok := s.known[name]
+	if ok && have.ID != srv.ID {
+		s.drop(name)
+		ok = false
+	}
+	delete(s.gone, srv.ID)
 	if ok {
 		srv.ColdFor = have.ColdFor // counted from when the server was first seen
 	}
 	if !ok || have.Draining != srv.Draining {
 		s.events.Record(event.ServersChanged, event.Fields{Server: srv.ID, Service: srv.Service, Detail: state(srv)})
 	}
-	s.known[row.Key] = srv
+	s.known[name] = srv
+}
+
+// refuse takes an entry that names no server to use out of the list. It is logged
+// once, not each time that the table is read anew.
+func (s *servers) refuse(name string, err error) {
+	if _, ok := s.known[name]; ok {
+		s.drop(name)
+	}
+	why := failure.From(err).Message
+	if s.unusable[name] == why {
+		return
+	}
+	s.unusable[name] = why
+	s.events.Record(event.ConfigRefused, event.Fields{Server: name, Detail: why})
 }
 
 func state(srv sched.Server) string {
@@ -105,29 +158,43 @@
 	return "ready at " + srv.Address
 }
 
+func (s *servers) removeUnlisted(listed map[string]serverRow, now time.Time) {
+	for name := range s.known {
+		if _, ok := listed[name]; !ok {
+			s.remove(name, now)
+		}
+	}
+	maps.DeleteFunc(s.unusable, func(name, _ string) bool {
+		_, ok := listed[name]
+		return !ok
+	})
+}
+
 // remove drops a server, or marks it missing for a while.
 //
 // Guard: while the store was away, heartbeats could not renew the entries of
 // servers that live. Dropping all of them at its return would stop all work;
 // they come back within seconds, and one that does not is gone.
-func (s *servers) remove(id string, now time.Time) {
-	if _, ok := s.known[id]; !ok {
+func (s *servers) remove(name string, now time.Time) {
+	delete(s.unusable, name)
+	if _, ok := s.known[name]; !ok {
 		return
 	}
 	if now.Sub(s.returned) < lapseGrace {
-		if _, ok := s.missing[id]; !ok {
-			s.missing[id] = now
+		if _, ok := s.missing[name]; !ok {
+			s.missing[name] = now
 		}
 		return
 	}
-	s.drop(id)
+	s.drop(name)
 }
 
-func (s *servers) drop(id string) {
-	s.events.Record(event.ServersChanged, event.Fields{Server: id, Service: s.known[id].Service, Detail: "gone"})
-	delete(s.known, id)
-	delete(s.missing, id)
-	s.gone[id] = time.Now()
+func (s *servers) drop(name string) {
+	srv := s.known[name]
+	s.events.Record(event.ServersChanged, event.Fields{Server: srv.ID, Service: srv.Service, Detail: "gone"})
+	delete(s.known, name)
+	delete(s.missing, name)
+	s.gone[srv.ID] = time.Now()
 }
 
 // sweep drops the missing ones whose time is over.
@@ -135,8 +202,8 @@
 	if len(s.missing) == 0 || now.Sub(s.returned) < lapseGrace {
 		return
 	}
-	for id := range s.missing {
-		s.drop(id)
+	for name := range s.missing {
+		s.drop(name)
 	}
 }
 
@@ -176,21 +243,32 @@
 	return ready, draining
 }
 
-// has reports whether a server is listed, at this address.
+// incarnation finds a listed server. The caller holds mu.
+func (s *servers) incarnation(id string) (sched.Server, bool) {
+	for _, srv := range s.known {
+		if srv.ID == id {
+			return srv, true
+		}
+	}
+	return sched.Server{}, false
+}
+
+// has reports whether an incarnation is listed, at this address.
 func (s *servers) has(id, address string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	srv, ok := s.known[id]
+	srv, ok := s.incarnation(id)
 	return ok && srv.Address == address
 }
 
-// leaving reports whether a server is known to leave or to be gone. One that
-// is not known here may be new.
+// leaving reports whether an incarnation is known to leave or to be gone. One
+// that is not known here may be new.
 func (s *servers) leaving(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, gone := s.gone[id]; gone {
 		return true
 	}
-	return s.known[id].Draining
+	srv, _ := s.incarnation(id)
+	return srv.Draining
 }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -24,7 +24,8 @@
 	Stride int
 }
 
-// Server is one incarnation of a backend server.
+// Server is one incarnation of a backend server. One that starts again has another
+// ID, so that nothing believed of the start before is held for or against it.
 type Server struct {
 	ID       string
 	Service  string
@@ -33,6 +34,7 @@
 	Slots    int // requests it works on at once
 	Draining bool
 	ColdFor  time.Duration // how much longer it is slow after its start
+	Born     int64         // Unix millisecond of its start by its own clock, 0 when not told
 }
 
 // Account is a client account with its quota.
--- a/test/platform/fail_test.go
+++ b/test/platform/fail_test.go
@@ -137,3 +137,63 @@
 		Eventually(func() int { s.send(added, confirm()); return len(srv.Runs()) }).Should(BeNumerically(">", 0))
 	})
 })
+
+var _ = Describe("backend servers that start again under their names", func() {
+	// The only server of a service reports that it leaves, crashes, and starts again
+	// under its name and address. Callers are refused for want of a server though
+	// one is idle, when hosts go on taking it for the one that leaves.
+	It("serves with the new start after the one before was leaving", func() {
+		s := newSite(siteOptions{hosts: 3, engines: 1, apps: 1})
+		old := s.servers[1]
+		Expect(s.send(s.hosts[0], confirm()).Status).To(Equal(http.StatusOK))
+		old.Drain()
+		time.Sleep(300 * time.Millisecond) // all hosts have read it
+		old.Close()
+		s.addServer(old.Spec)
+		for _, h := range s.hosts {
+			Eventually(func() int { return s.send(h, confirm()).Status }).WithTimeout(3*time.Second).Should(Equal(http.StatusOK), h.name)
+		}
+		s.keepsPromises()
+	})
+
+	// The server crashes while streams run there, and is back under its name before
+	// its connections are missed. A stream that may be resumed goes on at the new
+	// start; nothing else of it may run twice.
+	It("goes on with what may be resumed and runs nothing else again", func() {
+		s := newSite(siteOptions{hosts: 3, engines: 2, apps: 1, engine: standin.ServerSpec{PerEvent: 20 * time.Millisecond}})
+		s.under(20*time.Millisecond, func() {
+			for range 3 {
+				time.Sleep(400 * time.Millisecond)
+				old := s.servers[0]
+				old.Close()
+				again, err := standin.StartServer(s.store, old.Spec)
+				Expect(err).NotTo(HaveOccurred())
+				s.mu.Lock()
+				s.left, s.servers[0] = append(s.left, old), again
+				s.mu.Unlock()
+			}
+			time.Sleep(400 * time.Millisecond)
+		})
+	})
+
+	// Somebody else writes into the table of servers: before, between and behind the
+	// others, and over one of them. Callers must not notice.
+	It("uses no entry that another writer left", func() {
+		s := newSite(siteOptions{hosts: 3, engines: 1, apps: 2})
+		for _, key := range []string{"0", "i-between", "~"} {
+			s.store.Put("servers", key, map[string]any{"service": standin.AppName, "state": "ready", "slots": "6"})
+			s.store.Put("servers", key+"x", map[string]any{
+				"service": standin.AppName, "address": "127.0.0.1:1", "zone": "fukuoka-hall", "version": "v1",
+				"slots": 60, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+			})
+		}
+		s.store.Put("servers", s.servers[2].Spec.ID, "nothing of a server")
+		time.Sleep(300 * time.Millisecond)
+		for range 10 {
+			for _, h := range s.hosts {
+				Expect(s.send(h, confirm()).Status).To(Equal(http.StatusOK))
+			}
+		}
+		s.keepsPromises()
+	})
+})
