Requests wait for an engine at which they are on time and spare the streams beside them

A request is not placed where even an idle server would be too slow for it, nor where what is to be read stops the streams beside it for too long, while a faster server is usable.

Ruled out: judging the first event by what a server has to do besides.

--- a/cmd/gentianctl/platform.go
+++ b/cmd/gentianctl/platform.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
+	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/platform"
 )
 
@@ -19,6 +22,7 @@
 		Commands: []*cli.Command{
 			{Name: "settings", Usage: "check settings files, as gentianhost reads them", ArgsUsage: "FILE...", Action: checkEach(checkSettings)},
 			{Name: "config", Usage: "check operators' configurations (JSON) before they are written to the store", ArgsUsage: "FILE...", Action: checkEach(checkConfig)},
+			{Name: "policy", Usage: "list the scheduler's figures, or check some", ArgsUsage: "[NAME=VALUE,...]", Action: listPolicy},
 		},
 	}
 }
@@ -65,3 +69,17 @@
 	}
 	return fmt.Sprintf("version %d, %d routes, %d services, %d accounts", c.Version, len(c.Routes), len(c.Services), len(c.Accounts)), nil
 }
+
+// listPolicy prints the figures as they stand with what the arguments set.
+func listPolicy(_ context.Context, c *cli.Command) error {
+	p := sched.DefaultPolicy()
+	if err := p.Set(strings.Join(c.Args().Slice(), ",")); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tVALUE\tUNIT\tFROM\tTO\tOFF\tDOES")
+	for _, s := range sched.Settings() {
+		fmt.Fprintf(w, "%s\t%g\t%s\t%g\t%g\t%s\t%s\n", s.Name, s.Value(p), s.Unit, s.Least, s.Most, s.Off, s.Does)
+	}
+	return w.Flush()
+}
--- a/cmd/gentianhost/main.go
+++ b/cmd/gentianhost/main.go
@@ -19,6 +19,7 @@
 
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/node"
+	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/platform"
 )
 
@@ -42,6 +43,7 @@
 		Description: "Reads the platform's settings file, whose path stands in the environment.\n" +
 			"SIGTERM shuts down: requests in progress end first. SIGHUP reads the settings anew.",
 		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "policy", Usage: "figures of the scheduler, name=value separated by commas; gentianctl platform policy lists them", Sources: cli.EnvVars("GENTIAN_POLICY")},
 			&cli.IntFlag{Name: "metrics-port", Usage: "port of the metrics address", Value: 7614},
 		},
 		Action: run,
@@ -54,6 +56,10 @@
 		return cli.Exit(err.Error(), exitSettings)
 	}
 	set.MetricsPort = cmd.Int("metrics-port")
+	set.Policy = sched.DefaultPolicy()
+	if err := set.Policy.Set(cmd.String("policy")); err != nil {
+		return cli.Exit(err.Error(), exitSettings)
+	}
 	output := event.NewOutput(os.Stdout)
 	var logging sync.WaitGroup
 	logs, endLogs := context.WithCancel(context.Background())
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -27,6 +27,7 @@
 	Aim          time.Time
 	LeavesAt     time.Time // when its caller gives up for want of an event, zero: at the deadline
 	Deadline     time.Time
+	MaxPause     time.Duration // longest between events of a stream that is on time, 0: any
 	Repeat       bool
 	Avoid        []string
 }
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -14,7 +14,7 @@
 		Id: id, Service: a.Service, Account: a.Account, Priority: uint32(a.Priority),
 		PromptTokens: uint32(a.PromptTokens), OutputTokens: uint32(a.OutputTokens), Units: uint32(a.Units),
 		DeadlineMs: millis(a.Deadline.Sub(now)), AimMs: millis(a.Aim.Sub(now)), WaitedMs: millis(now.Sub(a.Arrived)),
-		Repeat: a.Repeat, Avoid: a.Avoid,
+		PauseMs: millis(a.MaxPause), Repeat: a.Repeat, Avoid: a.Avoid,
 	}
 	if !a.LeavesAt.IsZero() {
 		m.LeavesMs = max(1, millis(a.LeavesAt.Sub(now)))
@@ -36,7 +36,7 @@
 		Key: sched.Key{Holder: holder, ID: m.Id}, Zone: zone, Service: m.Service, Account: m.Account,
 		Priority: int(m.Priority), PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens),
 		Units: float64(m.Units), Arrived: now - fromMillis(m.WaitedMs), Aim: now + fromMillis(m.AimMs),
-		Deadline: now + fromMillis(m.DeadlineMs), Repeat: m.Repeat, Avoid: m.Avoid,
+		Deadline: now + fromMillis(m.DeadlineMs), MaxPause: fromMillis(m.PauseMs), Repeat: m.Repeat, Avoid: m.Avoid,
 	}
 	if m.LeavesMs > 0 {
 		r.LeavesAt = now + fromMillis(m.LeavesMs)
@@ -64,14 +64,14 @@
 func encodeRunning(now time.Time, id uint64, p *pending) *wire.Running {
 	return &wire.Running{
 		Id: id, Service: p.ask.Service, Server: p.server, PromptTokens: uint32(p.ask.PromptTokens),
-		OutputTokens: uint32(p.ask.OutputTokens), ElapsedMs: millis(now.Sub(p.placed)),
+		OutputTokens: uint32(p.ask.OutputTokens), ElapsedMs: millis(now.Sub(p.placed)), PauseMs: millis(p.ask.MaxPause),
 	}
 }
 
 func decodeRunning(holder uint64, m *wire.Running) sched.Run {
 	return sched.Run{
 		Key: sched.Key{Holder: holder, ID: m.Id}, Service: m.Service, Server: m.Server,
-		PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens), Elapsed: fromMillis(m.ElapsedMs),
+		PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens), Elapsed: fromMillis(m.ElapsedMs), MaxPause: fromMillis(m.PauseMs),
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -198,7 +198,7 @@
 		Request: x.head.ID, Service: x.service, Priority: priority(x.route, x.account),
 		PromptTokens: x.head.PromptTokens, OutputTokens: x.expectedOutput(), Parts: x.head.Parts,
 		Arrived: x.arrived, Aim: x.arrived.Add(x.route.Aim), Deadline: x.deadline,
-		Repeat: x.repeat, Avoid: x.tried,
+		MaxPause: x.route.GapAim, Repeat: x.repeat, Avoid: x.tried,
 	}
 	if x.account != nil {
 		a.Account = x.account.Name
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,7 +154,7 @@
 	n.peers = peer.NewManager(peer.Identity{Incarnation: n.inc, Host: n.set.Host, Fleet: fleet},
 		n.peerAddress(), n.serveStream, peerNews{n.members}, n.events, &n.traffic)
 	n.peers.DialFrom(net.ParseIP(n.set.IP))
-	n.loop = dispatch.NewLoop(sched.DefaultPolicy(), n.events, n.deliver)
+	n.loop = dispatch.NewLoop(n.set.Policy, n.events, n.deliver)
 	n.loop.Do(func(_ sched.Time, s *sched.Scheduler) { s.SetOwner(uint64(n.inc)) })
 	n.home = dispatch.NewHome(n.loop)
 	n.servers = newServers(n.plat.DecodeServer, n.events, n.applyServers)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -2,9 +2,14 @@
 // together: entry, scheduler, membership, and what follows the store.
 package node
 
-import "time"
+import (
+	"time"
 
-// Settings are what the platform tells a process about itself.
+	"github.com/gentianflow/gentianflow/internal/sched"
+)
+
+// Settings are what the platform tells a process about itself, and the operators'
+// policy.
 type Settings struct {
 	Host             string
 	AvailabilityZone string
@@ -18,4 +23,5 @@
 	ProcessorShare   float64
 	MemoryBytes      int64
 	Grace            time.Duration // from SIGTERM to SIGKILL
+	Policy           sched.Policy
 }
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -75,7 +75,7 @@
 			if svc == nil {
 				svc = &service{Service: Service{Name: spec.Service}}
 			}
-			s.servers[spec.ID] = newServer(now, spec, svc)
+			s.servers[spec.ID] = newServer(now, spec, svc, s.policy.TimeOut)
 			s.servers[spec.ID].lot = lot(s.owner, spec.ID)
 			continue
 		}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -8,53 +8,62 @@
 )
 
 // fill places waiting requests while servers have room, the most urgent
-// first. A request whose account is over its quota does not hold up others.
+// first. A request whose account is over its quota does not hold up others, nor
+// does one that waits for a server at which it can be on time.
 func (s *Scheduler) fill(now Time, svc *service) {
 	if svc.queue.size == 0 {
 		return
 	}
-	if !s.anyRoom(now, svc) {
+	free := s.withRoom(now, svc)
+	if len(free) == 0 {
 		return
 	}
-	for _, l := range svc.queue.lanes {
-		l.age(now, svc.lead.high())
+	if s.policy.LateBehind {
+		for _, l := range svc.queue.lanes {
+			l.age(now, svc.lead.high())
+		}
 	}
-	s.preferHeld(now, svc)
+	s.preferHeld(svc, free)
+	fastest := svc.fastest(now)
 	svc.queue.each(func(w *waiting) (drop, stop bool) {
 		if s.quotaWait(now, &w.Request) > 0 {
 			return false, false
 		}
-		srv := s.choose(now, svc, &w.Request)
+		srv := s.choose(now, svc, free, fastest, &w.Request)
 		if srv == nil {
-			return false, !s.anyRoom(now, svc)
+			return false, false
 		}
 		s.place(now, svc, srv, w)
-		return true, false
+		if !srv.room(now, s.places(srv)) {
+			free = slices.DeleteFunc(free, func(f *server) bool { return f == srv })
+		}
+		return true, len(free) == 0
 	})
 }
 
+// withRoom lists the servers that may take one more request now.
+func (s *Scheduler) withRoom(now Time, svc *service) []*server {
+	var free []*server
+	for _, srv := range svc.servers {
+		if srv.room(now, s.places(srv)) {
+			free = append(free, srv)
+		}
+	}
+	return free
+}
+
 // preferHeld lets the only server with room choose among the first requests of
 // each lane: one whose prompt it keeps goes ahead of others by the time that
 // reading the kept part is worth. Under load a request cannot choose its server,
 // and shared parts would be read again on each.
-func (s *Scheduler) preferHeld(now Time, svc *service) {
-	if !svc.Engine {
+func (s *Scheduler) preferHeld(svc *service, free []*server) {
+	if !svc.Engine || len(free) != 1 {
 		return
 	}
-	var free *server
-	for _, srv := range svc.servers {
-		if !srv.room(now, s.places(srv)) {
-			continue
-		}
-		if free != nil {
-			return
-		}
-		free = srv
-	}
 	for _, l := range svc.queue.lanes {
-		first := l.fresh[:min(len(l.fresh), choosesFrom)]
+		first := l.fresh[:min(len(l.fresh), s.policy.ChoosesFrom)]
 		for _, w := range first {
-			w.order = w.rank - s.missCost(free.cache.held(w.Parts))
+			w.order = w.rank - s.missCost(free[0].cache.held(w.Parts))
 		}
 		slices.SortStableFunc(first, func(a, b *waiting) int { return cmp.Compare(a.order, b.order) })
 	}
@@ -65,10 +74,6 @@
 	return time.Duration(float64(tokens) * promptPerToken * float64(defaultTokenTime) * s.policy.MissWeight)
 }
 
-func (s *Scheduler) anyRoom(now Time, svc *service) bool {
-	return slices.ContainsFunc(svc.servers, func(srv *server) bool { return srv.room(now, s.places(srv)) })
-}
-
 // places is how many requests srv may have at once from this scheduler. A part
 // of a place is met by lot: of many hosts that each have a tenth of a place,
 // about one in ten uses the server. Were each to use one place, 72 hosts that
@@ -82,39 +87,37 @@
 	return n
 }
 
-// choose returns the server with room at which r costs least, nil when there
-// is none. One that cannot end it in time is taken only if no other can, now or
-// when it has room: under load only one server has room as a rule, and a long
-// stream that takes the first of them runs for its whole deadline on a slow one,
-// in vain.
-func (s *Scheduler) choose(now Time, svc *service, r *Request) *server {
+// choose returns the server of free at which r costs least, nil when it does better
+// to wait for another. Under load only one server has room as a rule, and it is a
+// slow one more often than not: a request that takes the first of them may be late
+// there, or make those beside it late, in vain. A server that r does not fit is
+// taken only if it fits no other, now or when that has room.
+func (s *Scheduler) choose(now Time, svc *service, free []*server, fastest *server, r *Request) *server {
 	var best *server
-	bestCost := time.Duration(math.MaxInt64)
-	for _, srv := range svc.servers {
-		if !srv.room(now, s.places(srv)) || slices.Contains(r.Avoid, srv.ID) {
+	bestCost, bestFits := time.Duration(math.MaxInt64), false
+	need := s.needs(now, svc, fastest, r)
+	for _, srv := range free {
+		if slices.Contains(r.Avoid, srv.ID) {
 			continue
 		}
 		if svc.KVTokens > 0 && srv.tokens+r.PromptTokens+r.OutputTokens > svc.KVTokens && srv.running > 0 {
 			continue
 		}
-		if cost := s.cost(now, svc, srv, r); cost < bestCost {
-			best, bestCost = srv, cost
+		fits := need.met(now, svc, srv, r)
+		if bestFits && !fits {
+			continue
+		}
+		cost := s.cost(now, svc, srv, r)
+		if fits != bestFits || cost < bestCost {
+			best, bestCost, bestFits = srv, cost, fits
 		}
 	}
-	if best != nil && now+best.alone(svc, r) > r.Deadline && svc.endsInTime(now, r) {
+	if !bestFits && need.elsewhere {
 		return nil
 	}
 	return best
 }
 
-// endsInTime reports whether a usable server, full or not, would end r in time
-// if it had nothing else to do.
-func (svc *service) endsInTime(now Time, r *Request) bool {
-	return slices.ContainsFunc(svc.servers, func(srv *server) bool {
-		return srv.usable(now) && now+srv.alone(svc, r) <= r.Deadline
-	})
-}
-
 // cost is the predicted first event, a part of the predicted end, and what
 // the server's failures and its distance add. Ending after the deadline costs
 // more than anything else.
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -45,6 +45,60 @@
 	})
 })
 
+var _ = Describe("a long prompt among engines of unlike speed", func() {
+	// A third of the engines is four times slower. In a burst the place that opens is
+	// one of theirs, and the first in line takes it with a prompt of thousands of
+	// tokens: its caller waits a second for the first event, and every stream there
+	// stops for longer than its caller counts as on time.
+	fastAndSlow := func() *Scheduler {
+		s := newScheduler(2, 2)
+		s.servers["e0"].tokenTime = 3 * ms
+		s.servers["e1"].tokenTime = 13 * ms
+		s.Submit(0, stream(1, 0, 0))
+		s.Submit(0, stream(2, 0, 0))
+		Expect(s.servers["e0"].running).To(Equal(2))
+		s.servers["e0"].prefillFree, s.servers["e1"].prefillFree = 0, 0
+		return s
+	}
+	ask := func(id uint64, prompt int) Request {
+		r := stream(id, 0, 0)
+		r.PromptTokens, r.OutputTokens = prompt, 30
+		r.Aim, r.Deadline, r.MaxPause = time.Second, 15*time.Second, 500*ms
+		return r
+	}
+
+	It("waits for an engine that can be on time, and lets others take the place", func() {
+		s := fastAndSlow()
+		_, waits := s.Submit(0, ask(3, 25_000)) // 1.3 s on the slow one, 0.3 s on the other
+		Expect(waits).To(BeTrue())
+		out, _ := s.Submit(0, ask(4, 500))
+		Expect(placed(out)).To(Equal([]uint64{4}))
+		Expect(out[0].Server).To(Equal("e1"))
+		out = finish(s, 50*ms, 1, OK)
+		Expect(placed(out)).To(Equal([]uint64{3}))
+		Expect(out[0].Server).To(Equal("e0"))
+	})
+
+	It("does not stop the streams beside it for longer than is on time", func() {
+		s := fastAndSlow()
+		out, _ := s.Submit(0, ask(3, 500))
+		Expect(out[0].Server).To(Equal("e1"))
+		s.servers["e1"].prefillFree = 0
+		_, waits := s.Submit(0, ask(4, 12_000)) // 0.62 s to read on the slow one
+		Expect(waits).To(BeTrue())
+		out = finish(s, 50*ms, 3, OK)
+		Expect(out[0].Server).To(Equal("e1"), "nothing runs beside it")
+	})
+
+	It("takes what there is when no engine is fast enough", func() {
+		s := fastAndSlow()
+		s.SetServers(0, []Server{{ID: "e1", Service: engine, Slots: 2}})
+		out, waits := s.Submit(0, ask(3, 25_000))
+		Expect(waits).To(BeFalse())
+		Expect(out[0].Server).To(Equal("e1"))
+	})
+})
+
 func shared(id uint64, now Time, part uint64) Request {
 	r := stream(id, now, 0)
 	r.Parts = []Part{{Key: part, Tokens: 900}, {Key: 1000 + id, Tokens: 100}}
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -48,6 +48,24 @@
 	MissWeight float64
 	// TotalWeight prices a request's predicted end against its first token.
 	TotalWeight float64
+	// ChoosesFrom is how many waiting requests a server with room may choose from,
+	// by what it keeps of their prompts.
+	ChoosesFrom int
+	// HopelessFrom is the least number that wait in a lane before one is refused as
+	// it comes: those that wait show when places open again. With 8 the two smaller
+	// sites measured earn 0.01 less on their heavy days.
+	HopelessFrom int
+	// LateBehind puts requests that can no longer be on time behind those that can.
+	LateBehind bool
+	// AwaitOnTime lets a request wait for a server at which it can be on time rather
+	// than take one at which it can't.
+	AwaitOnTime bool
+	// SparePauses does the same for one that would stop the streams beside it for
+	// longer than is on time.
+	SparePauses bool
+	// TimeOut is how long a server that does not answer is left alone at first; each
+	// time without an answer between doubles it, up to four times.
+	TimeOut time.Duration
 }
 
 // DefaultPolicy is what hosts run.
@@ -65,6 +83,12 @@
 		LengthMost:     0.3,
 		MissWeight:     12,
 		TotalWeight:    0.2,
+		ChoosesFrom:    16,
+		HopelessFrom:   24,
+		LateBehind:     true,
+		AwaitOnTime:    true,
+		SparePauses:    true,
+		TimeOut:        1500 * time.Millisecond,
 	}
 }
 
@@ -83,19 +107,13 @@
 	// Samples outside these are a pause of the host or of the link.
 	maxTokenTime = 200 * time.Millisecond
 	minTokenTime = 500 * time.Microsecond
-	// hopelessFrom is the least number that wait in a lane before one is refused as
-	// it comes: those that wait show when places open again. With 8 the two small
-	// sites earn 0.01 less on their heavy days.
-	hopelessFrom = 24
 	// hopelessWait bounds the waits that are judged. Streams of 15 s, which may wait
 	// 3.5 s twice, were served 0.45 instead of 0.70 through a burst of 6 s when they
 	// were refused as they came.
 	hopelessWait = 2 * time.Second
 	// hopelessExcess is how many must come for each that is placed.
 	hopelessExcess = 1.2
-	// choosesFrom is how many waiting requests a server with room may choose from.
-	choosesFrom = 16
-	paceRate    = 0.3 // weight of a new sample of a server's speed
+	paceRate       = 0.3 // weight of a new sample of a server's speed
 	// failureRate is the weight of the newest answer in a server's share of
 	// failures, benchShare the share at which lost answers take it out.
 	failureRate = 0.25
@@ -105,10 +123,9 @@
 	repeatCare = 4
 	// failureMemory is how long a server's failures are held against it; after
 	// it they halve once in each such time, so that it is tried anew.
-	failureMemory = 2 * time.Second
-	benchFirst    = 1500 * time.Millisecond
-	benchMost     = 6 * time.Second
-	rejectedPause = 150 * time.Millisecond
+	failureMemory    = 2 * time.Second
+	timeOutDoublings = 4 // times of the first time out that the longest takes
+	rejectedPause    = 150 * time.Millisecond
 	// leaveMargin is how long before its caller leaves a stream must show its
 	// first event, beyond what that takes as a rule: the answer's way back, and
 	// an engine that is slower than the others.
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -14,7 +14,7 @@
 }
 
 // lane holds the waiting requests of one priority. fresh is in order of rank, but
-// for its first choosesFrom, which preferHeld puts in the order of the server that
+// for its first Policy.ChoosesFrom, which preferHeld puts in the order of the server that
 // chose last. A request that can no longer meet its latency objective moves to
 // late, behind all that still can: serving it first would only make the next one
 // late too.
@@ -126,9 +126,6 @@
 // in the end: those before it take longer than it may wait to be on time, and more
 // come than are placed, so that nothing is left for late ones.
 func (l *lane) hopeless(now Time, lead time.Duration, w *waiting) bool {
-	if len(l.fresh)+len(l.late) < hopelessFrom {
-		return false
-	}
 	placed := l.placed.now(now)
 	ahead := float64(slices.Index(l.fresh, w))
 	if ahead < placed*(w.Aim-lead-now).Seconds() {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -107,6 +107,9 @@
 	if !svc.Engine || longest > hopelessWait || s.share.Servers < 1 || w.Repeat {
 		return false
 	}
+	if len(l.fresh)+len(l.late) < s.policy.HopelessFrom {
+		return false
+	}
 	return l.hopeless(now, svc.lead.high(), w)
 }
 
@@ -226,7 +229,7 @@
 	if srv == nil || svc == nil {
 		return
 	}
-	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens}
+	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, MaxPause: a.MaxPause}
 	r := srv.start(now, svc, req)
 	r.ends = max(now, r.ends-a.Elapsed)
 	r.repaid = true // charged elsewhere
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -21,21 +22,23 @@
 type server struct {
 	Server
 	running     int
+	runs        []*run
 	tokens      int  // of memory, that the runs need
 	prefillFree Time // when the prompts placed so far are predicted to be read
 	tokenTime   time.Duration
 	failing     float64 // share of the newest answers that failed
 	failedAt    Time
 	benchUntil  Time
-	bench       time.Duration // next time out
+	timeOut     time.Duration // the first
+	bench       time.Duration // the next
 	fullUntil   Time
 	coldUntil   Time
 	lot         float64 // 0 to 1, drawn for this scheduler; see Scheduler.places
 	cache       partCache
 }
 
-func newServer(now Time, spec Server, svc *service) *server {
-	s := &server{Server: spec, tokenTime: svc.typicalTokenTime(), bench: benchFirst}
+func newServer(now Time, spec Server, svc *service, timeOut time.Duration) *server {
+	s := &server{Server: spec, tokenTime: svc.typicalTokenTime(), timeOut: timeOut, bench: timeOut}
 	s.coldUntil = now + spec.ColdFor
 	s.cache.capacity = svc.KVTokens
 	return s
@@ -50,7 +53,7 @@
 // Guard: a server that comes back from time out may still be gone. It gets one
 // request at a time until one was answered, not as many as it has places.
 func (s *server) room(now Time, limit int) bool {
-	if s.bench > benchFirst && s.running > 0 {
+	if s.bench > s.timeOut && s.running > 0 {
 		return false
 	}
 	return s.usable(now) && now >= s.fullUntil && s.running < limit
@@ -80,16 +83,6 @@
 	return p
 }
 
-// alone is how long r takes without others before it and nothing of its prompt
-// kept.
-func (s *server) alone(svc *service, r *Request) time.Duration {
-	if !svc.Engine {
-		return plainCall
-	}
-	tokens := float64(r.PromptTokens)*promptPerToken + float64(r.OutputTokens)
-	return time.Duration(tokens * float64(s.tokenTime))
-}
-
 // failureShare is the share of failures, faded by the time since the newest.
 func (s *server) failureShare(now Time) float64 {
 	if s.failing == 0 {
@@ -105,12 +98,15 @@
 	tokens := r.PromptTokens + r.OutputTokens
 	s.tokens += tokens
 	s.cache.use(now, r.Parts)
-	return &run{req: r, server: s, placed: now, ends: now + min(p.total, maxPredicted), tokens: tokens}
+	placed := &run{req: r, server: s, placed: now, ends: now + min(p.total, maxPredicted), tokens: tokens}
+	s.runs = append(s.runs, placed)
+	return placed
 }
 
 func (s *server) finish(r *run) {
 	s.running--
 	s.tokens -= r.tokens
+	s.runs = slices.DeleteFunc(s.runs, func(have *run) bool { return have == r })
 }
 
 // learn takes in how a run went. It reports whether the server is to be left
@@ -124,7 +120,7 @@
 	case OK:
 		s.failing = s.failureShare(now) * (1 - failureRate)
 		s.failedAt = now
-		s.bench = benchFirst
+		s.bench = s.timeOut
 	case Errored:
 		s.failed(now)
 	case Broken, Silent, Unreachable:
@@ -149,7 +145,7 @@
 		return
 	}
 	s.benchUntil = now + s.bench
-	s.bench = min(benchMost, 2*s.bench)
+	s.bench = min(timeOutDoublings*s.timeOut, 2*s.bench)
 }
 
 func (s *server) failed(now Time) {
--- /dev/null
+++ b/internal/sched/settings_test.go
@@ -0,0 +1,37 @@
+package sched
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/internal/failure"
+)
+
+var _ = Describe("the figures of a policy", func() {
+	It("are set by name, in their unit, and read back", func() {
+		p := DefaultPolicy()
+		Expect(p.Set("total-weight=0.5, late-behind=0,time-out=250,chooses-from=3")).To(Succeed())
+		Expect(p.TotalWeight).To(Equal(0.5))
+		Expect(p.LateBehind).To(BeFalse())
+		Expect(p.TimeOut).To(Equal(250 * ms))
+		Expect(p.ChoosesFrom).To(Equal(3))
+		Expect(p.Set("")).To(Succeed())
+	})
+
+	It("have defaults within their bounds, and values that switch them off", func() {
+		for _, s := range Settings() {
+			p := DefaultPolicy()
+			Expect(s.Value(p)).To(And(BeNumerically(">=", s.Least), BeNumerically("<=", s.Most)), s.Name)
+			if s.Off != "" {
+				Expect(p.Set(s.Name+"="+s.Off)).To(Succeed(), s.Name)
+			}
+		}
+	})
+
+	It("are refused with every fault named", func() {
+		p := DefaultPolicy()
+		err := p.Set("cap=0,wait-share=x,no-such=1,total-weight=NaN,total-weight=1")
+		Expect(failure.Is(err, failure.BadSetting)).To(BeTrue())
+		Expect(err.Error()).To(And(ContainSubstring("cap=0"), ContainSubstring("wait-share=x"), ContainSubstring("no-such"), ContainSubstring("NaN")))
+	})
+})
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -74,8 +74,9 @@
 	// stays until its deadline. Callers of streams leave well before that.
 	LeavesAt Time
 	Deadline Time
-	Repeat   bool     // draws on the service's retry budget
-	Avoid    []string // servers that were tried already
+	MaxPause time.Duration // longest between events of a stream that is on time, 0: any
+	Repeat   bool          // draws on the service's retry budget
+	Avoid    []string      // servers that were tried already
 }
 
 // Result tells how a run ended.
@@ -125,6 +126,7 @@
 	PromptTokens int
 	OutputTokens int
 	Elapsed      time.Duration
+	MaxPause     time.Duration
 }
 
 // Reason tells why a request is refused. Nothing of it ran.
