Engines' pace and their time to read prompts are learned faster and from what is seen

The share of a token's time that reading one prompt token takes was a constant of earlier customers' engines; it is learned by service from first events, with that constant as its start. The first pace of a server counts in full.

--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -84,7 +84,7 @@
 	if !svc.Engine {
 		return prediction{first: plainCall, total: plainCall}
 	}
-	prefill := time.Duration(float64(r.PromptTokens) * promptPerToken * float64(s.tokenTime))
+	prefill := time.Duration(float64(r.PromptTokens) * svc.readShare * float64(s.tokenTime))
 	first := prefill + s.tokenTime
 	return prediction{prefill: prefill, first: first, total: first + time.Duration(r.OutputTokens)*s.tokenTime}
 }
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -29,7 +29,7 @@
 		svc := s.services[spec.Name]
 		if svc == nil {
 			burst := s.policy.RetryBurst * s.share.Limits
-			svc = &service{retries: bucket{burst: burst, level: burst, at: now}}
+			svc = &service{retries: bucket{burst: burst, level: burst, at: now}, readShare: firstReadShare}
 			s.services[spec.Name] = svc
 		}
 		svc.Service = spec
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -71,7 +71,7 @@
 
 // missCost is what reading tokens of a prompt again is priced at.
 func (s *Scheduler) missCost(tokens int) time.Duration {
-	return time.Duration(float64(tokens) * promptPerToken * float64(defaultTokenTime) * s.policy.MissWeight)
+	return time.Duration(float64(tokens) * firstReadShare * float64(defaultTokenTime) * s.policy.MissWeight)
 }
 
 // places is how many requests srv may have at once from this scheduler. A part
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -96,10 +96,16 @@
 // one token for each running request; prompts are read between the steps.
 const (
 	defaultTokenTime = 6500 * time.Microsecond // of engines of middling speed
-	// promptPerToken is the time to read one prompt token as a part of the
-	// time to generate one.
-	promptPerToken = 1.0 / 250
-	plainCall      = 15 * time.Millisecond // a plain call at an idle server
+	// firstReadShare is the time to read one prompt token as a part of the time to
+	// generate one, until it is learned; of the engines seen it was 1/250 to 1/130.
+	firstReadShare = 1.0 / 250
+	leastReadShare = 1.0 / 2500
+	mostReadShare  = 1.0 / 25
+	// readRate is the weight of a new sample of it, learnsFrom the predicted reading
+	// from which a first event tells of it: below it other things take as long.
+	readRate   = 0.05
+	learnsFrom = 50 * time.Millisecond
+	plainCall  = 15 * time.Millisecond // a plain call at an idle server
 	// plainPenalty is FailurePenalty for a plain service: half of the time that
 	// its callers have.
 	plainPenalty = 300 * time.Millisecond
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -27,6 +27,9 @@
 	queue   queue
 	retries bucket
 	lead    spread // from a place to the first event or the whole answer
+	// readShare is what an engine takes to read one prompt token, as a part of what it
+	// takes to generate one.
+	readShare float64
 }
 
 // Share is the part that a scheduler has: all as the home, less as a host that
@@ -172,8 +175,11 @@
 		return nil
 	}
 	r.server.learn(now, o)
-	if svc := s.services[r.req.Service]; svc != nil && o.Result == OK && o.First > 0 {
-		svc.lead.add(o.First)
+	if svc := s.services[r.req.Service]; svc != nil && o.First > 0 {
+		svc.learnReading(r, o.First)
+		if o.Result == OK {
+			svc.lead.add(o.First)
+		}
 	}
 	if o.Result == Pace || o.Result == Stalled {
 		return nil
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -11,9 +11,10 @@
 	req    *Request
 	server *server
 	placed Time
-	ends   Time // predicted
-	tokens int  // of engine memory
-	orphan bool // its holder is gone; it ends by the clock
+	first  time.Duration // predicted, 0 when it has been learned from
+	ends   Time          // predicted
+	tokens int           // of engine memory
+	orphan bool          // its holder is gone; it ends by the clock
 	repaid bool
 }
 
@@ -26,6 +27,7 @@
 	tokens      int  // of memory, that the runs need
 	prefillFree Time // when the prompts placed so far are predicted to be read
 	tokenTime   time.Duration
+	paced       bool    // tokenTime was learned from it
 	failing     float64 // share of the newest answers that failed
 	failedAt    Time
 	benchUntil  Time
@@ -73,7 +75,7 @@
 	}
 	prompt := r.PromptTokens - s.cache.held(r.Parts)
 	var p prediction
-	p.prefill = time.Duration(float64(prompt) * promptPerToken * float64(s.tokenTime))
+	p.prefill = time.Duration(float64(prompt) * svc.readShare * float64(s.tokenTime))
 	p.first = max(0, s.prefillFree-now) + p.prefill + s.tokenTime
 	p.total = p.first + time.Duration(r.OutputTokens)*s.tokenTime
 	if now < s.coldUntil {
@@ -98,7 +100,7 @@
 	tokens := r.PromptTokens + r.OutputTokens
 	s.tokens += tokens
 	s.cache.use(now, r.Parts)
-	placed := &run{req: r, server: s, placed: now, ends: now + min(p.total, maxPredicted), tokens: tokens}
+	placed := &run{req: r, server: s, placed: now, first: p.first, ends: now + min(p.total, maxPredicted), tokens: tokens}
 	s.runs = append(s.runs, placed)
 	return placed
 }
@@ -113,8 +115,7 @@
 // alone for a while.
 func (s *server) learn(now Time, o Outcome) {
 	if o.Pace > 0 {
-		pace := min(max(o.Pace, minTokenTime), maxTokenTime)
-		s.tokenTime += time.Duration(float64(pace-s.tokenTime) * paceRate)
+		s.learnPace(min(max(o.Pace, minTokenTime), maxTokenTime))
 	}
 	switch o.Result {
 	case OK:
@@ -137,6 +138,17 @@
 	}
 }
 
+// learnPace takes in the time between output tokens of a run. The first sample
+// counts in full: engines differ several times in speed, and a home that has just
+// begun would send long prompts to slow ones until it has seen a dozen answers.
+func (s *server) learnPace(pace time.Duration) {
+	rate := paceRate
+	if !s.paced {
+		rate, s.paced = 1, true
+	}
+	s.tokenTime += time.Duration(float64(pace-s.tokenTime) * rate)
+}
+
 // leaveAlone takes the server out for a while, twice as long each time until
 // an answer arrives. Runs that were placed together fail together: they count
 // once.
