--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -11,8 +11,8 @@
 	inTime bool // its end before its deadline
 	onTime bool // its first event by its latency objective
 	pauses bool // no stream beside it paused for longer than is on time
-	// elsewhere is set when an idle server gives all that; then a request waits for
-	// one rather than take less.
+	// elsewhere is set when a usable server gives that when it is idle; then a request
+	// waits for one rather than take less.
 	elsewhere bool
 }
 
@@ -20,7 +20,7 @@
 // with nothing else to do. That of which even this one is too slow is not asked of
 // any.
 func (s *Scheduler) needs(now Time, svc *service, fastest *server, r *Request) need {
-	if slices.ContainsFunc(r.Avoid, func(id string) bool { return fastest != nil && fastest.ID == id }) {
+	if fastest != nil && slices.Contains(r.Avoid, fastest.ID) {
 		fastest = svc.fastest(now, r.Avoid...)
 	}
 	if fastest == nil {
--- a/internal/sched/floor.go
+++ b/internal/sched/floor.go
@@ -5,26 +5,26 @@
 	"time"
 )
 
-// work is the server time given out lately, in seconds; older work fades.
-type work struct {
+// serverTime is the time of servers given out lately, in seconds; older time fades.
+type serverTime struct {
 	seconds float64
 	at      Time
 }
 
-// workMemory is the time in which older work fades to a third: a few times what an
+// serverTimeMemory is the time in which older time fades to a third: a few times what an
 // answer takes, so that one long answer does not fill a lane's share for long.
-const workMemory = 2 * time.Second
+const serverTimeMemory = 2 * time.Second
 
-func (w *work) add(now Time, d time.Duration) {
-	w.seconds = w.now(now) + d.Seconds()
-	w.at = now
+func (t *serverTime) add(now Time, d time.Duration) {
+	t.seconds = t.now(now) + d.Seconds()
+	t.at = now
 }
 
-func (w *work) now(now Time) float64 {
-	return w.seconds * math.Exp(-float64(now-w.at)/float64(workMemory))
+func (t *serverTime) now(now Time) float64 {
+	return t.seconds * math.Exp(-float64(now-t.at)/float64(serverTimeMemory))
 }
 
-// work is the time of a server that r takes: of an engine the reading of its prompt,
+// work is the time of a server that r is expected to take: of an engine the reading of its prompt,
 // and its part of the steps that it shares with others.
 func (svc *service) work(r *Request) time.Duration {
 	if !svc.Engine || len(svc.servers) == 0 {
@@ -40,8 +40,8 @@
 const floorAfter = 0.25
 
 // floorPause is how long a lane is not looked at again after nobody in it could be
-// placed. Thousands may wait there for their accounts' quotas; looked at whenever a
-// place opens, they took ten times the processor time of all other decisions.
+// placed: thousands may wait there for their accounts' quotas, and places open
+// hundreds of times a second.
 const floorPause = 20 * time.Millisecond
 
 // fillShort places requests of the lanes that have had less than their share of the
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -92,11 +92,11 @@
 	return n
 }
 
-// choose returns the server of those offered at which r costs least, nil when it does better
-// to wait for another. Under load only one server has room as a rule, and it is a
-// slow one more often than not: a request that takes the first of them may be late
-// there, or make those beside it late, in vain. A server that r does not fit is
-// taken only if it fits no other, now or when that has room.
+// choose returns the server of those offered at which r costs least, nil when it
+// does better to wait for another. Under load only one server has room as a rule,
+// and often a slow one: a request that takes the first of them may be late there, or
+// make those beside it late, in vain. A server that r does not fit is taken only if
+// it fits no other, now or when that has room.
 func (s *Scheduler) choose(now Time, svc *service, o *offer, r *Request) *server {
 	var best *server
 	bestCost, bestFits := time.Duration(math.MaxInt64), false
@@ -105,10 +105,7 @@
 		return nil
 	}
 	for _, srv := range o.free {
-		if slices.Contains(r.Avoid, srv.ID) {
-			continue
-		}
-		if svc.KVTokens > 0 && srv.tokens+r.PromptTokens+r.OutputTokens > svc.KVTokens && srv.running > 0 {
+		if slices.Contains(r.Avoid, srv.ID) || !srv.hasMemory(svc, r) {
 			continue
 		}
 		fits := need.met(now, svc, srv, r)
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -24,7 +24,7 @@
 	late     []*waiting
 	arrived  rate // of requests
 	placed   rate
-	given    work // of the requests placed
+	given    serverTime // to the requests placed
 	// floorFrom is when the floor of this lane is looked at again.
 	floorFrom Time
 }
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -62,6 +62,12 @@
 	return s.usable(now) && now >= s.fullUntil && s.running < limit
 }
 
+// hasMemory reports whether an engine's memory holds r beside what runs there. One
+// that is larger than the memory is left to an idle engine to reject.
+func (s *server) hasMemory(svc *service, r *Request) bool {
+	return svc.KVTokens == 0 || s.running == 0 || s.tokens+r.PromptTokens+r.OutputTokens <= svc.KVTokens
+}
+
 // prediction is when a request placed now would show its first event and end.
 type prediction struct {
 	prefill time.Duration // of its own prompt
