--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -90,6 +90,27 @@
 		Expect(out[0].Server).To(Equal("e1"), "nothing runs beside it")
 	})
 
+	// Thousands wait before engines with room that fit none of them. Were all of them
+	// looked at whenever one more comes, the home of a large fleet had no time left and
+	// its callers waited for seconds. Whoever waits is looked at when a place opens, at
+	// that engine only, and with each tick.
+	It("is looked at again with the next tick, not whenever a request comes", func() {
+		s := newScheduler(2, 3)
+		s.servers["e0"].tokenTime, s.servers["e1"].tokenTime = 3*ms, 13*ms
+		for id := uint64(1); id < 4; id++ {
+			s.Submit(0, stream(id, 0, 0))
+		}
+		Expect(s.servers["e0"].running).To(Equal(3))
+		out, _ := s.Submit(0, ask(4, 500))
+		Expect(out[0].Server).To(Equal("e1"))
+		s.servers["e1"].prefillFree = 400 * ms
+		_, waits := s.Submit(0, ask(5, 4000))
+		Expect(waits).To(BeTrue())
+		out, _ = s.Submit(390*ms, ask(6, 100))
+		Expect(placed(out)).To(Equal([]uint64{6}))
+		Expect(placed(s.Tick(400 * ms))).To(Equal([]uint64{5}))
+	})
+
 	It("takes what there is when no engine is fast enough", func() {
 		s := fastAndSlow()
 		s.SetServers(0, []Server{{ID: "e1", Service: engine, Slots: 2}})
