What hosts give out alone is charged at the home when they follow again

The home is slow there; hosts take it for silent, give out their parts of the quota (0.7 over all), follow again, and the home goes on giving out the whole: nobody counts both together.

Change: a host adds up what its own loop gave out while it was not the home and tells the home as soon as it follows one; the account's bucket pays it back, with a debt of one burst at most. What did not run is taken off again.

Ruled out: a home that keeps back the parts of hosts that do not follow it. It would refuse callers below their limits after each loss of hosts; and the hosts that overspend follow it, on and off.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -87,8 +87,8 @@
 	done   chan sched.Decision
 }
 
-// Client asks for places on behalf of this host. mu guards next, pending,
-// link and local's share.
+// Client asks for places on behalf of this host. mu guards next, pending, link, leads
+// and charges.
 type Client struct {
 	self   ident.Incarnation
 	zone   string
@@ -101,6 +101,10 @@
 	next    uint64
 	pending map[uint64]*pending
 	link    *homeLink // the home that is followed; nil: decide here
+	leads   bool      // this host is the home and gives out the whole of each quota
+	// charges is what this host's own loop gave out of accounts' quotas while it was not,
+	// and the home has not been told.
+	charges map[string]int
 }
 
 // NewClient makes the asking side. Its DeliverLocal must get the loop's
@@ -108,6 +112,7 @@
 func NewClient(self ident.Incarnation, zone string, loop *Loop, leaving func(server string) bool, events *event.Recorder) *Client {
 	return &Client{
 		self: self, zone: zone, loop: loop, events: events, leaving: leaving, pending: map[uint64]*pending{},
+		charges: map[string]int{},
 	}
 }
 
@@ -198,9 +203,49 @@
 		p.via.finish(o)
 		return
 	}
+	if result.NotRun() {
+		c.charge(p.ask, -1)
+	}
 	c.local(func(now sched.Time, s *sched.Scheduler) []sched.Decision { return s.Finish(now, o) })
 }
 
+// charge counts a place of this host's own loop, or one that was not used with times -1.
+// The caller holds mu.
+func (c *Client) charge(ask *Ask, times int) {
+	if !c.leads && ask.Account != "" && ask.Units > 0 {
+		c.charges[ask.Account] += times * ask.Units
+	}
+}
+
+// lead notes whether this host gives out the whole of each quota, and so owes nothing to
+// another one.
+func (c *Client) lead(leads bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leads = leads
+	if leads {
+		clear(c.charges)
+	}
+}
+
+// tellCharges tells the home that is followed what this host gave out by itself.
+func (c *Client) tellCharges(l *homeLink) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != l {
+		return
+	}
+	m := &wire.ToHome{}
+	for account, units := range c.charges {
+		if units != 0 {
+			m.Charges = append(m.Charges, &wire.Charge{Account: account, Units: int64(units)})
+		}
+	}
+	if len(m.Charges) > 0 && l.push(m) {
+		clear(c.charges)
+	}
+}
+
 // Blame tells that a server failed a request that another one then answered.
 func (c *Client) Blame(server string) {
 	c.mu.Lock()
@@ -257,6 +302,9 @@
 		return
 	}
 	p.placed, p.server, p.acked = now, d.Server, true
+	if via == nil {
+		c.charge(p.ask, 1)
+	}
 	p.done <- d
 }
 
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -123,6 +123,9 @@
 		for _, server := range m.Blamed {
 			s.Blame(now, server)
 		}
+		for _, c := range m.Charges {
+			s.Charge(now, c.Account, float64(c.Units))
+		}
 		for _, id := range m.Withdrawn {
 			out = append(out, s.Withdraw(now, sched.Key{Holder: l.holder, ID: id})...)
 		}
--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -201,3 +201,58 @@
 		Expect(h.via(id)).To(BeNil())
 	})
 })
+
+var _ = Describe("what a host gives out while its home is silent", func() {
+	// An account runs a twentieth more than its quota on a calm day. The home was slow:
+	// hosts took it for silent again and again and gave out their parts of the quota,
+	// while it went on giving out the whole.
+	It("is charged to the account when the host follows a home again", func() {
+		c, loop := hostOf(never, "a")
+		loop.Do(func(now sched.Time, s *sched.Scheduler) {
+			s.SetAccounts(now, []sched.Account{{Name: "acc", Rate: 1000, Burst: 1000}})
+		})
+		a := ask()
+		a.Account, a.Units = "acc", 300
+		place, err := c.Acquire(context.Background(), a)
+		Expect(err).NotTo(HaveOccurred())
+		c.Finish(place.ID, sched.OK, time.Millisecond, 0)
+		l := &homeLink{out: ring.New[*wire.ToHome](8)}
+		c.tellCharges(l)
+		Expect(l.out.Drain(nil)).To(BeEmpty(), "no home is followed yet")
+		c.follow(l)
+		c.tellCharges(l)
+		c.tellCharges(l)
+		told := l.out.Drain(nil)
+		Expect(told).To(HaveLen(1))
+		Expect(told[0].Charges).To(ConsistOf(And(HaveField("Account", "acc"), HaveField("Units", int64(300)))))
+	})
+
+	It("is not charged when it did not run", func() {
+		c, loop := hostOf(never, "a")
+		loop.Do(func(now sched.Time, s *sched.Scheduler) {
+			s.SetAccounts(now, []sched.Account{{Name: "acc", Rate: 1000, Burst: 1000}})
+		})
+		a := ask()
+		a.Account, a.Units = "acc", 300
+		place, err := c.Acquire(context.Background(), a)
+		Expect(err).NotTo(HaveOccurred())
+		c.Finish(place.ID, sched.Rejected, 0, 0)
+		Expect(c.charges["acc"]).To(BeZero())
+	})
+
+	It("is paid back at the home", func() {
+		h, loop := homeFor()
+		loop.Do(func(now sched.Time, s *sched.Scheduler) {
+			s.SetAccounts(now, []sched.Account{{Name: "acc", Rate: 1, Burst: 1000}})
+		})
+		e := linkTo(h)
+		e.say(&wire.ToHome{Charges: []*wire.Charge{{Account: "acc", Units: 700}}})
+		a := ask()
+		a.Account, a.Units = "acc", 300
+		e.say(&wire.ToHome{Asks: []*wire.Ask{encodeAsk(time.Now(), 1, a)}})
+		m := &wire.ToHolder{}
+		Expect(e.conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		Expect(wire.Read(e.r, m)).To(Succeed())
+		Expect(m.Refusals).To(ConsistOf(HaveField("Reason", uint32(sched.Quota))))
+	})
+})
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -192,6 +192,7 @@
 	if all := live + silent; 2*live < all {
 		share.Limits = float64(live) / float64(all)
 	}
+	f.client.lead(share.Limits == 1)
 	f.setShare(share)
 }
 
@@ -207,6 +208,7 @@
 
 // alone sets the share of a host that decides for itself.
 func (f *Follower) alone() {
+	f.client.lead(false)
 	live, silent := f.count()
 	n, age := max(live+silent, f.listed()), time.Since(f.started)
 	if n == 1 && age < lonelyTime || f.listed() == 0 && age < settleTime {
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -98,6 +98,7 @@
 	if !open && w.pingDue(now) {
 		w.send(now)
 	}
+	w.client.tellCharges(w.link)
 	return moved
 }
 
--- a/internal/sched/bucket.go
+++ b/internal/sched/bucket.go
@@ -60,6 +60,13 @@
 	b.level -= units
 }
 
+// charge takes what was used elsewhere. It may leave a debt of one burst at most: what
+// was used longer ago is past the time over which quotas are counted.
+func (b *bucket) charge(now Time, units float64) {
+	b.refill(now)
+	b.level = min(b.burst, max(b.level-units, min(b.level, -b.burst)))
+}
+
 func (b *bucket) give(now Time, units float64) {
 	b.refill(now)
 	b.level = min(b.burst, b.level+units)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -163,6 +163,19 @@
 	s.out = append(s.out, Decision{Key: w.Key, Server: srv.ID, Address: srv.Address, Waited: now - w.asked})
 }
 
+// Charge takes units from an account for what another host placed by itself, or gives
+// them back when they are below 0.
+//
+// Guard: a host whose home is silent has a part of each quota of its own, while the home
+// goes on giving out the whole. A home that is slow loses its followers again and again,
+// and accounts ran a twentieth more than their limits; so what hosts gave out alone is
+// charged here as soon as they follow again, and the account pays it back.
+func (s *Scheduler) Charge(now Time, account string, units float64) {
+	if b := s.accounts[account]; b != nil {
+		b.charge(now, units)
+	}
+}
+
 // quotaWait is how long the account of r has to wait until it may run.
 func (s *Scheduler) quotaWait(now Time, r *Request) time.Duration {
 	b := s.accounts[r.Account]
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -201,7 +201,7 @@
 	if o.Result == Pace || o.Result == Stalled {
 		return nil
 	}
-	if o.Result == Unused || o.Result == Unreachable || o.Result == Rejected || o.Result == Gone {
+	if o.Result.NotRun() {
 		s.repay(now, r)
 	}
 	s.drop(r)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -110,6 +110,11 @@
 	Stalled
 )
 
+// NotRun reports whether nothing ran, so that the account is given back its units.
+func (r Result) NotRun() bool {
+	return r == Unused || r == Unreachable || r == Rejected || r == Gone
+}
+
 // Outcome reports on a run.
 type Outcome struct {
 	Key
