Plain services get places for calls on their way

Change: how long a place is taken beyond the call itself is learned, and servers of plain services get as many more places, at most half of their slots. What a plain call takes is learned too, in place of a constant of 15 ms.

--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -145,7 +145,7 @@
 // generates a token in tokenTime and keeps nothing of its prompt.
 func (svc *service) firstAt(tokenTime time.Duration, r *Request) time.Duration {
 	if !svc.Engine {
-		return plainCall
+		return svc.callTime()
 	}
 	return time.Duration((float64(r.PromptTokens)*svc.readShare + 1) * float64(tokenTime))
 }
--- a/internal/sched/floor.go
+++ b/internal/sched/floor.go
@@ -28,7 +28,7 @@
 // and its part of the steps that it shares with others.
 func (svc *service) work(r *Request) time.Duration {
 	if !svc.Engine || len(svc.servers) == 0 {
-		return plainCall
+		return svc.callTime()
 	}
 	slots := float64(max(1, svc.servers[0].Slots))
 	tokens := float64(r.PromptTokens)*svc.readShare + float64(r.OutputTokens)/slots
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -38,7 +38,7 @@
 		return false
 	}
 	s.place(now, svc, srv, w)
-	o.taken(now, svc, srv, srv.room(now, s.places(srv)))
+	o.taken(now, svc, srv, srv.room(now, s.places(svc, srv)))
 	return true
 }
 
@@ -46,7 +46,7 @@
 func (s *Scheduler) withRoom(now Time, svc *service) []*server {
 	var free []*server
 	for _, srv := range svc.servers {
-		if srv.room(now, s.places(srv)) {
+		if srv.room(now, s.places(svc, srv)) {
 			free = append(free, srv)
 		}
 	}
@@ -83,8 +83,12 @@
 // of a place is met by lot: of many hosts that each have a tenth of a place,
 // about one in ten uses the server. Were each to use one place, 72 hosts that
 // have lost their home would fill a server of 6 places twelve times over.
-func (s *Scheduler) places(srv *server) int {
-	share := s.policy.Cap * s.share.Servers * float64(srv.Slots)
+func (s *Scheduler) places(svc *service, srv *server) int {
+	slots := float64(srv.Slots)
+	if s.policy.Handovers {
+		slots += svc.handoverPlaces(srv)
+	}
+	share := s.policy.Cap * s.share.Servers * slots
 	n := int(share)
 	if srv.lot < share-float64(n) {
 		n++
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -76,6 +76,9 @@
 	// served on the heaviest day where 0.60 of all were, and 0.18 of 0.59 with a floor
 	// of 0.05. More costs the urgent kinds more than it brings.
 	FloorShare float64
+	// Handovers gives servers of plain services more places than slots, so that no slot
+	// stands still while a place changes hands; see handoverPlaces.
+	Handovers bool
 	// TimeOut is how long a server that does not answer is left alone at first; each
 	// time without an answer between doubles it, up to four times.
 	TimeOut time.Duration
@@ -103,6 +106,7 @@
 		SparePauses:    true,
 		ConnectCost:    120 * time.Millisecond,
 		FloorShare:     0.05,
+		Handovers:      true,
 		TimeOut:        1500 * time.Millisecond,
 	}
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -23,11 +23,12 @@
 // service is a service with its queue.
 type service struct {
 	Service
-	servers []*server
-	queue   queue
-	retries bucket
-	lead    spread        // from a place to the first event or the whole answer
-	typical time.Duration // typicalTokenTime as worked out, 0 when it may have changed
+	servers  []*server
+	queue    queue
+	retries  bucket
+	lead     spread        // from a place to the first event or the whole answer
+	typical  time.Duration // typicalTokenTime as worked out, 0 when it may have changed
+	handover spread        // of a plain call's place, beyond the time that its server has it
 	// readShare is what an engine takes to read one prompt token, as a part of what it
 	// takes to generate one.
 	readShare float64
@@ -196,6 +197,7 @@
 		svc.learnReading(r, o.First)
 		if o.Result == OK {
 			svc.lead.add(o.First)
+			svc.learnHandover(now-r.placed, o.First)
 		}
 	}
 	if o.Result == Pace || o.Result == Stalled {
@@ -206,7 +208,7 @@
 	}
 	s.drop(r)
 	listed := s.servers[r.server.ID] == r.server
-	if svc := s.services[r.req.Service]; svc != nil && listed && r.server.room(now, s.places(r.server)) {
+	if svc := s.services[r.req.Service]; svc != nil && listed && r.server.room(now, s.places(svc, r.server)) {
 		s.fill(now, svc, []*server{r.server})
 	}
 	return s.out
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -77,7 +77,7 @@
 
 func (s *server) predict(now Time, svc *service, r *Request) prediction {
 	if !svc.Engine {
-		d := plainCall * time.Duration(s.running+s.Slots) / time.Duration(max(1, s.Slots))
+		d := svc.callTime() * time.Duration(s.running+s.Slots) / time.Duration(max(1, s.Slots))
 		return prediction{first: d, total: d}
 	}
 	prompt := r.PromptTokens - s.cache.held(r.Parts)
