--- a/cmd/gentianlab/policies.go
+++ b/cmd/gentianlab/policies.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "LOAD\tPOLICY\tKIND\tIN TIME\tSERVED\tLATE")
+	fmt.Fprintln(w, "LOAD\tPOLICY\tKIND\tIN TIME\tSERVED\tLATE\tLARGEST TENTH SERVED")
 	for _, l := range loads {
 		for _, figures := range append([]string{""}, c.Args().Slice()...) {
 			p := sched.DefaultPolicy()
@@ -42,7 +42,7 @@
 				return err
 			}
 			for _, r := range experiment.Rows(l, p, c.Int("seeds")) {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", l.Name, named(figures), r.Kind, cell(r.InTime), cell(r.Served), cell(r.Late))
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", l.Name, named(figures), r.Kind, cell(r.InTime), cell(r.Served), cell(r.Late), cell(r.LargestServed))
 			}
 		}
 	}
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -25,6 +25,8 @@
 	o.Left += other.Left
 	o.Cut += other.Cut
 	o.Paused += other.Paused
+	o.sizes = append(o.sizes, other.sizes...)
+	o.whole = append(o.whole, other.whole...)
 }
 
 // Figure is a mean over seeds with half the width of its interval of 95%.
@@ -34,6 +36,7 @@
 type Row struct {
 	Kind                 string
 	InTime, Served, Late Figure
+	LargestServed        Figure // of the largest tenth
 }
 
 // Rows plays a load over seeds and returns a row a kind.
@@ -53,7 +56,8 @@
 		}
 		rows[k] = Row{
 			Kind: l.Kinds[k].Name, InTime: of(Outcome.InTime), Served: of(Outcome.Served),
-			Late: of(func(o Outcome) float64 { return share(o.Late, o.Asked) }),
+			LargestServed: of(Outcome.LargestServed),
+			Late:          of(func(o Outcome) float64 { return share(o.Late, o.Asked) }),
 		}
 	}
 	return rows
--- a/internal/experiment/day.go
+++ b/internal/experiment/day.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/engine"
@@ -34,11 +35,32 @@
 	Refused, Left, Cut int
 	// Paused are those of Late whose first event was in time.
 	Paused int
+	// sizes are those of all requests, whole those of the whole answers: tokens read and
+	// ten times those generated, as both take an engine's time.
+	sizes, whole []float64
 }
 
 // Served is the share of whole answers.
 func (o Outcome) Served() float64 { return share(o.OnTime+o.Late, o.Asked) }
 
+// LargestServed is the share of whole answers among the largest tenth.
+func (o Outcome) LargestServed() float64 {
+	if len(o.sizes) == 0 {
+		return 1
+	}
+	sizes := slices.Sorted(slices.Values(o.sizes))
+	from := sizes[len(sizes)*9/10]
+	count := func(of []float64) (n int) {
+		for _, size := range of {
+			if size >= from {
+				n++
+			}
+		}
+		return n
+	}
+	return share(count(o.whole), count(o.sizes))
+}
+
 // InTime is the share that was on time.
 func (o Outcome) InTime() float64 { return share(o.OnTime, o.Asked) }
 
@@ -65,6 +87,8 @@
 	events  int
 }
 
+func (r *request) size() float64 { return float64(r.prompt + 10*r.output) }
+
 // day is one play of a load.
 type day struct {
 	load    *Load
@@ -131,6 +155,7 @@
 	}
 	r.hint = 1 + int(float64(r.output)*math.Exp(d.load.HintError*d.rng.NormFloat64()))
 	d.result[k].Asked++
+	d.result[k].sizes = append(d.result[k].sizes, r.size())
 	gap := d.rng.ExpFloat64() / d.load.rate(now)
 	if next := now + time.Duration(gap*float64(time.Second)); next < d.load.Lasts {
 		d.at(next, d.arrive)
@@ -255,6 +280,9 @@
 			out.Paused++
 		}
 	}
+	if now <= r.started+kind.Deadline {
+		out.whole = append(out.whole, r.size())
+	}
 	o := sched.Outcome{Key: sched.Key{Holder: holder, ID: id}, Result: sched.OK, First: r.first}
 	if r.events > 2 {
 		stride := d.load.Engines[0].Stride
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -102,5 +102,31 @@
 	return l
 }
 
+// LongAnswers is the load of a large fleet before many small engines: 156 of 4 slots, a
+// third of them 2.8 times slower, and a swap platform's appraisals, digests and chats. The
+// chats are the least urgent and generate more than half of all tokens; a tenth of them
+// is ten times as long as the middle. For ten seconds they come 2.4 times as often, in the
+// middle of bursts of everything.
+func LongAnswers() *Load {
+	const ms = time.Millisecond
+	fast := engine.Spec{
+		Slots: 4, Step: 3690 * time.Microsecond, StepPerRun: 21 * time.Microsecond,
+		Read: 15 * time.Microsecond, Piece: 4096, Stride: 3,
+	}
+	return &Load{
+		Name: "long-answers",
+		Kinds: []Kind{
+			{Name: "appraisals", Priority: 0, Share: 0.34, Prompt: 1750, PromptSpread: 1, PromptMost: 18_300, Output: 17, OutputSpread: 1.5, OutputMost: 510, Aim: 800 * ms, MaxPause: 500 * ms, Deadline: 6 * time.Second, Patience: 4 * time.Second},
+			{Name: "digests", Priority: 1, Share: 0.40, Prompt: 770, PromptSpread: 1.3, PromptMost: 6870, Output: 7, OutputSpread: 1.5, OutputMost: 225, Aim: 800 * ms, MaxPause: 500 * ms, Deadline: 4 * time.Second, Patience: 4 * time.Second},
+			{Name: "chats", Priority: 2, Share: 0.26, Prompt: 365, PromptSpread: 0.9, PromptMost: 2310, Output: 91, OutputSpread: 1.5, OutputMost: 2790, Aim: 600 * ms, MaxPause: 500 * ms, Deadline: 15 * time.Second, Patience: 4 * time.Second},
+		},
+		Engines:   fleet(156, fast, 2.8),
+		Rate:      1900,
+		Bursts:    []Burst{{At: 2 * time.Second, For: 5 * time.Second, Times: 1.6}, {At: 11 * time.Second, For: 4 * time.Second, Times: 1.9}},
+		Lasts:     20 * time.Second,
+		HintError: 0.5,
+	}
+}
+
 // Loads lists the loads by name.
-func Loads() []*Load { return []*Load{UnlikeEngines(), LongOverload()} }
+func Loads() []*Load { return []*Load{UnlikeEngines(), LongOverload(), LongAnswers()} }
