A host that follows a home knows its parts for when that falls silent

Cause, from the log: since the change to joining, a host that starts has next to nothing of the quotas until it has settled; one that finds its home at once kept that share, for the share was worked out only on losing a home. Change: it is worked out while the home is followed too, when the number of hosts has changed by a tenth.

--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -72,6 +72,36 @@
 		Expect(followerWith(time.Minute, 6, 3, 2, lead).Limits).To(Equal(1.0))
 	})
 
+	// The home freezes a moment after a fleet has started. A parent at a locker is told
+	// that the account is over its quota, which it is far from. The host that says so had
+	// found the home before it knew how many hosts there are.
+	It("is an even part for a host that follows a home since its start, when it knows the fleet", func() {
+		var early sched.Share
+		late := followerWith(0, 0, 5, 0, func(f *Follower) {
+			set := f.setShare
+			f.setShare = func(s sched.Share) { early = s }
+			f.alone()
+			f.setShare = set
+			f.started = time.Now().Add(-time.Minute)
+			f.keepShare()
+		})
+		Expect(early.Limits).To(BeNumerically("<", 1.0/390))
+		Expect(late.Limits).To(BeNumerically("~", aloneLimits/6, 0.01))
+	})
+	It("does not change with every host that comes or goes", func() {
+		sets := 0
+		followerWith(time.Minute, 100, 5, 0, func(f *Follower) {
+			f.alone()
+			was := f.setShare
+			f.setShare = func(s sched.Share) { sets++; was(s) }
+			f.listed = func() int { return 105 }
+			f.keepShare()
+			f.listed = func() int { return 120 }
+			f.keepShare()
+		})
+		Expect(sets).To(Equal(1))
+	})
+
 	It("is less than an even part of the limits for a host alone", func() {
 		got := followerWith(time.Minute, 6, 5, 0, func(f *Follower) { f.alone() })
 		Expect(got.Limits).To(BeNumerically("<", 1.0/6))
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -63,6 +63,7 @@
 	// listed is how many hosts others or the store tell of, 0 when it is not known.
 	listed  func() int
 	started time.Time
+	hosts   int // that the share of a host alone was worked out for, 0: not known then
 	// setShare is told which part of all servers and quotas the loop of this
 	// host has: all as the home, less when it decides for itself.
 	setShare func(sched.Share)
@@ -130,6 +131,9 @@
 			link = f.dial(ctx, want)
 			home = want
 		}
+		if link != nil {
+			f.keepShare()
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -211,7 +215,9 @@
 	f.client.lead(false)
 	live, silent := f.count()
 	n, age := max(live+silent, f.listed()), time.Since(f.started)
+	f.hosts = n
 	if n == 1 && age < lonelyTime || f.listed() == 0 && age < settleTime {
+		f.hosts = 0
 		f.setShare(sched.Share{Servers: aloneServers / unknownHosts, Limits: unknownLimits})
 		return
 	}
@@ -219,6 +225,24 @@
 	f.setShare(sched.Share{Servers: min(1, aloneServers*even), Limits: aloneLimits * even})
 }
 
+// shareChange is the factor by which the number of hosts must change for the share of a
+// host that follows a home to be worked out anew.
+const shareChange = 1.1
+
+// keepShare works out the share of a host that follows a home, for when that falls silent.
+//
+// Guard: a host knows little of the fleet when it starts and has next to nothing of the
+// quotas then. One that found its home at once kept that share, and when the home froze
+// its callers were told that their accounts were over their quotas.
+func (f *Follower) keepShare() {
+	live, silent := f.count()
+	n := float64(max(live+silent, f.listed()))
+	was := float64(f.hosts)
+	if n > was*shareChange || was > n*shareChange {
+		f.alone()
+	}
+}
+
 // count returns how many hosts answer, this one included, and how many fell
 // silent lately without proof of their end.
 func (f *Follower) count() (live, silent int) {
