The next of the ranking takes over from a lost home within a second

Change: a host that has lost its home turns to the next of the ranking for three seconds. A host that others have turned to leads as soon as it has lost the home itself and most hosts have a link to it, with their part of the quotas; a home that most have left has the part of the rest. Whoever is asked says whether it leads; before that nothing is asked there. Hosts that take over next hear every 2 s what the home has learned of engines' speeds (measured after it).

Ruled out: quicker probes of the membership, which cost each host and take hosts for dead that stand still for 0.3 s, as hosts with a quota of processor time do; a vote of the followers, which turns hosts that have just started against a home they do not know yet.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -71,8 +71,8 @@
 	// holder that was frozen wakes with places whose servers may have left.
 	staleAfter   = 500 * time.Millisecond
 	redialPeriod = 250 * time.Millisecond
-	// startPeriod is the same for a host that has just started and learns of
-	// others from one moment to the next.
+	// startPeriod is the same for a host that has just started or lost its home, and
+	// learns of others from one moment to the next.
 	startPeriod = 50 * time.Millisecond
 )
 
@@ -228,6 +228,19 @@
 	}
 }
 
+// taught takes over what the home has learned of servers.
+func (c *Client) taught(paces []*wire.Pace) {
+	if len(paces) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.local(func(_ sched.Time, s *sched.Scheduler) []sched.Decision {
+		s.Teach(decodePaces(paces))
+		return nil
+	})
+}
+
 // tellCharges tells the home that is followed what this host gave out by itself.
 func (c *Client) tellCharges(l *homeLink) {
 	c.mu.Lock()
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -75,6 +75,22 @@
 	}
 }
 
+func encodePaces(learned []sched.Learned) []*wire.Pace {
+	out := make([]*wire.Pace, 0, len(learned))
+	for _, l := range learned {
+		out = append(out, &wire.Pace{Server: l.Server, TokenUs: uint32(l.TokenTime.Microseconds())})
+	}
+	return out
+}
+
+func decodePaces(paces []*wire.Pace) []sched.Learned {
+	out := make([]sched.Learned, 0, len(paces))
+	for _, p := range paces {
+		out = append(out, sched.Learned{Server: p.Server, TokenTime: time.Duration(p.TokenUs) * time.Microsecond})
+	}
+	return out
+}
+
 // addDecision puts a decision into the message for its holder.
 func addDecision(m *wire.ToHolder, d sched.Decision) {
 	if d.Reason != 0 {
--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -10,6 +10,7 @@
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/ident"
 	"github.com/gentianflow/gentianflow/internal/member"
+	"github.com/gentianflow/gentianflow/internal/ring"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/wire"
 )
@@ -28,14 +29,15 @@
 	}
 	var got sched.Share
 	c := NewClient(ident.Incarnation(self), "z", NewLoop(sched.DefaultPolicy(), events, func([]sched.Decision) {}), never, events)
-	f := NewFollower(c, members, nil, events, func() int { return listed }, func(s sched.Share) { got = s })
+	f := NewFollower(c, members, nil, NewHome(c.loop), events, func() int { return listed }, func(s sched.Share) { got = s })
+	f.followers = func() int { return live }
 	f.started = time.Now().Add(-age)
 	set(f)
 	return got
 }
 
 var _ = Describe("the share of a host that schedules", func() {
-	lead := func(f *Follower) { f.lead() }
+	lead := func(f *Follower) { f.lead(false) }
 
 	It("is everything for a home that has settled", func() {
 		Expect(followerWith(time.Minute, 3, 2, 0, lead)).To(Equal(sched.Share{Servers: 1, Limits: 1}))
@@ -106,4 +108,73 @@
 		got := followerWith(time.Minute, 6, 5, 0, func(f *Follower) { f.alone() })
 		Expect(got.Limits).To(BeNumerically("<", 1.0/6))
 	})
+
+	// The home loses its power in a burst. Each host decides alone until the membership
+	// has found it dead, three seconds later, and a third as many callers are served.
+	Context("after the home was lost", func() {
+		const hosts = 10
+		follow := func(followers int, takesOver bool) sched.Share {
+			return followerWith(time.Minute, hosts, hosts-1, 0, func(f *Follower) {
+				f.followers = func() int { return followers }
+				f.lead(takesOver)
+			})
+		}
+		It("is that of a host alone while few have turned to it", func() {
+			Expect(follow(2, true).Servers).To(Equal(aloneServers / hosts))
+		})
+		It("is the part of those that have turned to it", func() {
+			Expect(follow(7, true)).To(Equal(sched.Share{Servers: 1, Limits: 0.8}))
+		})
+		It("is the part of the rest for a home that most have left", func() {
+			Expect(follow(2, false)).To(Equal(sched.Share{Servers: 0.3, Limits: 0.3}))
+		})
+	})
+})
+
+var _ = Describe("the home that a host follows", func() {
+	It("is the next of the ranking for some seconds after the first was lost", func() {
+		followerWith(time.Minute, 0, 3, 0, func(f *Follower) {
+			now := time.Now()
+			ranked := ReadersOf(f.members)
+			lost := ranked[0]
+			if lost.Incarnation == ident.Incarnation(self) {
+				lost = ranked[1]
+			}
+			f.distrust.add(now, lost.Incarnation)
+			for at := now; at.Before(now.Add(distrustTime)); at = at.Add(distrustTime / 4) {
+				want, ok := f.want(at)
+				Expect(ok).To(BeTrue())
+				Expect(want.Incarnation).NotTo(Equal(lost.Incarnation))
+			}
+			want, _ := f.want(now.Add(distrustTime))
+			Expect(want.Incarnation).To(Equal(ranked[0].Incarnation))
+		})
+	})
+
+	// A host turns to one that has not lost the home itself yet. What it asks there would
+	// wait behind the small part of the servers that a host alone has.
+	It("is not asked for places before it leads", func() {
+		h, loop := homeFor()
+		e := linkTo(h)
+		answer := func() *wire.ToHolder {
+			m := &wire.ToHolder{}
+			Expect(e.conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+			Expect(wire.Read(e.r, m)).To(Succeed())
+			return m
+		}
+		e.say(&wire.ToHome{Ping: 1})
+		Expect(answer().Leads).To(BeFalse())
+		h.Lead(true)
+		Expect(answer()).To(And(HaveField("Leads", true), HaveField("Pong", uint32(0))), "told without being asked")
+
+		c, _ := hostOf(never, "a")
+		f := &Follower{client: c, events: loop.events}
+		l := &homeLink{out: ring.New[*wire.ToHome](8)}
+		f.answered(l, false)
+		Expect(c.link).To(BeNil())
+		f.answered(l, true)
+		Expect(c.link).To(Equal(l))
+		f.answered(l, false)
+		Expect(c.link).To(BeNil())
+	})
 })
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -22,6 +22,7 @@
 // loop and sends them the decisions. mu guards links.
 type Home struct {
 	loop  *Loop
+	leads atomic.Bool // this host schedules for all that follow it
 	mu    sync.Mutex
 	links map[uint64]*holderLink // by incarnation of the holder
 }
@@ -68,6 +69,62 @@
 	h.detach(l)
 }
 
+// Lead tells whether this host schedules for all that follow it. Those that have a link
+// here hear at once when it begins to.
+func (h *Home) Lead(leads bool) {
+	if h.leads.Swap(leads) == leads || !leads {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range h.links {
+		l.send(&wire.ToHolder{Leads: true})
+	}
+}
+
+// teachPeriod is how often hosts that may take over hear what the home has learned. With
+// 630 servers it is 7 KB a second for each.
+const teachPeriod = 2 * time.Second
+
+// TeachNext tells the hosts that next names what this one has learned of servers, while it
+// leads and until ctx ends.
+func (h *Home) TeachNext(ctx context.Context, next func() []uint64) {
+	tick := time.NewTicker(teachPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		if !h.leads.Load() {
+			continue
+		}
+		h.loop.Do(func(_ sched.Time, s *sched.Scheduler) { h.teach(next(), s.Learned()) })
+	}
+}
+
+func (h *Home) teach(holders []uint64, learned []sched.Learned) {
+	if len(learned) == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, holder := range holders {
+		if l := h.links[holder]; l != nil {
+			l.send(&wire.ToHolder{Paces: encodePaces(learned)})
+		}
+	}
+}
+
+// Followers counts the hosts that have a link here: they follow this host, or will when it
+// leads.
+func (h *Home) Followers() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.links)
+}
+
 // attach makes l the link of its holder; an older one is cut, and what it had
 // booked is dropped as if the holder were gone.
 //
@@ -114,6 +171,9 @@
 		}
 		var out []sched.Decision
 		reply := &wire.ToHolder{Pong: m.Ping}
+		if m.Ping != 0 {
+			reply.Leads = h.leads.Load()
+		}
 		for _, r := range m.Running {
 			s.Adopt(now, decodeRunning(l.holder, r))
 		}
--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -256,3 +256,27 @@
 		Expect(m.Refusals).To(ConsistOf(HaveField("Reason", uint32(sched.Quota))))
 	})
 })
+
+var _ = Describe("a host that takes over from a lost home", func() {
+	// In the seconds after the home was lost long prompts went to engines three times
+	// slower than others: the new home knew none of them.
+	It("knows the speeds that the home had learned", func() {
+		h, loop := homeFor()
+		loop.Do(func(now sched.Time, s *sched.Scheduler) {
+			s.Teach([]sched.Learned{{Server: "a", TokenTime: 11 * time.Millisecond}})
+		})
+		e := linkTo(h)
+		e.say(&wire.ToHome{Ping: 1})
+		m := &wire.ToHolder{}
+		Expect(e.conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		Expect(wire.Read(e.r, m)).To(Succeed())
+		loop.Do(func(_ sched.Time, s *sched.Scheduler) { h.teach([]uint64{self}, s.Learned()) })
+		Expect(wire.Read(e.r, m)).To(Succeed())
+
+		c, next := hostOf(never, "a")
+		c.taught(m.Paces)
+		var learned []sched.Learned
+		next.Query(context.Background(), func(s *sched.Scheduler) { learned = s.Learned() })
+		Expect(learned).To(ConsistOf(sched.Learned{Server: "a", TokenTime: 11 * time.Millisecond}))
+	})
+})
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/ident"
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/ring"
@@ -17,11 +19,13 @@
 // homeLink is a holder's stream to its home.
 type homeLink struct {
 	host   string
+	inc    ident.Incarnation
 	stream *peer.Stream
 	out    *ring.Ring[*wire.ToHome]
 	ponged atomic.Uint32 // newest ping that was answered
 	opened time.Time
 	heard  atomic.Int64  // when anything came last, nanoseconds since opened
+	led    atomic.Bool   // its newest answer said that it schedules for all
 	ended  chan struct{} // closed when the stream has broken
 }
 
@@ -61,19 +65,24 @@
 	sessions Sessions
 	events   *event.Recorder
 	// listed is how many hosts others or the store tell of, 0 when it is not known.
-	listed  func() int
-	started time.Time
-	hosts   int // that the share of a host alone was worked out for, 0: not known then
+	listed func() int
+	// leads tells the home's side of this host that it schedules for all, followers counts
+	// the hosts that follow it.
+	leads     func(bool)
+	followers func() int
+	started   time.Time
+	distrust  distrust
+	hosts     int // that the share of a host alone was worked out for, 0: not known then
 	// setShare is told which part of all servers and quotas the loop of this
 	// host has: all as the home, less when it decides for itself.
 	setShare func(sched.Share)
 }
 
 // NewFollower makes the duty; Run starts it.
-func NewFollower(c *Client, m *member.Table, s Sessions, events *event.Recorder, listed func() int, setShare func(sched.Share)) *Follower {
+func NewFollower(c *Client, m *member.Table, s Sessions, h *Home, events *event.Recorder, listed func() int, setShare func(sched.Share)) *Follower {
 	return &Follower{
 		client: c, members: m, sessions: s, events: events,
-		listed: listed, setShare: setShare, started: time.Now(),
+		listed: listed, leads: h.Lead, followers: h.Followers, setShare: setShare, started: time.Now(),
 	}
 }
 
@@ -110,17 +119,20 @@
 	changed := f.members.Subscribe()
 	var link *homeLink
 	var home member.Member
-	timer := time.NewTicker(startPeriod)
+	period := startPeriod
+	timer := time.NewTicker(period)
 	defer timer.Stop()
-	settled := time.AfterFunc(lonelyTime, func() { timer.Reset(redialPeriod) })
-	defer settled.Stop()
 	for {
-		want, ok := HomeOf(f.members)
+		if p := f.period(); p != period {
+			period = p
+			timer.Reset(period)
+		}
+		want, ok := f.want(time.Now())
 		switch {
 		case ok && want.Incarnation == f.client.self:
 			f.drop(link)
 			link, home = nil, want
-			f.lead()
+			f.lead(want.Incarnation != f.first())
 		case link != nil && (!ok || want.Incarnation != home.Incarnation || link.broken()):
 			f.drop(link)
 			link = nil
@@ -130,6 +142,9 @@
 			f.alone()
 			link = f.dial(ctx, want)
 			home = want
+			if link == nil && ctx.Err() == nil && time.Since(f.started) > lonelyTime {
+				f.distrust.add(time.Now(), want.Incarnation)
+			}
 		}
 		if link != nil {
 			f.keepShare()
@@ -145,6 +160,15 @@
 	}
 }
 
+// period is how often Run looks at the ranking and the share: more often while both may
+// change at any moment.
+func (f *Follower) period() time.Duration {
+	if time.Since(f.started) < lonelyTime || f.distrust.any(time.Now()) {
+		return startPeriod
+	}
+	return redialPeriod
+}
+
 func ended(l *homeLink) <-chan struct{} {
 	if l == nil {
 		return nil
@@ -175,6 +199,19 @@
 // turns all of them away once in 250 times.
 const readers = 5
 
+// nextHomes is how many hosts are told what the home has learned: more are lost with it
+// only in a failure that leaves little to place.
+const nextHomes = 2
+
+// NextHomes lists the hosts that take over when the home is lost.
+func NextHomes(members *member.Table) []uint64 {
+	var out []uint64
+	for _, m := range members.First(homeOf, 1+nextHomes) {
+		out = append(out, uint64(m.Incarnation))
+	}
+	return out
+}
+
 // ReadersOf lists the hosts that read the store for all, the home first.
 func ReadersOf(members *member.Table) []member.Member { return members.First(homeOf, readers) }
 
@@ -185,7 +222,11 @@
 // quota once for each host. So a host that has just started decides for itself
 // until it has had time to hear of others; one that is cut off with the fewer
 // hosts takes only their part.
-func (f *Follower) lead() {
+//
+// A host that takes over from a home that others may still follow leads when most hosts
+// have turned to it, and has their part of the quotas; a home that most have left has the
+// part of the rest.
+func (f *Follower) lead(takesOver bool) {
 	live, silent := f.count()
 	age := time.Since(f.started)
 	if age < settleTime && !f.complete(live) || live == 1 && f.listed() != 1 && age < lonelyTime {
@@ -196,10 +237,41 @@
 	if all := live + silent; 2*live < all {
 		share.Limits = float64(live) / float64(all)
 	}
+	follow := float64(f.followers()+1) / float64(live)
+	if takesOver && follow < mostFollow {
+		f.alone()
+		return
+	}
+	if takesOver || follow < mostFollow && age > lonelyTime {
+		share = part(share, follow)
+	}
 	f.client.lead(share.Limits == 1)
+	f.leads(true)
 	f.setShare(share)
 }
 
+// part is the share of a home that a part of the live hosts follows. It changes in tenths,
+// since each change of a quota costs what its account had saved. Servers are given out
+// whole while most follow: hosts that fell silent with the home before count as live for
+// some seconds.
+func part(share sched.Share, follow float64) sched.Share {
+	if follow >= nearlyAll {
+		return share
+	}
+	follow = math.Ceil(follow*shareSteps) / shareSteps
+	share.Limits *= follow
+	if follow < mostFollow {
+		share.Servers *= follow
+	}
+	return share
+}
+
+const (
+	nearlyAll  = 0.9
+	mostFollow = 0.5
+	shareSteps = 10
+)
+
 // completeShare is the part of the hosts listed that must be heard of to take a fleet that
 // starts anew for complete: some may have been lost with what stopped it.
 const completeShare = 0.9
@@ -213,6 +285,7 @@
 // alone sets the share of a host that decides for itself.
 func (f *Follower) alone() {
 	f.client.lead(false)
+	f.leads(false)
 	live, silent := f.count()
 	n, age := max(live+silent, f.listed()), time.Since(f.started)
 	f.hosts = n
@@ -275,7 +348,7 @@
 		return nil
 	}
 	l := &homeLink{
-		host: home.Host, stream: st, opened: time.Now(), out: ring.New[*wire.ToHome](linkOutputs), ended: make(chan struct{}),
+		host: home.Host, inc: home.Incarnation, stream: st, opened: time.Now(), out: ring.New[*wire.ToHome](linkOutputs), ended: make(chan struct{}),
 	}
 	run, stop := context.WithCancel(ctx)
 	var duties sync.WaitGroup
@@ -300,15 +373,35 @@
 			return
 		}
 		l.heard.Store(int64(time.Since(l.opened)))
-		if m.Pong != 0 && l.ponged.Swap(m.Pong) == 0 {
-			f.events.Record(event.HomeMoved, event.Fields{Peer: l.host})
-			f.client.follow(l)
+		if m.Pong != 0 {
+			l.ponged.Store(m.Pong)
 		}
+		if m.Pong != 0 || m.Leads {
+			f.answered(l, m.Leads)
+		}
+		f.client.taught(m.Paces)
 		f.client.queued(m.Queued, l)
 		f.client.deliver(decisions(uint64(f.client.self), m), l)
 	}
 }
 
+// answered takes what the home says of itself with an answer.
+//
+// Guard: two hosts may rank differently for a moment, and one that takes over from a lost
+// home does so when it has noticed itself. Asked before it schedules for all it has a
+// small part of the servers, and what waits there would wait in vain.
+func (f *Follower) answered(l *homeLink, leads bool) {
+	if l.led.Swap(leads) == leads {
+		return
+	}
+	if !leads {
+		f.client.unfollow(l)
+		return
+	}
+	f.events.Record(event.HomeMoved, event.Fields{Peer: l.host})
+	f.client.follow(l)
+}
+
 func decisions(self uint64, m *wire.ToHolder) []sched.Decision {
 	out := make([]sched.Decision, 0, len(m.Places)+len(m.Refusals))
 	for _, p := range m.Places {
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -46,8 +46,11 @@
 		f.client.suspect(l)
 	case linkAnswering:
 		f.events.Record(event.HomeMoved, event.Fields{Peer: l.host, Detail: "it answers again"})
-		f.client.follow(l)
+		if l.led.Load() {
+			f.client.follow(l)
+		}
 	case linkLost:
+		f.distrust.add(time.Now(), l.inc)
 		f.client.unfollow(l)
 		f.sessions.Discard(address)
 		l.stream.Abort()
@@ -128,10 +131,16 @@
 	if w.ping == 0 || w.state() == linkSuspect {
 		return true
 	}
+	if !w.link.led.Load() {
+		return now.Sub(w.sent) > askPeriod
+	}
 	heard := w.link.opened.Add(time.Duration(w.link.heard.Load()))
 	return now.Sub(w.sent) > pingPeriod && now.Sub(heard) > pingPeriod && w.client.waitsAt(w.link)
 }
 
+// askPeriod is how often a host that is to lead is asked whether it does.
+const askPeriod = 250 * time.Millisecond
+
 // send pings the home; its answer comes after those to all earlier messages.
 func (w *linkWatch) send(now time.Time) {
 	w.ping++
--- a/test/platform/fail_test.go
+++ b/test/platform/fail_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -66,6 +68,40 @@
 		s.keepsPromises()
 	})
 
+	// Story: the home freezes, or loses its power. The others know it dead after three
+	// seconds, and in a burst each of them places by itself what little it may until then.
+	// They notice within a second that it does not answer, and the next of the ranking
+	// schedules for them.
+	It("has another home before the membership knows the first one dead", func() {
+		s := newSite(siteOptions{hosts: 5, engines: 2, apps: 2, largeFirst: true})
+		time.Sleep(3 * time.Second) // a host that has just started waits for its home
+		others := s.hosts[1:]
+		s.hosts[0].session.Signal(syscall.SIGSTOP)
+		frozen := time.Now()
+		stop := make(chan struct{})
+		defer close(stop)
+		for _, h := range others {
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(20 * time.Millisecond):
+						s.send(h, check())
+					}
+				}
+			}()
+		}
+		leader := func() bool {
+			return slices.ContainsFunc(others, func(h *host) bool {
+				return strings.Contains(string(h.session.Out.Contents()), "servers=1.00")
+			})
+		}
+		Eventually(leader).WithTimeout(2 * time.Second).WithPolling(10 * time.Millisecond).Should(BeTrue())
+		Expect(time.Since(frozen)).To(BeNumerically("<", 2*time.Second))
+		s.hosts[0].session.Signal(syscall.SIGCONT)
+	})
+
 	It("serves what it knows while the store is away", func() {
 		s := newSite(siteOptions{hosts: 2, engines: 1, apps: 1})
 		s.store.SetDown(true)
