--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -108,3 +108,25 @@
 		Entry("a negative rate", `account "one": rate and burst are 0 (no limit) or more`, func(c *Config) { c.Accounts[0].Rate = -1 }),
 	)
 })
+
+var _ = Describe("waiting for the first configuration", func() {
+	// A fleet that lost its power is back. Callers of the first half second were told to
+	// come back after seconds, though each host had its configuration 0.3 s later.
+	It("ends when it is in force", func() {
+		var c Current
+		time.AfterFunc(20*time.Millisecond, func() { c.Replace(NewTable(Config{Version: 3})) })
+		begun := time.Now()
+		Expect(c.First(nil, 5*time.Second)).To(HaveField("Version", int64(3)))
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+		Expect(c.First(nil, time.Minute)).NotTo(BeNil(), "at once from then on")
+	})
+	It("ends with the time that there is, or when the caller leaves", func() {
+		var c Current
+		Expect(c.First(nil, 10*time.Millisecond)).To(BeNil())
+		left := make(chan struct{})
+		close(left)
+		begun := time.Now()
+		Expect(c.First(left, time.Minute)).To(BeNil())
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+	})
+})
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/failure"
@@ -165,7 +166,9 @@
 	now := time.Now()
 	if (err != nil || reply.Failure != "") && r.following {
 		// It had news of the store until it noticed, or until it was gone.
-		r.known = maxTime(r.known, now.Add(-relayNotice))
+		if noticed := now.Add(-relayNotice); noticed.After(r.known) {
+			r.known = noticed
+		}
 		r.following = false
 		r.lost()
 	}
@@ -201,13 +204,6 @@
 	return time.Duration(reply.GapMs) * time.Millisecond
 }
 
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (r *Relayed) exchange(ctx context.Context, name string, call *wire.TableCall, timeout time.Duration) (*wire.TableReply, error) {
 	if err := r.connect(ctx, name); err != nil {
 		return nil, err
@@ -229,12 +225,9 @@
 
 // leave closes the stream to a host that is not to be asked any more.
 func (r *Relayed) leave(names []string) {
-	for _, name := range names {
-		if name == r.of {
-			return
-		}
+	if !slices.Contains(names, r.of) {
+		r.close()
 	}
-	r.close()
 }
 
 func (r *Relayed) close() {
