Follower, ranking, share and news have files of their own; a home begins with all

Moved by concept, nothing else changed there; the flag of a host that gives out whole quotas is called so.

With it one mend found on reading: a home by the ranking has no followers in its first moment, and was given the part of the quotas that a home has which most have left. Spec in follower_test.go.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -87,7 +87,7 @@
 	done   chan sched.Decision
 }
 
-// Client asks for places on behalf of this host. mu guards next, pending, link, leads
+// Client asks for places on behalf of this host. mu guards next, pending, link, whole
 // and charges.
 type Client struct {
 	self   ident.Incarnation
@@ -101,7 +101,7 @@
 	next    uint64
 	pending map[uint64]*pending
 	link    *homeLink // the home that is followed; nil: decide here
-	leads   bool      // this host is the home and gives out the whole of each quota
+	whole   bool      // this host is the home and gives out the whole of each quota
 	// charges is what this host's own loop gave out of accounts' quotas while it was not,
 	// and the home has not been told.
 	charges map[string]int
@@ -209,25 +209,6 @@
 	c.local(func(now sched.Time, s *sched.Scheduler) []sched.Decision { return s.Finish(now, o) })
 }
 
-// charge counts a place of this host's own loop, or one that was not used with times -1.
-// The caller holds mu.
-func (c *Client) charge(ask *Ask, times int) {
-	if !c.leads && ask.Account != "" && ask.Units > 0 {
-		c.charges[ask.Account] += times * ask.Units
-	}
-}
-
-// lead notes whether this host gives out the whole of each quota, and so owes nothing to
-// another one.
-func (c *Client) lead(leads bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.leads = leads
-	if leads {
-		clear(c.charges)
-	}
-}
-
 // taught takes over what the home has learned of servers.
 func (c *Client) taught(paces []*wire.Pace) {
 	if len(paces) == 0 {
@@ -241,24 +222,6 @@
 	})
 }
 
-// tellCharges tells the home that is followed what this host gave out by itself.
-func (c *Client) tellCharges(l *homeLink) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.link != l {
-		return
-	}
-	m := &wire.ToHome{}
-	for account, units := range c.charges {
-		if units != 0 {
-			m.Charges = append(m.Charges, &wire.Charge{Account: account, Units: int64(units)})
-		}
-	}
-	if len(m.Charges) > 0 && l.push(m) {
-		clear(c.charges)
-	}
-}
-
 // Blame tells that a server failed a request that another one then answered.
 func (c *Client) Blame(server string) {
 	c.mu.Lock()
--- a/internal/dispatch/distrust.go
+++ b/internal/dispatch/distrust.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/ident"
-	"github.com/gentianflow/gentianflow/internal/member"
 )
 
 // distrustTime is how long a host does not follow a home that it has lost: as long as the
@@ -52,24 +51,3 @@
 	defer d.mu.Unlock()
 	return now.Before(d.until[home])
 }
-
-// want names the host to follow: the first of the ranking that this host has not lost.
-// This host itself never counts as lost.
-func (f *Follower) want(now time.Time) (member.Member, bool) {
-	ranked := ReadersOf(f.members)
-	for _, m := range ranked {
-		if m.Incarnation == f.client.self || !f.distrust.has(now, m.Incarnation) {
-			return m, true
-		}
-	}
-	if len(ranked) == 0 {
-		return member.Member{}, false
-	}
-	return ranked[0], true
-}
-
-// first is the host that the ranking names as the home.
-func (f *Follower) first() ident.Incarnation {
-	home, _ := HomeOf(f.members)
-	return home.Incarnation
-}
--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -116,6 +116,7 @@
 		follow := func(followers int, takesOver bool) sched.Share {
 			return followerWith(time.Minute, hosts, hosts-1, 0, func(f *Follower) {
 				f.followers = func() int { return followers }
+				f.leadsSince = time.Now().Add(-time.Minute)
 				f.lead(takesOver)
 			})
 		}
@@ -125,6 +126,13 @@
 		It("is the part of those that have turned to it", func() {
 			Expect(follow(7, true)).To(Equal(sched.Share{Servers: 1, Limits: 0.8}))
 		})
+		It("is everything for a home that has just begun, before others have turned to it", func() {
+			got := followerWith(time.Minute, hosts, hosts-1, 0, func(f *Follower) {
+				f.followers = func() int { return 0 }
+				f.lead(false)
+			})
+			Expect(got).To(Equal(sched.Share{Servers: 1, Limits: 1}))
+		})
 		It("is the part of the rest for a home that most have left", func() {
 			Expect(follow(2, false)).To(Equal(sched.Share{Servers: 0.3, Limits: 0.3}))
 		})
--- a/internal/member/rank.go
+++ b/internal/member/rank.go
@@ -53,3 +53,20 @@
 	}
 	return ranked[0], true
 }
+
+// maxRanked is the longest ranking that First gives.
+const maxRanked = 8
+
+// First returns the first n hosts of a service's ranking, at most maxRanked; see Rank.
+// The list is shared by all callers.
+func (t *Table) First(service string, n int) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.all()
+	ranked, known := t.ranks[service]
+	if !known {
+		ranked = Rank(service, list, maxRanked)
+		t.ranks[service] = ranked
+	}
+	return ranked[:min(n, len(ranked))]
+}
