--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -291,8 +291,8 @@
 	}
 }
 
-// sized notes a size of the fleet that another host tells. Later ones count too: a
-// fleet that has shrunk since this host started is known from its own list.
+// sized notes the size of the fleet that another host tells, while this one has just
+// started; after that its own list tells.
 func (g *Gossip) sized(n int) {
 	if g.Settled() {
 		return
