Property: parts of quotas over two homes and hosts alone

rapid draws how a fleet of up to 390 hosts is split; all together give out at most 1.2 of an account's quota once the home that was left has noticed, and what hosts alone gave out is charged where the greater part is.

--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/ident"
@@ -139,6 +141,35 @@
 	})
 })
 
+// However a fleet is split between a home, one that takes over and hosts alone, they give
+// out no more of an account's quota than it has and two tenths, which the steps of a part
+// may add. The home that was left gives out the whole until it has noticed.
+func TestPartsOfQuotas(t *testing.T) {
+	RegisterTestingT(t)
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(2, 390).Draw(t, "hosts")
+		old := rapid.IntRange(1, hosts-1).Draw(t, "with the old home")
+		next := rapid.IntRange(1, hosts-old).Draw(t, "with the next")
+		limits := func(with int, takesOver bool) float64 {
+			return followerWith(time.Minute, hosts, hosts-1, 0, func(f *Follower) {
+				f.followers = func() int { return with - 1 }
+				f.leadsSince = time.Now().Add(-time.Minute)
+				f.lead(takesOver)
+			}).Limits
+		}
+		alone := followerWith(time.Minute, hosts, hosts-1, 0, func(f *Follower) { f.alone() }).Limits
+		sum := limits(old, false) + limits(next, true) + float64(hosts-old-next)*alone
+		if old*2 >= hosts {
+			// The greater part is still with the old home, and what others give out is
+			// charged there when they are back.
+			sum -= float64(hosts-old) * alone
+		}
+		if sum > 1.2+1e-9 {
+			t.Fatalf("%d hosts, %d with the old home, %d with the next: %.2f of each quota", hosts, old, next, sum)
+		}
+	})
+}
+
 var _ = Describe("the home that a host follows", func() {
 	It("is the next of the ranking for some seconds after the first was lost", func() {
 		followerWith(time.Minute, 0, 3, 0, func(f *Follower) {
