--- a/internal/member/news.go
+++ b/internal/member/news.go
@@ -31,9 +31,9 @@
 	return n
 }
 
-// news picks what rides on the next datagram: fresh changes first, then a
-// random sample that repairs what was lost.
-func (t *Table) news(sampleSize int) []*wire.Member {
+// news picks what rides on the next datagram: fresh changes first, then some members at
+// random, which repair what was lost.
+func (t *Table) news(sample int) []*wire.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []*wire.Member
@@ -48,7 +48,7 @@
 			rest = append(rest, r)
 		}
 	}
-	for i := 0; i < sampleSize && len(rest) > 0; i++ {
+	for i := 0; i < sample && len(rest) > 0; i++ {
 		k := rand.IntN(len(rest))
 		out = append(out, rest[k].word())
 		rest = append(rest[:k], rest[k+1:]...)
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -18,7 +18,7 @@
 	// while none knows the fleet yet: it learns of the largest ones with the first
 	// answer, and of the rest within settling.
 	meetTime = 50 * time.Millisecond
-	joinLook = 10 * time.Millisecond
+	joinLook = 10 * time.Millisecond // how often it looks meanwhile
 	// hostsPeriod is how often the home looks into the table of hosts for one of the
 	// other side of a cut that has healed, and a host that hears of nobody for any.
 	hostsPeriod = 30 * time.Second
@@ -139,11 +139,11 @@
 	return n.plat.Writer.Put(ctx, n.plat.HostTable, n.set.Host, row)
 }
 
-// readHosts reads the table of hosts and reports whether the store answered.
-func (n *Node) readHosts(ctx context.Context) bool {
+// readHosts reads the table of hosts. Without an answer what is known stays.
+func (n *Node) readHosts(ctx context.Context) {
 	rows, _, err := n.plat.Tables.Snapshot(ctx, n.plat.HostTable)
 	if err != nil {
-		return false // those who follow the tables log that the store is away
+		return // those who follow the tables log that the store is away
 	}
 	list := hostList{hosts: len(rows)}
 	for _, r := range rows {
@@ -154,7 +154,6 @@
 		}
 	}
 	n.listed.Store(&list)
-	return true
 }
 
 // listedHosts is how many hosts others or the store told of, 0 before any did.
