--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -202,19 +202,30 @@
 	})
 })
 
+// metered is an ask that costs its account units.
+func metered() *Ask {
+	a := ask()
+	a.Account, a.Units = "acc", 300
+	return a
+}
+
+// placeAlone gets a place from a host's own loop.
+func placeAlone() (*Client, Place) {
+	c, loop := hostOf(never, "a")
+	loop.Do(func(now sched.Time, s *sched.Scheduler) {
+		s.SetAccounts(now, []sched.Account{{Name: "acc", Rate: 1000, Burst: 1000}})
+	})
+	place, err := c.Acquire(context.Background(), metered())
+	Expect(err).NotTo(HaveOccurred())
+	return c, place
+}
+
 var _ = Describe("what a host gives out while its home is silent", func() {
 	// An account runs a twentieth more than its quota on a calm day. The home was slow:
 	// hosts took it for silent again and again and gave out their parts of the quota,
 	// while it went on giving out the whole.
 	It("is charged to the account when the host follows a home again", func() {
-		c, loop := hostOf(never, "a")
-		loop.Do(func(now sched.Time, s *sched.Scheduler) {
-			s.SetAccounts(now, []sched.Account{{Name: "acc", Rate: 1000, Burst: 1000}})
-		})
-		a := ask()
-		a.Account, a.Units = "acc", 300
-		place, err := c.Acquire(context.Background(), a)
-		Expect(err).NotTo(HaveOccurred())
+		c, place := placeAlone()
 		c.Finish(place.ID, sched.OK, time.Millisecond, 0)
 		l := &homeLink{out: ring.New[*wire.ToHome](8)}
 		c.tellCharges(l)
@@ -228,14 +239,7 @@
 	})
 
 	It("is not charged when it did not run", func() {
-		c, loop := hostOf(never, "a")
-		loop.Do(func(now sched.Time, s *sched.Scheduler) {
-			s.SetAccounts(now, []sched.Account{{Name: "acc", Rate: 1000, Burst: 1000}})
-		})
-		a := ask()
-		a.Account, a.Units = "acc", 300
-		place, err := c.Acquire(context.Background(), a)
-		Expect(err).NotTo(HaveOccurred())
+		c, place := placeAlone()
 		c.Finish(place.ID, sched.Rejected, 0, 0)
 		Expect(c.charges["acc"]).To(BeZero())
 	})
@@ -247,9 +251,7 @@
 		})
 		e := linkTo(h)
 		e.say(&wire.ToHome{Charges: []*wire.Charge{{Account: "acc", Units: 700}}})
-		a := ask()
-		a.Account, a.Units = "acc", 300
-		e.say(&wire.ToHome{Asks: []*wire.Ask{encodeAsk(time.Now(), 1, a)}})
+		e.say(&wire.ToHome{Asks: []*wire.Ask{encodeAsk(time.Now(), 1, metered())}})
 		m := &wire.ToHolder{}
 		Expect(e.conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
 		Expect(wire.Read(e.r, m)).To(Succeed())
