Hosts that are no readers read the store again within 3.2 s

Cause: the operator changes the configuration a second time, at 7.1 s, while the store is still silent for its readers; hosts that had read it once waited for up to 4.7 s with the next time, and one probe at 11.2 s met an old version. Change: the turns grow to twice the first at most (83 calls a second of 195 hosts), not four times.

--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -319,6 +319,35 @@
 		}
 	})
 
+	// The operator changes the configuration again while the store is silent for its
+	// readers. Hosts that had read it once waited for up to 4.7 s with the next time.
+	It("lets each read it again within four seconds", func() {
+		const watched = 30
+		done := make(chan time.Duration, watched)
+		for range watched {
+			home := &fakeHome{relays: store.NewRelays(), serves: yes, name: "home", hosts: 195}
+			home.relays.Table("t").Failed()
+			run, stop := context.WithCancel(ctx)
+			DeferCleanup(stop)
+			var reads []time.Time
+			w := &store.Watcher{
+				Tables: store.NewRelayed(direct{9}, home, nil), Table: "t",
+				Events: event.NewRecorder("h", "i", 16, log.NewNopLogger()),
+				Reread: func() time.Duration { return time.Minute },
+				Apply: func(store.Update) {
+					if reads = append(reads, time.Now()); len(reads) == 3 {
+						stop()
+						done <- max(reads[1].Sub(reads[0]), reads[2].Sub(reads[1]))
+					}
+				},
+			}
+			go w.Run(run)
+		}
+		for range watched {
+			Eventually(done).WithTimeout(10 * time.Second).Should(Receive(BeNumerically("<", 3600*time.Millisecond)))
+		}
+	})
+
 	// The store is away for seconds, for all. Hosts that read it for themselves called
 	// it as often as it let them.
 	It("takes turns with the other hosts when no reader has news", func() {
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -25,12 +25,13 @@
 	relayNotice = 1500 * time.Millisecond
 	// ownReadSpread is the time between two calls to the store of the hosts that are no
 	// readers, all of them together, while no reader has news for them: 125 a second, and
-	// half as many with each turn up to mostTurns. A store that is away would otherwise
+	// from the second turn on two thirds of it. A store that is away would otherwise
 	// get calls from all hosts at once, hundreds a second, and each is paid. With 195
 	// hosts the last one has read it 1.6 s after the first, and what the operator changed
-	// is in force within 4 s although the readers took 1.5 s to notice.
+	// is in force within 4 s although the readers took 1.5 s to notice; each reads again
+	// within 3.2 s.
 	ownReadSpread = 8 * time.Millisecond
-	mostTurns     = 4
+	mostTurns     = 2
 	// turnLook is how often a host looks whether its turn has come.
 	turnLook = 300 * time.Millisecond
 )
