Lines name each request by its fingerprint, and tell a server's end from a broken answer

Cause: the lines could not tell whether two requests are the same one, nor whether a broken answer was the end of its server. No decision changes with this.

After a broken answer the host asks the server for a connection: refused is its end (server_ended, with fingerprint and time; runs_lost_with_their_server counts), accepted is a lost answer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/gentianflow/gentianflow/internal/dispatch"
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/routing"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/upstream"
@@ -100,6 +101,7 @@
 	service  string
 	deadline time.Time
 	body     []byte
+	print    quarantine.Fingerprint // not known until the request is admitted
 
 	sends  int           // to servers, whether they ran it or not
 	runs   int           // of sends, those that may have run it
@@ -159,7 +161,20 @@
 	}
 	x.service = x.route.Service()
 	x.setDeadline()
-	return x.readBody(table.MaxBody)
+	if err := x.readBody(table.MaxBody); err != nil {
+		return err
+	}
+	x.print = quarantine.Of(x.r.Method, x.r.Host, x.r.RequestURI, x.caller(), x.body)
+	return nil
+}
+
+// caller names who sends the request: its account, which may have several keys, or on a
+// public route the key, if there is one.
+func (x *exchange) caller() string {
+	if x.account != nil {
+		return x.account.Name
+	}
+	return x.head.Key
 }
 
 // configWait is how long the request may wait for a configuration.
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -111,6 +111,9 @@
 	if x.head.HasTokens {
 		f.Detail += " prompt=" + strconv.Itoa(x.head.PromptTokens) + " output=" + strconv.Itoa(x.head.OutputTokens) + " hint=" + strconv.Itoa(x.head.OutputHint)
 	}
+	if x.print.Known() {
+		f.Detail += " fingerprint=" + x.print.String()
+	}
 	if x.stream.events > 1 {
 		f.Detail += " pause=" + milliseconds(x.stream.pause) + " most=" + milliseconds(x.route.GapAim)
 	}
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -42,3 +42,8 @@
 func (m *Meter) Refused(status int) {
 	metrics.GetOrRegisterCounter("refused_"+strconv.Itoa(status), m.registry).Inc(1)
 }
+
+// ServerEnded notes a run that was lost because its server ended.
+func (m *Meter) ServerEnded() {
+	metrics.GetOrRegisterCounter("runs_lost_with_their_server", m.registry).Inc(1)
+}
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -348,7 +348,8 @@
 	}
 	x.h.Places.Finish(t.place.ID, result, 0, 0)
 	x.tried = append(x.tried, t.place.Server)
-	x.note(event.ServerLost, err.Error())
+	x.note(event.ServerLost, err.Error()+" events="+strconv.Itoa(x.stream.events))
+	go t.noteEnd()
 	if x.mayRunAgain() {
 		return again
 	}
@@ -356,6 +357,20 @@
 	return final
 }
 
+// noteEnd tells whether the server of a broken answer has ended, or only the connection:
+// one that has ended refuses new ones at once. With it stands what was lost there.
+func (t *attempt) noteEnd() {
+	x, ran := t.x, time.Since(t.sent)
+	if !upstream.Refuses(t.place.Address, stallDial) {
+		return
+	}
+	x.h.Meter.ServerEnded()
+	x.h.Events.Record(event.ServerEnded, event.Fields{
+		Request: x.head.ID, Service: x.service, Server: t.place.Server,
+		Detail: "fingerprint=" + x.print.String() + " ran=" + milliseconds(ran),
+	})
+}
+
 // readAnswer reads a body of up to maxBuffered bytes. whole is false when
 // there is more.
 func readAnswer(resp *http.Response) (a *answer, whole bool, err error) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -91,6 +91,7 @@
 	ServerErrored     Code = 608
 	ServerLost        Code = 609
 	ServersChanged    Code = 610
+	ServerEnded       Code = 611
 
 	StoreDown      Code = 701
 	StoreUp        Code = 702
@@ -171,6 +172,7 @@
 	ServerErrored:  {"server_errored", Info, "A backend server answered with a failure of its own."},
 	ServerLost:     {"server_lost", Info, "A backend server gave no whole answer; the request may have run."},
 	ServersChanged: {"servers_changed", Info, "The list of backend servers changed; detail tells how."},
+	ServerEnded:    {"server_ended", Warn, "A backend server ended while it had a request: it broke the answer off and refuses connections; detail names the request's fingerprint."},
 
 	StoreDown:      {"store_down", Alarm, "The table service does not answer."},
 	StoreUp:        {"store_up", Info, "The table service answers again."},
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -223,3 +223,16 @@
 	_ = conn.Close() // nothing was sent
 	return true
 }
+
+// Refuses reports whether nothing listens at a server's address: the process has ended,
+// while its machine still answers. A machine that is gone or cut off says nothing instead.
+func Refuses(address string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	conn, err := dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close() // nothing was sent
+	return false
+}
