--- a/cmd/gentianhost/main.go
+++ b/cmd/gentianhost/main.go
@@ -92,7 +92,8 @@
 	return node.Platform{
 		Tables: s, Writer: s, Dialect: platform.Headers{},
 		OperatorTable: platform.OperatorTable, ServerTable: platform.ServerTable, HostTable: platform.HostTable,
-		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
+		QuarantineTable: platform.QuarantineTable,
+		DecodeConfig:    platform.DecodeConfig, DecodeServer: platform.DecodeServer,
 		LookupHandler: func(f func() ([]string, time.Duration, bool)) http.Handler { return platform.LookupHandler(f) },
 		ReadyHandler:  platform.ReadyHandler,
 	}
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -9,6 +9,7 @@
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/wire"
 )
@@ -30,6 +31,7 @@
 	MaxPause     time.Duration // longest between events of a stream that is on time, 0: any
 	Repeat       bool
 	Avoid        []string
+	Print        quarantine.Fingerprint
 }
 
 // Place is the permission to send a request once to a server.
@@ -85,6 +87,7 @@
 	placed time.Time // zero while it waits
 	server string
 	done   chan sched.Decision
+	revoke func(*Refused) // of a place, nil: nobody is to be told
 }
 
 // Client asks for places on behalf of this host. mu guards next, pending, link, whole
@@ -199,6 +202,9 @@
 	if result != sched.Pace && result != sched.Stalled {
 		delete(c.pending, id)
 	}
+	if result == sched.Ended && p.via != nil {
+		c.learnLoss(p, first > 0)
+	}
 	if p.via != nil {
 		p.via.finish(o)
 		return
@@ -252,6 +258,12 @@
 // to crossed a change of home: the ask was sent anew, so the place goes back.
 func (c *Client) decide(d sched.Decision, via *homeLink) {
 	p := c.pending[d.ID]
+	if p != nil && !p.placed.IsZero() && d.Reason == sched.Quarantined {
+		if p.revoke != nil {
+			p.revoke(&Refused{d})
+		}
+		return
+	}
 	if p == nil || p.via != via || !p.placed.IsZero() {
 		if d.Reason == 0 {
 			c.giveBack(d.ID, via, sched.Unused)
@@ -313,6 +325,7 @@
 		return
 	}
 	c.link = l
+	c.tellSuspects(l)
 	c.move(func(via *homeLink) bool { return via != l })
 }
 
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/wire"
 )
@@ -14,7 +15,7 @@
 		Id: id, Service: a.Service, Account: a.Account, Priority: uint32(a.Priority),
 		PromptTokens: uint32(a.PromptTokens), OutputTokens: uint32(a.OutputTokens), Units: uint32(a.Units),
 		DeadlineMs: millis(a.Deadline.Sub(now)), AimMs: millis(a.Aim.Sub(now)), WaitedMs: millis(now.Sub(a.Arrived)),
-		PauseMs: millis(a.MaxPause), Repeat: a.Repeat, Avoid: a.Avoid,
+		PauseMs: millis(a.MaxPause), Repeat: a.Repeat, Avoid: a.Avoid, Fingerprint: a.Print.Bytes(),
 	}
 	if !a.LeavesAt.IsZero() {
 		m.LeavesMs = max(1, millis(a.LeavesAt.Sub(now)))
@@ -36,7 +37,7 @@
 		Key: sched.Key{Holder: holder, ID: m.Id}, Zone: zone, Service: m.Service, Account: m.Account,
 		Priority: int(m.Priority), PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens),
 		Units: float64(m.Units), Arrived: now - fromMillis(m.WaitedMs), Aim: now + fromMillis(m.AimMs),
-		Deadline: now + fromMillis(m.DeadlineMs), MaxPause: fromMillis(m.PauseMs), Repeat: m.Repeat, Avoid: m.Avoid,
+		Deadline: now + fromMillis(m.DeadlineMs), MaxPause: fromMillis(m.PauseMs), Repeat: m.Repeat, Avoid: m.Avoid, Print: quarantine.FromBytes(m.Fingerprint),
 	}
 	if m.LeavesMs > 0 {
 		r.LeavesAt = now + fromMillis(m.LeavesMs)
@@ -65,6 +66,7 @@
 	return &wire.Running{
 		Id: id, Service: p.ask.Service, Server: p.server, PromptTokens: uint32(p.ask.PromptTokens),
 		OutputTokens: uint32(p.ask.OutputTokens), ElapsedMs: millis(now.Sub(p.placed)), PauseMs: millis(p.ask.MaxPause),
+		Account: p.ask.Account, Fingerprint: p.ask.Print.Bytes(),
 	}
 }
 
@@ -72,6 +74,7 @@
 	return sched.Run{
 		Key: sched.Key{Holder: holder, ID: m.Id}, Service: m.Service, Server: m.Server,
 		PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens), Elapsed: fromMillis(m.ElapsedMs), MaxPause: fromMillis(m.PauseMs),
+		Account: m.Account, Print: quarantine.FromBytes(m.Fingerprint),
 	}
 }
 
@@ -96,7 +99,7 @@
 	if d.Reason != 0 {
 		m.Refusals = append(m.Refusals, &wire.Refusal{
 			Id: d.ID, Reason: uint32(d.Reason), RetryAfterMs: millis(d.RetryAfter),
-			Waiting: uint32(d.Waiting), Usable: uint32(d.Usable),
+			Waiting: uint32(d.Waiting), Usable: uint32(d.Usable), Detail: d.Detail,
 		})
 		return
 	}
@@ -112,6 +115,6 @@
 func decodeRefusal(holder uint64, m *wire.Refusal) sched.Decision {
 	return sched.Decision{
 		Key: sched.Key{Holder: holder, ID: m.Id}, Reason: sched.Reason(m.Reason), RetryAfter: fromMillis(m.RetryAfterMs),
-		Waiting: int(m.Waiting), Usable: int(m.Usable),
+		Waiting: int(m.Waiting), Usable: int(m.Usable), Detail: m.Detail,
 	}
 }
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -50,6 +50,7 @@
 		out: ring.New[*wire.ToHolder](linkOutputs), stream: st,
 	}
 	h.attach(l)
+	h.tellAllSuspects(l)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var writer sync.WaitGroup
@@ -79,6 +80,7 @@
 	defer h.mu.Unlock()
 	for _, l := range h.links {
 		l.send(&wire.ToHolder{Leads: true})
+		go h.tellAllSuspects(l)
 	}
 }
 
@@ -174,6 +176,9 @@
 		if m.Ping != 0 {
 			reply.Leads = h.leads.Load()
 		}
+		if len(m.Suspects) > 0 {
+			out = append(out, s.LearnSuspects(now, decodeSuspects(m.Suspects))...)
+		}
 		for _, r := range m.Running {
 			s.Adopt(now, decodeRunning(l.holder, r))
 		}
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -122,6 +122,7 @@
 			f.answered(l, m.Leads)
 		}
 		f.client.taught(m.Paces)
+		f.client.learnSuspects(m.Suspects)
 		f.client.queued(m.Queued, l)
 		f.client.deliver(decisions(uint64(f.client.self), m), l)
 	}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/ring"
 	"github.com/gentianflow/gentianflow/internal/sched"
 )
@@ -35,6 +36,9 @@
 	sched   *sched.Scheduler
 	deliver func([]sched.Decision)
 	events  *event.Recorder
+	// spread gets what has changed of requests that end servers. It must not block.
+	spread func([]quarantine.Record)
+	blamed map[quarantine.Fingerprint]bool // those whose quarantine was logged
 }
 
 // NewLoop makes a loop. deliver gets the decisions of each round, on the
@@ -43,9 +47,14 @@
 	return &Loop{
 		in: ring.New[input](loopInputs), start: time.Now(),
 		sched: sched.New(p), deliver: deliver, events: events,
+		spread: func([]quarantine.Record) {}, blamed: map[quarantine.Fingerprint]bool{},
 	}
 }
 
+// OnSuspects sets who gets what has changed of requests that end servers, on the loop's
+// goroutine. It comes before Run.
+func (l *Loop) OnSuspects(spread func([]quarantine.Record)) { l.spread = spread }
+
 // push hands an input to the loop. When the ring is full the caller waits:
 // dropping one would leave a request without its decision.
 func (l *Loop) push(ctx context.Context, in input) {
@@ -82,6 +91,10 @@
 		if len(out) > 0 {
 			l.deliver(out)
 		}
+		if news := l.sched.SuspectNews(l.now()); len(news) > 0 {
+			l.logSuspects(news)
+			l.spread(news)
+		}
 		// Inputs must not put the tick off, or it would never come under load.
 		next = min(next, l.now()+l.period())
 		tick.Reset(next - l.now())
--- /dev/null
+++ b/internal/dispatch/suspects.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/quarantine"
+	"github.com/gentianflow/gentianflow/internal/sched"
+	"github.com/gentianflow/gentianflow/internal/wire"
+)
+
+// How word of requests that end servers travels:
+//
+// The home sees the ends of all runs and tells each change to all that have a link to it,
+// 150 bytes for each end, within a round of its loop. So each host can take over with the
+// whole table. A host that begins to follow tells all it knows, and gets all that the home
+// knows; what it lost itself it knows in any case, so nothing is lost with a home. What is
+// told twice or late changes nothing (see package quarantine).
+
+// suspectsPerMessage bounds the records in one message, 300 bytes each at most.
+const suspectsPerMessage = 64
+
+// tellSuspects passes records on in messages of bounded size, until push fails.
+func tellSuspects(records []quarantine.Record, push func([]*wire.Suspect) bool) {
+	for len(records) > 0 {
+		n := min(suspectsPerMessage, len(records))
+		if !push(encodeSuspects(records[:n])) {
+			return
+		}
+		records = records[n:]
+	}
+}
+
+func encodeSuspects(records []quarantine.Record) []*wire.Suspect {
+	out := make([]*wire.Suspect, 0, len(records))
+	for _, r := range records {
+		m := &wire.Suspect{
+			Fingerprint: r.Print.Bytes(), Account: r.Account, Service: r.Service,
+			Blamed: r.Blamed, BlamedMs: millis(r.Age), RetryMs: millis(r.RetryIn), By: r.By,
+			Cleared: r.Cleared, ClearedMs: millis(r.ClearedAge),
+		}
+		for _, e := range r.Ends {
+			m.Ends = append(m.Ends, &wire.ServerEnd{Server: e.Server, AgoMs: millis(e.Age), Shown: e.Shown})
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func decodeSuspects(list []*wire.Suspect) []quarantine.Record {
+	out := make([]quarantine.Record, 0, len(list))
+	for _, m := range list {
+		r := quarantine.Record{
+			Print: quarantine.FromBytes(m.Fingerprint), Account: m.Account, Service: m.Service,
+			Blamed: m.Blamed, Age: fromMillis(m.BlamedMs), RetryIn: fromMillis(m.RetryMs), By: m.By,
+			Cleared: m.Cleared, ClearedAge: fromMillis(m.ClearedMs),
+		}
+		for _, e := range m.Ends {
+			r.Ends = append(r.Ends, quarantine.End{Server: e.Server, Age: fromMillis(e.AgoMs), Shown: e.Shown})
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// TellSuspects tells all hosts that have a link here what has changed, if this one leads.
+func (h *Home) TellSuspects(records []quarantine.Record) {
+	if !h.leads.Load() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range h.links {
+		l.tellSuspects(records)
+	}
+}
+
+func (l *holderLink) tellSuspects(records []quarantine.Record) {
+	tellSuspects(records, func(list []*wire.Suspect) bool {
+		l.send(&wire.ToHolder{Suspects: list})
+		return true
+	})
+}
+
+// tellAllSuspects tells one host everything.
+func (h *Home) tellAllSuspects(l *holderLink) {
+	h.loop.Do(func(now sched.Time, s *sched.Scheduler) { l.tellSuspects(s.Suspects(now)) })
+}
+
+// tellSuspects tells a home that this host begins to follow everything.
+func (c *Client) tellSuspects(l *homeLink) {
+	c.local(func(now sched.Time, s *sched.Scheduler) []sched.Decision {
+		tellSuspects(s.Suspects(now), func(list []*wire.Suspect) bool { return l.push(&wire.ToHome{Suspects: list}) })
+		return nil
+	})
+}
+
+// learnSuspects takes what the home tells.
+func (c *Client) learnSuspects(list []*wire.Suspect) {
+	if len(list) == 0 {
+		return
+	}
+	records := decodeSuspects(list)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.local(func(now sched.Time, s *sched.Scheduler) []sched.Decision { return s.LearnSuspects(now, records) })
+}
+
+// learnLoss keeps a run that was lost with its server in this host's own table as well. The
+// caller holds mu.
+func (c *Client) learnLoss(p *pending, shown bool) {
+	loss := quarantine.Loss{Print: p.ask.Print, Account: p.ask.Account, Service: p.ask.Service, Server: p.server, Shown: shown}
+	c.local(func(now sched.Time, s *sched.Scheduler) []sched.Decision {
+		s.LearnLoss(now, loss)
+		return nil
+	})
+}
+
+// OnRevoke has f called when the place is revoked: its request was put in quarantine. f
+// gets when to come back and what is held against the request; it must not block.
+func (c *Client) OnRevoke(id uint64, f func(*Refused)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.pending[id]; p != nil {
+		p.revoke = f
+	}
+}
+
+// LearnSuspects takes what the store keeps of requests that end servers.
+func (l *Loop) LearnSuspects(records []quarantine.Record) {
+	l.push(context.Background(), func(now sched.Time, s *sched.Scheduler) []sched.Decision {
+		return s.LearnSuspects(now, records)
+	})
+}
+
+// logSuspects writes a line for each request that goes into quarantine or out of it.
+func (l *Loop) logSuspects(records []quarantine.Record) {
+	for _, r := range records {
+		f := event.Fields{Service: r.Service, Detail: "fingerprint=" + r.Print.String()}
+		switch {
+		case r.Blamed && !l.blamed[r.Print]:
+			l.blamed[r.Print] = true
+			f.Detail += " account=" + r.Account + " " + r.Explain()
+			l.events.Record(event.RequestQuarantined, f)
+		case !r.Blamed && l.blamed[r.Print]:
+			delete(l.blamed, r.Print)
+			l.events.Record(event.QuarantineLifted, f)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	Acquire(ctx context.Context, ask *dispatch.Ask) (dispatch.Place, error)
 	Finish(id uint64, result sched.Result, first, pace time.Duration)
 	Blame(server string)
+	OnRevoke(id uint64, f func(*dispatch.Refused))
 }
 
 const (
@@ -111,6 +112,7 @@
 	server string        // of the newest place
 	kept   *answer       // a server's failure, for want of anything better
 	waited time.Duration // for places
+	held   string        // what was held against the request as it was refused, for the log
 	first  time.Duration // from the newest send to its first event or whole answer
 	stream stream
 }
@@ -227,7 +229,7 @@
 		Request: x.head.ID, Service: x.service, Priority: priority(x.route, x.account),
 		PromptTokens: x.head.PromptTokens, OutputTokens: x.expectedOutput(), Parts: x.head.Parts,
 		Arrived: x.arrived, Aim: x.arrived.Add(x.route.Aim), Deadline: x.deadline,
-		MaxPause: x.route.GapAim, Repeat: x.repeat, Avoid: x.tried,
+		MaxPause: x.route.GapAim, Repeat: x.repeat, Avoid: x.tried, Print: x.print,
 	}
 	if x.account != nil {
 		a.Account = x.account.Name
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -25,6 +25,10 @@
 		x.pass(x.kept)
 	case x.runs > 0 && ctx.Err() != nil:
 		x.fail(http.StatusGatewayTimeout, failure.Deadline, 0, "the deadline passed while it may have run")
+	case x.runs > 0 && quarantined(err) != nil:
+		why := quarantined(err)
+		x.held = why.Detail
+		x.fail(http.StatusBadGateway, failure.Quarantined, why.RetryAfter, "it may have run; "+why.Error())
 	case x.runs > 0:
 		x.fail(http.StatusBadGateway, failure.ServerLost, 0, "its server gave no answer; it may have run")
 	case ctx.Err() != nil:
@@ -34,6 +38,15 @@
 	}
 }
 
+// quarantined returns the refusal of a request that is in quarantine, nil for others.
+func quarantined(err error) *dispatch.Refused {
+	var refused *dispatch.Refused
+	if errors.As(err, &refused) && refused.Reason == sched.Quarantined {
+		return refused
+	}
+	return nil
+}
+
 // minRetryAfter is the least that a refused caller is told to wait.
 const minRetryAfter = 100 * time.Millisecond
 
@@ -44,12 +57,15 @@
 		x.fail(http.StatusServiceUnavailable, failure.Overload, minRetryAfter, err.Error())
 		return
 	}
+	x.held = refused.Detail
 	status, code := http.StatusServiceUnavailable, failure.Overload
 	switch refused.Reason {
 	case sched.Quota:
 		status, code = http.StatusTooManyRequests, failure.Overload
 	case sched.NoServer, sched.NoService:
 		code = failure.NoServer
+	case sched.Quarantined:
+		code = failure.Quarantined
 	}
 	x.fail(status, code, max(minRetryAfter, refused.RetryAfter), refused.Error())
 }
@@ -114,6 +130,9 @@
 	if x.print.Known() {
 		f.Detail += " fingerprint=" + x.print.String()
 	}
+	if x.held != "" {
+		f.Detail += " " + x.held
+	}
 	if x.stream.events > 1 {
 		f.Detail += " pause=" + milliseconds(x.stream.pause) + " most=" + milliseconds(x.route.GapAim)
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -59,6 +59,7 @@
 				buf = append(buf[:0], buf[whole:]...)
 				now := time.Now()
 				if firstAt.IsZero() {
+					t.begun.Store(true)
 					firstAt, report = now, now.Add(paceFirst)
 					t.first = now.Sub(t.sent)
 					x.first = t.first
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -66,9 +66,11 @@
 	conn  *upstream.Conn
 	stop  func() bool // ends the watch that closes conn when the caller leaves
 	sent  time.Time
-	first time.Duration // to the first event or the whole answer
-	stall *time.Timer   // watches a stream for silence; nil for plain calls
-	phase atomic.Int32  // inExchange, then stalled or over
+	first time.Duration     // to the first event or the whole answer
+	stall *time.Timer       // watches a stream for silence; nil for plain calls
+	phase atomic.Int32      // inExchange, then stalled, revoked or over
+	begun atomic.Bool       // the first event has arrived
+	why   *dispatch.Refused // of a revoked place; phase guards it
 }
 
 // The phases of an attempt. Who moves it on from inExchange owns the
@@ -76,6 +78,7 @@
 const (
 	inExchange int32 = iota
 	stalled          // its server does not answer new connections
+	revoked          // the request was put in quarantine
 	over
 )
 
@@ -143,6 +146,7 @@
 	if err != nil {
 		return t.lost(ctx, err)
 	}
+	x.h.Places.OnRevoke(t.place.ID, t.revoke)
 	t.watchStall()
 	defer t.endStall()
 	t.patience(ctx, t.silence())
@@ -342,14 +346,18 @@
 		x.giveUp(ctx, context.DeadlineExceeded)
 		return final
 	}
-	result := sched.Broken
-	if t.phase.Load() == stalled {
-		result = sched.Silent
+	if t.phase.Load() == revoked {
+		x.h.Places.Finish(t.place.ID, sched.Left, 0, 0)
+		x.giveUp(ctx, t.why)
+		return final
 	}
-	x.h.Places.Finish(t.place.ID, result, 0, 0)
 	x.tried = append(x.tried, t.place.Server)
 	x.note(event.ServerLost, err.Error()+" events="+strconv.Itoa(x.stream.events))
-	go t.noteEnd()
+	if t.phase.Load() == stalled {
+		x.h.Places.Finish(t.place.ID, sched.Silent, 0, 0)
+	} else {
+		go t.reportBroken()
+	}
 	if x.mayRunAgain() {
 		return again
 	}
@@ -357,13 +365,27 @@
 	return final
 }
 
-// noteEnd tells whether the server of a broken answer has ended, or only the connection:
-// one that has ended refuses new ones at once. With it stands what was lost there.
-func (t *attempt) noteEnd() {
-	x, ran := t.x, time.Since(t.sent)
+// revoke ends a run that has shown nothing yet: its request was put in quarantine.
+func (t *attempt) revoke(why *dispatch.Refused) {
+	if t.begun.Load() {
+		return
+	}
+	t.why = why
+	if t.phase.CompareAndSwap(inExchange, revoked) {
+		t.conn.Close()
+	}
+}
+
+// reportBroken tells the scheduler of a broken answer, and whether its server has ended
+// with it: one that has ended refuses new connections at once. The caller is not kept
+// waiting for that.
+func (t *attempt) reportBroken() {
+	x, ran, first := t.x, time.Since(t.sent), t.first
 	if !upstream.Refuses(t.place.Address, stallDial) {
+		x.h.Places.Finish(t.place.ID, sched.Broken, first, 0)
 		return
 	}
+	x.h.Places.Finish(t.place.ID, sched.Ended, first, 0)
 	x.h.Meter.ServerEnded()
 	x.h.Events.Record(event.ServerEnded, event.Fields{
 		Request: x.head.ID, Service: x.service, Server: t.place.Server,
@@ -445,7 +467,7 @@
 	}
 	if _, err := io.Copy(x.w, resp.Body); err != nil {
 		t.conn.Close()
-		x.h.Places.Finish(t.place.ID, sched.Broken, 0, 0)
+		go t.reportBroken()
 		x.abort("a long answer broke off: " + err.Error())
 	}
 	t.release(resp)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -51,6 +51,9 @@
 	FrameCrossed      Code = 215
 	RequestLeft       Code = 216
 
+	RequestQuarantined Code = 217
+	QuarantineLifted   Code = 218
+
 	HomeOpened      Code = 301
 	HomeClosed      Code = 302
 	HomeShed        Code = 303
@@ -129,7 +132,9 @@
 	RequestRefused:    {"request_refused", Info, "A request was refused before it was held; detail gives the reason code."},
 	FrameCrossed:      {"frame_crossed", Warn, "An answer frame did not belong to its request and was dropped."},
 
-	RequestLeft: {"request_left", Info, "The caller left before its answer; detail tells when."},
+	RequestQuarantined: {"request_quarantined", Alarm, "Servers ended while they ran a request; it is not run until an operator releases it or its trial succeeds. Detail gives the fingerprint, the servers and whose word it is."},
+	QuarantineLifted:   {"quarantine_lifted", Info, "A request that was in quarantine succeeded or was released."},
+	RequestLeft:        {"request_left", Info, "The caller left before its answer; detail tells when."},
 
 	HomeOpened:      {"home_opened", Info, "This host became the home of a service."},
 	HomeClosed:      {"home_closed", Info, "This host stopped being the home of a service."},
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -47,6 +47,7 @@
 	Withdrawn       Code = "withdrawn"
 	StoreDown       Code = "store_down"
 	NotCovered      Code = "not_covered"
+	Quarantined     Code = "quarantined"
 	ServerLost      Code = "server_lost"
 	ServerError     Code = "server_error"
 	HolderLost      Code = "holder_lost"
@@ -90,6 +91,7 @@
 	Removed:       {http.StatusGone, NotRun},
 	Withdrawn:     {http.StatusConflict, NotRun},
 	StoreDown:     {http.StatusServiceUnavailable, NotRun},
+	Quarantined:   {http.StatusServiceUnavailable, NotRun},
 	NotCovered:    {http.StatusBadGateway, Unknown},
 	ServerLost:    {http.StatusBadGateway, Unknown},
 	ServerError:   {http.StatusBadGateway, Unknown},
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -97,6 +97,8 @@
 type joining struct {
 	node    *Node
 	written int           // the size in this host's row, 0: it has none
+	led     bool          // it was the home when it looked last, and knows the quarantine
+	release time.Time     // when it looks next whether a request was released
 	due     time.Time     // when the table is read again
 	retry   time.Duration // of a host alone
 }
@@ -106,6 +108,7 @@
 	live := n.members.Live()
 	alone := live == 1
 	home := n.isHome() && n.gossip.Settled()
+	j.learnQuarantine(ctx, now, home)
 	if !alone && !home {
 		j.retry = hostsRetry
 		return
@@ -125,6 +128,20 @@
 	j.due = now.Add(hostsPeriod)
 }
 
+// learnQuarantine reads which requests are in quarantine when this host has become the
+// home: all that knew may have lost their power together. While one is, it looks now and
+// then whether an operator has released it.
+func (j *joining) learnQuarantine(ctx context.Context, now time.Time, home bool) {
+	kept := j.node.kept
+	switch {
+	case !home:
+		j.led = false
+	case !j.led || kept.any() && now.After(j.release):
+		j.led = kept.read(ctx, j.node.loop) == nil
+		j.release = now.Add(releasePeriod)
+	}
+}
+
 // outdated reports whether this host's row tells a size that is far from live.
 func (j *joining) outdated(live int) bool {
 	was, is := float64(j.written), float64(live)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/gentianflow/gentianflow/internal/ident"
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/peer"
+	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/routing"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/store"
@@ -61,10 +62,12 @@
 	OperatorTable string
 	ServerTable   string
 	HostTable     string
-	DecodeConfig  func(key string, value []byte) (c routing.Config, ok bool, err error)
-	DecodeServer  func(id string, value []byte) (sched.Server, error)
-	LookupHandler func(func() (list []string, ttl time.Duration, ok bool)) http.Handler
-	ReadyHandler  func(func() bool) http.Handler
+	// QuarantineTable keeps the requests in quarantine for hosts that start.
+	QuarantineTable string
+	DecodeConfig    func(key string, value []byte) (c routing.Config, ok bool, err error)
+	DecodeServer    func(id string, value []byte) (sched.Server, error)
+	LookupHandler   func(func() (list []string, ttl time.Duration, ok bool)) http.Handler
+	ReadyHandler    func(func() bool) http.Handler
 }
 
 // Node is one running entry host.
@@ -92,6 +95,7 @@
 	serve     []*http.Server
 	front     *http.Server
 	listed    atomic.Pointer[hostList]
+	kept      *quarantineStore
 	joined    chan struct{} // closed when this host may know whom to ask for tables
 	configRow int64         // version of the newest row decoded; the watcher owns it
 	leaving   atomic.Bool
@@ -153,7 +157,12 @@
 		n.peerAddress(), n.serveStream, peerNews{n.members}, n.events, &n.traffic)
 	n.peers.DialFrom(net.ParseIP(n.set.IP))
 	n.loop = dispatch.NewLoop(n.set.Policy, n.events, n.deliver)
-	n.loop.Do(func(_ sched.Time, s *sched.Scheduler) { s.SetOwner(uint64(n.inc)) })
+	n.kept = newQuarantineStore(n.set.Host, n.plat.QuarantineTable, n.plat.Tables, n.plat.Writer, n.isHome, n.events)
+	n.loop.OnSuspects(n.spreadSuspects)
+	n.loop.Do(func(_ sched.Time, s *sched.Scheduler) {
+		s.SetOwner(uint64(n.inc))
+		s.SetHost(n.set.Host)
+	})
 	n.home = dispatch.NewHome(n.loop)
 	n.servers = newServers(n.plat.DecodeServer, n.events, n.applyServers)
 	n.client = dispatch.NewClient(n.inc, n.set.AvailabilityZone, n.loop, n.servers.leaving, n.events)
@@ -195,6 +204,13 @@
 	}
 }
 
+// spreadSuspects tells the other hosts and the store what has changed of requests that end
+// servers.
+func (n *Node) spreadSuspects(records []quarantine.Record) {
+	n.home.TellSuspects(records)
+	n.kept.note(records)
+}
+
 func (n *Node) serveStream(st *peer.Stream) {
 	switch st.Open.Kind {
 	case wire.StreamKind_STREAM_SCHEDULE:
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -61,6 +61,7 @@
 	n.duties.Go(func() { n.follower.Run(run) })
 	n.duties.Go(func() { n.home.TeachNext(run, func() []uint64 { return dispatch.NextHomes(n.members) }) })
 	n.duties.Go(func() { n.join(run) })
+	n.duties.Go(func() { n.kept.run(run) })
 	n.duties.Go(func() { n.releaseReaders(run) })
 	n.watch(run, n.plat.OperatorTable, n.applyConfig)
 	n.watch(run, n.plat.ServerTable, n.servers.take)
@@ -218,6 +219,7 @@
 	n.loop.Query(r.Context(), func(s *sched.Scheduler) {
 		gauge("scheduler_waiting", int64(s.Waiting()))
 		gauge("scheduler_running", int64(s.Running()))
+		gauge("requests_in_quarantine", int64(s.Quarantined()))
 	})
 	metrics.WriteOnce(n.metrics, w)
 }
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -1,5 +1,3 @@
-// Package quarantine finds the requests that end each server which runs them, and keeps them
-// from further servers.
 package quarantine
 
 import (
--- /dev/null
+++ b/internal/quarantine/judge.go
@@ -0,0 +1,189 @@
+package quarantine
+
+import "slices"
+
+// Standing is how a request is to be treated.
+type Standing uint8
+
+const (
+	// Free: nothing is held against it.
+	Free Standing = iota
+	// Suspect: it ran at a server that ended. So did others there; it goes on, but for
+	// copies of it, one at a time.
+	Suspect
+	// Probation: it was the most suspect at two ends or more, or its time in quarantine is
+	// over. One copy at a time runs, apart from other suspects.
+	Probation
+	// Wait: as Probation, but the cause of its newest end is not plain yet.
+	Wait
+	// Quarantined: it has ended servers until no doubt was left. It is not run.
+	Quarantined
+)
+
+// Well reports whether a server of the request's service that was there before a moment
+// has answered since, and has not ended.
+type Well func(since Time) bool
+
+// Judge tells how a request is to be treated now. It blames the request when the facts
+// are enough.
+func (t *Table) Judge(now Time, f Fingerprint, well Well) Standing {
+	e := t.entries[f]
+	if e == nil {
+		return Free
+	}
+	if !e.judged.stale(now, t.changes) {
+		return e.judged.standing
+	}
+	standing := t.judge(now, f, e, well)
+	e.judged = judgment{standing: standing, at: now, changes: t.changes}
+	return standing
+}
+
+// judgment is how a request was judged last.
+type judgment struct {
+	standing Standing
+	at       Time
+	changes  uint64 // of the table, until then
+}
+
+// stale reports whether new facts, or time, may change the judgment. Each suspect that
+// waits is judged in each round of the scheduler: in a burst with five culprits about that
+// was half of its work.
+func (j judgment) stale(now Time, changes uint64) bool {
+	return j.changes != changes || now-j.at >= judgedFor
+}
+
+func (t *Table) judge(now Time, f Fingerprint, e *entry, well Well) Standing {
+	if e.blamed {
+		if now >= e.retryAt {
+			return Probation
+		}
+		return Quarantined
+	}
+	if now-e.last() > memory {
+		t.drop(f)
+		return Free
+	}
+	guilty, apart := t.guilty(f, e, well)
+	if len(guilty) < 2 {
+		return Suspect
+	}
+	last := guilty[len(guilty)-1].at
+	if now-last < sameMoment || now-last < sameCause && !well(last) {
+		return Wait
+	}
+	if apart < endsToBlame {
+		return Probation
+	}
+	e.blamed, e.since, e.by = true, now, t.host
+	e.retryAt = now + firstTrial
+	t.changed(f)
+	return Quarantined
+}
+
+// guilty lists the ends that are held against a request, and counts those that have each
+// a cause of their own.
+//
+// Guard: up to a server's places of ordinary requests run beside the culprit, and some of
+// them come again beside it. The culprit is there each time, so the more ends it has seen
+// the less of them is held against others. And servers end for reasons of their own: a rack
+// at a time, again and again, with hundreds of requests, of which a few are there each time.
+func (t *Table) guilty(f Fingerprint, e *entry, well Well) (list []end, apart int) {
+	for i := range e.ends {
+		lost := &e.ends[i]
+		if t.common(f, lost) || t.outweighed(f, e, lost) {
+			continue
+		}
+		if n := len(list); n == 0 {
+			lost.distinct = true
+		} else if before := list[n-1].at; lost.at-before >= sameCause || !lost.distinct && well(before) {
+			lost.distinct = true
+		}
+		if lost.distinct {
+			apart++
+		}
+		list = append(list, *lost)
+	}
+	return list, apart
+}
+
+// common reports whether other servers, where the request was not, ended in the same
+// moment.
+func (t *Table) common(f Fingerprint, lost *end) bool {
+	others := 0
+	for name, s := range t.servers {
+		if name != lost.server && !s.prints[f] && max(s.at-lost.at, lost.at-s.at) <= sameMoment {
+			others++
+		}
+	}
+	return others >= otherEnds
+}
+
+// weight orders the requests that ran at one server by how suspect they are.
+func (t *Table) weight(f Fingerprint, e *entry) int {
+	n := 0
+	for i := range e.ends {
+		if !t.common(f, &e.ends[i]) {
+			n++
+		}
+	}
+	if e.blamed {
+		n += maxLosses
+	}
+	return n
+}
+
+// outweighed reports whether another request that ran at the server is more suspect: it
+// has seen more ends, or as many, and had shown nothing there while this one had.
+func (t *Table) outweighed(f Fingerprint, e *entry, lost *end) bool {
+	mine := t.weight(f, e)
+	for other := range t.servers[lost.server].prints {
+		if other == f {
+			continue
+		}
+		o := t.entries[other]
+		weight := t.weight(other, o)
+		if weight > mine || weight == mine && lost.shown && !o.shownAt(lost.server) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entry) shownAt(server string) bool {
+	i := slices.IndexFunc(e.ends, func(lost end) bool { return lost.server == server })
+	return i >= 0 && e.ends[i].shown
+}
+
+// Strong reports whether a request is on probation or worse, without judging it anew.
+func (t *Table) Strong(f Fingerprint) bool {
+	e := t.entries[f]
+	return e != nil && (e.blamed || len(e.ends) > 1)
+}
+
+// RetryIn is how long a request stays in quarantine.
+func (t *Table) RetryIn(now Time, f Fingerprint) Time {
+	if e := t.entries[f]; e != nil && e.blamed {
+		return max(0, e.retryAt-now)
+	}
+	return 0
+}
+
+// Explain tells what is held against a request, empty when there is nothing.
+func (t *Table) Explain(now Time, f Fingerprint) string {
+	if !t.Has(f) {
+		return ""
+	}
+	r := t.Record(now, f)
+	return r.Explain()
+}
+
+// Quarantined counts the requests in quarantine.
+func (t *Table) Quarantined() (n int) {
+	for _, e := range t.entries {
+		if e.blamed {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,257 @@
+// Package quarantine finds the requests that end each server which runs them (queries of
+// death), and keeps them from further servers.
+//
+// What is known is a set of facts: this request ran at that server as it ended. Facts of
+// several hosts are joined as sets, so it does not matter in which order they come, or how
+// often. Who is to blame is worked out from them anew each time. A request that succeeds
+// anywhere is not one of these, and its facts are dropped.
+//
+// The package is pure: it reads no clock and does no I/O.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Time is a moment on the monotonic clock of the process that owns the table.
+type Time = time.Duration
+
+const (
+	// endsToBlame is how many servers must have ended under a request. Two may be chance:
+	// of the requests beside a culprit some come again beside it.
+	endsToBlame = 3
+	// sameCause is how close ends may be that have one cause, other than a request: a rack
+	// or all servers of a service that end together, while a request goes from one to the
+	// next. They count once, unless a server that was there before goes on answering.
+	sameCause = time.Second
+	// sameMoment is how close ends are that come of one failure; hosts notice them within
+	// that. otherEnds is how many other servers must have ended in the moment for it to be
+	// one: several culprits may be about, each of which ends one or two servers a second.
+	sameMoment = 200 * time.Millisecond
+	otherEnds  = 2
+	// firstTrial is how long a request stays in quarantine before it is tried once: its
+	// servers may have been mended. The time doubles with each trial that ends a server,
+	// to trialMost.
+	firstTrial = 10 * time.Minute
+	trialMost  = 4 * time.Hour
+	// memory is how long an end is held against a request that has not been blamed.
+	memory = 10 * time.Minute
+	// judgedFor is how long a judgment holds while nothing new is known.
+	judgedFor = 50 * time.Millisecond
+	// maxEntries bounds the requests in the table, 300 bytes each, maxLosses the ends kept
+	// of one, and maxServers the servers whose end is known.
+	maxEntries = 2048
+	maxLosses  = 8
+	maxServers = 4096
+)
+
+// Loss is the fact that a request ran at a server as it ended.
+type Loss struct {
+	Print   Fingerprint
+	Account string
+	Service string
+	Server  string // its incarnation
+	At      Time
+	// Shown is set when the run had shown an event: the server had begun with it before.
+	Shown bool
+}
+
+// end is a server's end as one request saw it.
+type end struct {
+	server   string
+	at       Time
+	shown    bool
+	distinct bool // it has not the cause of the one before
+}
+
+// serverEnd is a server's end and the requests that ran there.
+type serverEnd struct {
+	at     Time
+	prints map[Fingerprint]bool
+}
+
+// entry is what is known of one request.
+type entry struct {
+	account string
+	service string
+	ends    []end // in order of time
+	// since is when it was blamed, by the host named; retryAt when it may be tried next.
+	blamed  bool
+	since   Time
+	by      string
+	retryAt Time
+	trials  int // that ended a server
+	judged  judgment
+}
+
+func (e *entry) last() Time {
+	if len(e.ends) == 0 {
+		return e.since
+	}
+	return e.ends[len(e.ends)-1].at
+}
+
+// Table is what one host knows. It is not safe for concurrent use.
+type Table struct {
+	host    string // its own name, for those it blames
+	entries map[Fingerprint]*entry
+	servers map[string]*serverEnd
+	cleared map[Fingerprint]Time // facts up to then do not count
+	news    map[Fingerprint]bool // changed since TakeNews
+	changes uint64               // of what is known
+}
+
+// NewTable makes an empty table.
+func NewTable() *Table {
+	return &Table{
+		entries: map[Fingerprint]*entry{}, servers: map[string]*serverEnd{},
+		cleared: map[Fingerprint]Time{}, news: map[Fingerprint]bool{}, changes: 1,
+	}
+}
+
+// SetHost names the host that owns the table.
+func (t *Table) SetHost(name string) { t.host = name }
+
+// Has reports whether a server has ended under a request. It is quick: asked of each
+// request in the queue.
+func (t *Table) Has(f Fingerprint) bool {
+	if len(t.entries) == 0 {
+		return false
+	}
+	_, ok := t.entries[f]
+	return ok
+}
+
+// Add takes a fact and reports whether it is new.
+func (t *Table) Add(now Time, l Loss) bool {
+	if !l.Print.Known() {
+		return false
+	}
+	if at, ok := t.cleared[l.Print]; ok && l.At <= at {
+		return false
+	}
+	e := t.entries[l.Print]
+	if e == nil {
+		t.makeRoom(now)
+		e = &entry{account: l.Account, service: l.Service}
+		t.entries[l.Print] = e
+	}
+	if slices.ContainsFunc(e.ends, func(have end) bool { return have.server == l.Server }) {
+		return false
+	}
+	e.ends = append(e.ends, end{server: l.Server, at: l.At, shown: l.Shown})
+	slices.SortStableFunc(e.ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
+	if len(e.ends) > maxLosses {
+		t.unlink(l.Print, e.ends[0].server)
+		e.ends = slices.Delete(e.ends, 0, 1)
+	}
+	t.ServerEnded(l.Server, l.At)
+	ended := t.servers[l.Server]
+	if len(ended.prints) == 0 || l.At < ended.at {
+		ended.at = l.At // a failed connection may have been noted much earlier
+	}
+	ended.prints[l.Print] = true
+	if e.blamed && l.At > e.retryAt {
+		e.trials++
+		e.retryAt = l.At + min(trialMost, firstTrial<<min(e.trials, 8))
+	}
+	t.changed(l.Print)
+	return true
+}
+
+// Clear drops what is known of a request: it has succeeded, or an operator released it.
+// It reports whether there was anything.
+func (t *Table) Clear(now Time, f Fingerprint) bool {
+	if !t.Has(f) {
+		return false
+	}
+	t.drop(f)
+	t.setCleared(now, f)
+	return true
+}
+
+// setCleared notes a success or release. The notes of the last minutes are kept, to
+// maxEntries: a fact that comes so late counts as new, and needs two more like it.
+func (t *Table) setCleared(at Time, f Fingerprint) {
+	if len(t.cleared) >= maxEntries {
+		maps.DeleteFunc(t.cleared, func(_ Fingerprint, old Time) bool { return at-old > memory })
+	}
+	if len(t.cleared) < maxEntries {
+		t.cleared[f] = at
+	}
+	t.changed(f)
+}
+
+// changed notes that something else is known of f, and so of those that ran beside it.
+func (t *Table) changed(f Fingerprint) {
+	t.news[f] = true
+	t.changes++
+}
+
+func (t *Table) drop(f Fingerprint) {
+	if e := t.entries[f]; e != nil {
+		for _, lost := range e.ends {
+			t.unlink(f, lost.server)
+		}
+		delete(t.entries, f)
+	}
+}
+
+func (t *Table) unlink(f Fingerprint, server string) {
+	if s := t.servers[server]; s != nil {
+		delete(s.prints, f)
+	}
+}
+
+// ServerEnded notes that a server has ended, whether or not a request was lost there.
+func (t *Table) ServerEnded(server string, at Time) {
+	if t.servers[server] != nil {
+		return
+	}
+	if len(t.servers) >= maxServers {
+		maps.DeleteFunc(t.servers, func(_ string, s *serverEnd) bool { return len(s.prints) == 0 })
+	}
+	t.changes++
+	t.servers[server] = &serverEnd{at: at, prints: map[Fingerprint]bool{}}
+}
+
+// makeRoom keeps the table bounded: it drops what is old, and then the oldest of the
+// account that has most.
+//
+// Guard: a caller that changes a byte each time fills the table. It pushes out its own
+// requests and not those of others, and so can neither free theirs nor have them refused.
+func (t *Table) makeRoom(now Time) {
+	if len(t.entries) < maxEntries {
+		return
+	}
+	counts := map[string]int{}
+	for f, e := range t.entries {
+		if !e.blamed && now-e.last() > memory {
+			t.drop(f)
+			continue
+		}
+		counts[e.account]++
+	}
+	if len(t.entries) < maxEntries {
+		return
+	}
+	var most string
+	for account, n := range counts {
+		if n > counts[most] || n == counts[most] && account < most {
+			most = account
+		}
+	}
+	var oldest Fingerprint
+	for f, e := range t.entries {
+		if e.account != most {
+			continue
+		}
+		if old := t.entries[oldest]; old == nil || e.last() < old.last() {
+			oldest = f
+		}
+	}
+	t.drop(oldest)
+}
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -79,11 +79,14 @@
 			s.servers[spec.ID].lot = lot(s.owner, spec.ID)
 			continue
 		}
+		have.leaves = have.leaves || spec.Draining
 		spec.Draining = spec.Draining || have.Draining && spec.Address == have.Address
 		have.Server = spec
 	}
-	for id := range s.servers {
+	for id, srv := range s.servers {
 		if !listed[id] {
+			s.ended(now, srv)
+			srv.leaves = true // some servers go on for a while, and cut off what lasts longer
 			delete(s.servers, id)
 		}
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/gentianflow/gentianflow/internal/quarantine"
 )
 
 // fill places waiting requests while servers of free have room, the most urgent
@@ -30,7 +32,7 @@
 // try places w at one of the servers offered, if it may run, and reports whether it
 // did.
 func (s *Scheduler) try(now Time, svc *service, o *offer, w *waiting) bool {
-	if s.quotaWait(now, &w.Request) > 0 {
+	if s.quotaWait(now, &w.Request) > 0 || s.heldBack(now, &w.Request) {
 		return false
 	}
 	srv := s.choose(now, svc, o, &w.Request)
@@ -109,7 +111,7 @@
 		return nil
 	}
 	for _, srv := range o.free {
-		if slices.Contains(r.Avoid, srv.ID) || !srv.hasMemory(svc, r) {
+		if slices.Contains(r.Avoid, srv.ID) || !srv.hasMemory(svc, r) || s.keptApart(srv, r) {
 			continue
 		}
 		fits := need.met(now, svc, srv, r)
@@ -152,7 +154,7 @@
 	if r.Repeat {
 		penalty *= repeatCare
 	}
-	return c + time.Duration(srv.failureShare(now)*float64(penalty))
+	return c + time.Duration(srv.failureShare(now)*float64(penalty)) + s.suspectCost(srv, r)
 }
 
 func (s *Scheduler) place(now Time, svc *service, srv *server, w *waiting) {
@@ -163,7 +165,14 @@
 	lane.placed.add(now)
 	lane.given.add(now, svc.work(&w.Request))
 	req := w.Request
-	s.runs[w.Key] = srv.start(now, svc, &req)
+	placed := srv.start(now, svc, &req)
+	s.runs[w.Key] = placed
+	s.countCopy(w.Print, 1)
+	if s.suspects.Strong(w.Print) {
+		placed.trial = true
+		srv.trials++
+		svc.tried = now
+	}
 	s.out = append(s.out, Decision{Key: w.Key, Server: srv.ID, Address: srv.Address, Waited: now - w.asked})
 }
 
@@ -232,6 +241,10 @@
 // another try, and time to outlast a burst; on the heaviest days a fifth of the
 // long streams left so while they waited.
 func (s *Scheduler) overdue(now Time, svc *service, w *waiting) bool {
+	if s.standing(now, &w.Request) == quarantine.Quarantined {
+		s.refuseQuarantined(now, w)
+		return true
+	}
 	window := w.Deadline - w.Arrived
 	if quota := s.quotaWait(now, &w.Request); quota > 0 {
 		return s.overQuota(now, w, quota)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/gentianflow/gentianflow/internal/quarantine"
 )
 
 // Scheduler owns the queues of all services. One goroutine owns it; nothing
@@ -17,7 +19,10 @@
 	accounts map[string]*bucket
 	runs     map[Key]*run
 	orphans  int
-	out      []Decision // of the running call
+	suspects *quarantine.Table
+	copies   map[quarantine.Fingerprint]int    // of runs
+	review   map[quarantine.Fingerprint]string // to be judged again, with their service
+	out      []Decision                        // of the running call
 }
 
 // service is a service with its queue.
@@ -29,6 +34,7 @@
 	lead     spread        // from a place to the first event or the whole answer
 	typical  time.Duration // typicalTokenTime as worked out, 0 when it may have changed
 	handover spread        // of a plain call's place, beyond the time that its server has it
+	tried    Time          // when a request that has seen two ends was placed last
 	// readShare is what an engine takes to read one prompt token, as a part of what it
 	// takes to generate one.
 	readShare float64
@@ -47,6 +53,8 @@
 		policy: p, share: Share{Servers: 1, Limits: 1},
 		services: map[string]*service{}, servers: map[string]*server{},
 		accounts: map[string]*bucket{}, runs: map[Key]*run{},
+		suspects: quarantine.NewTable(), copies: map[quarantine.Fingerprint]int{},
+		review: map[quarantine.Fingerprint]string{},
 	}
 }
 
@@ -80,6 +88,9 @@
 	case svc == nil:
 		s.refuse(now, w, NoService, s.policy.RetryAfter)
 		return s.out, false
+	case s.standing(now, &r) == quarantine.Quarantined:
+		s.refuseQuarantined(now, w)
+		return s.out, false
 	case r.Repeat && !s.repeat(now, svc):
 		s.refuse(now, w, Budget, s.policy.RetryAfter)
 		return s.out, false
@@ -190,16 +201,20 @@
 		return nil
 	}
 	r.server.learn(now, o)
+	s.learnEnd(now, r, o)
 	if svc := s.services[r.req.Service]; svc != nil && o.Pace > 0 {
 		svc.typical = 0
 	}
-	if svc := s.services[r.req.Service]; svc != nil && o.First > 0 {
+	if svc := s.services[r.req.Service]; svc != nil && o.First > 0 && !o.Result.Lost() {
 		svc.learnReading(r, o.First)
 		if o.Result == OK {
 			svc.lead.add(o.First)
 			svc.learnHandover(now-r.placed, o.First)
 		}
 	}
+	if o.Result == Pace {
+		r.server.endTrial(r)
+	}
 	if o.Result == Pace || o.Result == Stalled {
 		return nil
 	}
@@ -207,6 +222,7 @@
 		s.repay(now, r)
 	}
 	s.drop(r)
+	s.judgeSuspects(now)
 	listed := s.servers[r.server.ID] == r.server
 	if svc := s.services[r.req.Service]; svc != nil && listed && r.server.room(now, s.places(svc, r.server)) {
 		s.fill(now, svc, []*server{r.server})
@@ -237,6 +253,7 @@
 		s.orphans--
 	}
 	r.server.finish(r)
+	s.countCopy(r.req.Print, -1)
 	delete(s.runs, r.req.Key)
 }
 
@@ -255,11 +272,12 @@
 	if srv == nil || svc == nil {
 		return
 	}
-	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, MaxPause: a.MaxPause}
+	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, MaxPause: a.MaxPause, Account: a.Account, Print: a.Print}
 	r := srv.start(now, svc, req)
 	r.ends = max(now, r.ends-a.Elapsed)
 	r.repaid = true // charged elsewhere
 	s.runs[a.Key] = r
+	s.countCopy(a.Print, 1)
 }
 
 // HolderGone drops what a holder had waiting. Its runs go on at their servers
@@ -282,6 +300,7 @@
 func (s *Scheduler) Tick(now Time) []Decision {
 	s.out = nil
 	s.expireOrphans(now)
+	s.judgeSuspects(now)
 	for _, svc := range s.services {
 		if svc.queue.size > 0 {
 			s.fill(now, svc, s.withRoom(now, svc))
@@ -314,8 +333,13 @@
 // Running returns how many runs are booked.
 func (s *Scheduler) Running() int { return len(s.runs) }
 
+// refuseQuarantined refuses w until it may be tried again.
+func (s *Scheduler) refuseQuarantined(now Time, w *waiting) {
+	s.refuse(now, w, Quarantined, max(s.policy.RetryAfter, s.suspects.RetryIn(now, w.Print)))
+}
+
 func (s *Scheduler) refuse(now Time, w *waiting, why Reason, after time.Duration) {
-	d := Decision{Key: w.Key, Reason: why, RetryAfter: after}
+	d := Decision{Key: w.Key, Reason: why, RetryAfter: after, Detail: s.suspects.Explain(now, w.Print)}
 	if svc := s.services[w.Service]; svc != nil {
 		d.Waiting = svc.queue.size
 		for _, srv := range svc.servers {
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/gentianflow/gentianflow/internal/quarantine"
 )
 
 // run is one placed request.
@@ -16,6 +18,7 @@
 	tokens int           // of engine memory
 	orphan bool          // its holder is gone; it ends by the clock
 	repaid bool
+	trial  bool // on probation, and has shown no progress yet
 }
 
 // server is the scheduler's view of one backend server. Every placement is
@@ -24,6 +27,7 @@
 	Server
 	running     int
 	runs        []*run
+	trials      int  // of runs, those on probation
 	tokens      int  // of memory, that the runs need
 	prefillFree Time // when the prompts placed so far are predicted to be read
 	tokenTime   time.Duration
@@ -38,10 +42,16 @@
 	lot         float64 // 0 to 1, drawn for this scheduler; see Scheduler.places
 	cache       partCache
 	kept        connections
+	known       Time // when it was first listed
+	wellAt      Time // when it answered last
+	ended       bool // nothing listens there any more
+	endedAt     Time
+	leaves      bool              // it was listed as leaving before it ended
+	breaks      []quarantine.Loss // answers that broke off lately
 }
 
 func newServer(now Time, spec Server, svc *service, timeOut time.Duration) *server {
-	s := &server{Server: spec, tokenTime: svc.typicalTokenTime(), timeOut: timeOut, bench: timeOut}
+	s := &server{Server: spec, tokenTime: svc.typicalTokenTime(), timeOut: timeOut, bench: timeOut, known: now, leaves: spec.Draining}
 	s.coldUntil = now + spec.ColdFor
 	s.cache.capacity = svc.KVTokens
 	return s
@@ -54,9 +64,10 @@
 // room reports whether s may take one more request now, with limit places.
 //
 // Guard: a server that comes back from time out may still be gone. It gets one
-// request at a time until one was answered, not as many as it has places.
+// request at a time until one was answered, not as many as it has places. One that runs a
+// request on probation may be about to end, with all that is sent there meanwhile.
 func (s *server) room(now Time, limit int) bool {
-	if s.bench > s.timeOut && s.running > 0 {
+	if s.trials > 0 || s.bench > s.timeOut && s.running > 0 {
 		return false
 	}
 	return s.usable(now) && now >= s.fullUntil && s.running < limit
@@ -115,13 +126,25 @@
 
 func (s *server) finish(r *run) {
 	s.running--
+	s.endTrial(r)
 	s.tokens -= r.tokens
 	s.runs = slices.DeleteFunc(s.runs, func(have *run) bool { return have == r })
 }
 
+// endTrial opens the server to others again: r has ended, or is well on its way.
+func (s *server) endTrial(r *run) {
+	if r.trial {
+		r.trial = false
+		s.trials--
+	}
+}
+
 // learn takes in how a run went. It reports whether the server is to be left
 // alone for a while.
 func (s *server) learn(now Time, o Outcome) {
+	if o.Result == OK || o.Result == Pace {
+		s.wellAt = now
+	}
 	if o.Pace > 0 {
 		s.learnPace(min(max(o.Pace, minTokenTime), maxTokenTime))
 	}
@@ -133,7 +156,7 @@
 		s.bench = s.timeOut
 	case Errored:
 		s.failed(now)
-	case Broken, Silent, Unreachable:
+	case Broken, Silent, Unreachable, Ended:
 		s.failed(now)
 		if o.Result != Broken || s.failing > benchShare {
 			s.leaveAlone(now)
--- /dev/null
+++ b/internal/sched/suspects.go
@@ -0,0 +1,235 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gentianflow/gentianflow/internal/quarantine"
+)
+
+const (
+	// trialSpace is how far apart those start at one service that have seen two ends or
+	// more. A culprit ends its server within half a second of its start, as a rule; so the
+	// ends of several culprits at once can be told apart, each from the others and all
+	// from a rack that ends. Of five culprits at nine engines each was known by its third
+	// to fifth end so, and by its ninth without.
+	trialSpace = 400 * time.Millisecond
+	// besideSuspect is what a place beside another suspect costs one: the culprit and those
+	// that were lost with it must not meet again, if another server has room.
+	besideSuspect = 2 * time.Second
+	// besideOthers is what each request that would be lost with it costs one on probation:
+	// it goes where it does the least harm.
+	besideOthers = 500 * time.Millisecond
+	// breakMemory is how long a broken answer may turn out to have been its server's end:
+	// a server's entry lapses 3 to 4 s after it.
+	breakMemory = 6 * time.Second
+	maxBreaks   = 64
+)
+
+// SetHost names the host that runs this scheduler, for what it puts in quarantine.
+func (s *Scheduler) SetHost(name string) { s.suspects.SetHost(name) }
+
+// standing is how a request is to be treated for the servers that ended under it.
+func (s *Scheduler) standing(now Time, r *Request) quarantine.Standing {
+	if !s.suspects.Has(r.Print) {
+		return quarantine.Free
+	}
+	return s.suspects.Judge(now, r.Print, func(since Time) bool { return s.serviceWell(r.Service, since) })
+}
+
+// serviceWell reports whether a server that was there before a moment has answered since,
+// and has not ended.
+func (s *Scheduler) serviceWell(service string, since Time) bool {
+	svc := s.services[service]
+	if svc == nil {
+		return false
+	}
+	for _, srv := range svc.servers {
+		if !srv.ended && srv.known < since && srv.wellAt > since {
+			return true
+		}
+	}
+	return false
+}
+
+// heldBack reports whether a request must wait although there is room.
+//
+// Guard: the same request may stand at several hosts at once. Each copy that is sent
+// before the first has ended its server ends another one; so a suspect's copies run one
+// at a time. A host that decides alone knows neither all ends nor all copies, and leaves
+// those on probation to its home.
+func (s *Scheduler) heldBack(now Time, r *Request) bool {
+	standing := s.standing(now, r)
+	switch {
+	case standing == quarantine.Free:
+		return false
+	case standing > quarantine.Probation || s.copies[r.Print] > 0:
+		return true
+	case standing == quarantine.Probation && s.share.Servers < 1:
+		return true
+	}
+	svc := s.services[r.Service]
+	return s.suspects.Strong(r.Print) && svc.tried > 0 && now-svc.tried < trialSpace
+}
+
+// keptApart reports whether srv must not take r for the sake of others there, or of r.
+func (s *Scheduler) keptApart(srv *server, r *Request) bool {
+	if !s.suspects.Has(r.Print) {
+		return false
+	}
+	strong := s.suspects.Strong(r.Print)
+	for _, other := range srv.runs {
+		if s.suspects.Has(other.req.Print) && (strong || s.suspects.Strong(other.req.Print)) {
+			return true
+		}
+	}
+	return false
+}
+
+// suspectCost is what a place at srv costs a suspect beyond what it costs others.
+func (s *Scheduler) suspectCost(srv *server, r *Request) time.Duration {
+	if !s.suspects.Has(r.Print) {
+		return 0
+	}
+	cost := time.Duration(0)
+	if s.suspects.Strong(r.Print) {
+		cost = besideOthers * time.Duration(srv.running)
+	}
+	for _, other := range srv.runs {
+		if s.suspects.Has(other.req.Print) {
+			return cost + besideSuspect
+		}
+	}
+	return cost
+}
+
+// countCopy keeps the number of runs of each request.
+func (s *Scheduler) countCopy(f quarantine.Fingerprint, n int) {
+	if !f.Known() {
+		return
+	}
+	if s.copies[f] += n; s.copies[f] <= 0 {
+		delete(s.copies, f)
+	}
+}
+
+// learnEnd takes in what a run's end tells of the request.
+func (s *Scheduler) learnEnd(now Time, r *run, o Outcome) {
+	switch o.Result {
+	case OK:
+		s.suspects.Clear(now, r.req.Print)
+	case Ended:
+		s.ended(now, r.server)
+		s.lost(r.server, s.loss(now, r, o.First > 0))
+	case Broken:
+		if r.server.ended {
+			s.lost(r.server, s.loss(now, r, o.First > 0))
+			return
+		}
+		r.server.brokeOff(s.loss(now, r, o.First > 0))
+	case Unreachable:
+		s.suspects.ServerEnded(r.server.ID, now)
+	case Gone:
+		s.ended(now, r.server)
+	}
+}
+
+func (s *Scheduler) loss(now Time, r *run, shown bool) quarantine.Loss {
+	return quarantine.Loss{
+		Print: r.req.Print, Account: r.req.Account, Service: r.req.Service, Server: r.server.ID, At: now, Shown: shown,
+	}
+}
+
+// lost holds a server's end against a request that it had. One that was to leave is no
+// request's fault.
+func (s *Scheduler) lost(srv *server, l quarantine.Loss) {
+	if srv.leaves {
+		return
+	}
+	if s.suspects.Add(l.At, l) {
+		s.review[l.Print] = l.Service
+	}
+}
+
+// judgeSuspects looks again at requests under which servers have ended lately, and takes
+// the copies of those that are to blame off their servers.
+func (s *Scheduler) judgeSuspects(now Time) {
+	for f, service := range s.review {
+		switch s.standing(now, &Request{Print: f, Service: service}) {
+		case quarantine.Wait:
+		case quarantine.Quarantined:
+			delete(s.review, f)
+			s.revoke(now, f)
+		default:
+			delete(s.review, f)
+		}
+	}
+}
+
+// revoke asks the holders of a request's runs to end those that have shown nothing yet.
+//
+// Guard: copies that were sent before the first end was known may still stand in the
+// queues of servers, and each would end one more.
+func (s *Scheduler) revoke(now Time, f quarantine.Fingerprint) {
+	if s.copies[f] == 0 || s.standing(now, &Request{Print: f}) != quarantine.Quarantined {
+		return
+	}
+	for k, r := range s.runs {
+		if r.req.Print == f && !r.orphan {
+			s.out = append(s.out, Decision{Key: k, Reason: Quarantined, RetryAfter: s.suspects.RetryIn(now, f), Detail: s.suspects.Explain(now, f)})
+		}
+	}
+}
+
+// brokeOff remembers an answer that broke off while the server accepted connections.
+func (s *server) brokeOff(l quarantine.Loss) {
+	s.breaks = slices.DeleteFunc(s.breaks, func(b quarantine.Loss) bool { return l.At-b.At >= breakMemory })
+	if len(s.breaks) < maxBreaks {
+		s.breaks = append(s.breaks, l)
+	}
+}
+
+// ended notes that a server has ended, by a request or by itself.
+//
+// Guard: a server that a supervisor starts again at once accepts connections when it is
+// asked after a broken answer. Its answers look broken then and nothing more; they count
+// when another incarnation is found in its place.
+func (s *Scheduler) ended(now Time, srv *server) {
+	srv.ended, srv.endedAt = true, now
+	for _, b := range srv.breaks {
+		if now-b.At < breakMemory {
+			s.lost(srv, b)
+		}
+	}
+	srv.breaks = nil
+}
+
+// LearnLoss takes a run that this host lost with its server, whoever schedules for it.
+func (s *Scheduler) LearnLoss(now Time, l quarantine.Loss) {
+	l.At = now
+	s.suspects.Add(now, l)
+}
+
+// LearnSuspects takes what another host knows of requests that end servers.
+func (s *Scheduler) LearnSuspects(now Time, records []quarantine.Record) []Decision {
+	s.out = nil
+	for _, r := range records {
+		s.suspects.Merge(now, r)
+		if r.Blamed {
+			s.revoke(now, r.Print)
+		}
+	}
+	return s.out
+}
+
+// SuspectNews tells what has changed of requests that end servers.
+func (s *Scheduler) SuspectNews(now Time) []quarantine.Record { return s.suspects.TakeNews(now) }
+
+// Suspects tells all that is known of requests that end servers.
+func (s *Scheduler) Suspects(now Time) []quarantine.Record { return s.suspects.All(now) }
+
+// Quarantined counts the requests in quarantine.
+func (s *Scheduler) Quarantined() int { return s.suspects.Quarantined() }
+
+// Release takes a request out of quarantine and reports whether it was in the table.
+func (s *Scheduler) Release(now Time, f quarantine.Fingerprint) bool { return s.suspects.Clear(now, f) }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -9,7 +9,11 @@
 // retry budget.
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/gentianflow/gentianflow/internal/quarantine"
+)
 
 // Time is a moment on the monotonic clock of the process that runs the
 // scheduler, counted from its start.
@@ -77,6 +81,7 @@
 	MaxPause time.Duration // longest between events of a stream that is on time, 0: any
 	Repeat   bool          // draws on the service's retry budget
 	Avoid    []string      // servers that were tried already
+	Print    quarantine.Fingerprint
 }
 
 // Result tells how a run ended.
@@ -99,7 +104,7 @@
 	Gone
 	// Errored: the server answered with a failure of its own.
 	Errored
-	// Broken: the answer was lost or cut off.
+	// Broken: the answer was lost or cut off, and the server accepts connections.
 	Broken
 	// Silent: the server stopped answering, to new connections too.
 	Silent
@@ -108,6 +113,9 @@
 	// Stalled: the run goes on, for want of a better, but its server does not
 	// answer new connections.
 	Stalled
+	// Ended: the answer was lost or cut off, and nothing listens at the server's address
+	// any more.
+	Ended
 )
 
 // NotRun reports whether nothing ran, so that the account is given back its units.
@@ -115,6 +123,9 @@
 	return r == Unused || r == Unreachable || r == Rejected || r == Gone
 }
 
+// Lost reports whether the answer was lost or cut off.
+func (r Result) Lost() bool { return r == Broken || r == Ended }
+
 // Outcome reports on a run.
 type Outcome struct {
 	Key
@@ -132,6 +143,8 @@
 	OutputTokens int
 	Elapsed      time.Duration
 	MaxPause     time.Duration
+	Account      string
+	Print        quarantine.Fingerprint
 }
 
 // Reason tells why a request is refused. Nothing of it ran.
@@ -149,6 +162,8 @@
 	Budget
 	// NoService: the service is not in the configuration.
 	NoService
+	// Quarantined: servers ended while they ran the same request before.
+	Quarantined
 )
 
 // String tells the reason in words, for logs and callers.
@@ -164,6 +179,8 @@
 		return "the retry budget is spent"
 	case NoService:
 		return "the service is unknown"
+	case Quarantined:
+		return "the same request is in quarantine: servers ended while they ran it; this attempt was not run"
 	}
 	return "no reason"
 }
@@ -181,4 +198,6 @@
 	// waited, and how many of its servers were usable.
 	Waiting int
 	Usable  int
+	// Detail explains a refusal further, for logs.
+	Detail string
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -207,11 +207,16 @@
 
 // dial opens a connection. It fails with NoServer: nothing was sent.
 func dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAliveConfig: probes}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := connect(ctx, address)
 	return conn, failure.Wrap(failure.NoServer, err, "connect to %s", address)
 }
 
+// connect opens a connection; its errors are those of package net.
+func connect(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAliveConfig: probes}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // Answers reports whether a server accepts a new connection.
 func Answers(address string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -229,7 +234,7 @@
 func Refuses(address string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	conn, err := dial(ctx, address)
+	conn, err := connect(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/test/platform/fatal_test.go
+++ b/test/platform/fatal_test.go
@@ -1,15 +1,20 @@
 package platform
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/gentianflow/gentianflow/internal/quarantine"
+	"github.com/gentianflow/gentianflow/platform"
 	"github.com/gentianflow/gentianflow/platform/standin"
 )
 
@@ -31,6 +36,8 @@
 	mu   sync.Mutex
 	site *site
 	ends []time.Time
+	// mended is set when engines bear the fatal request.
+	mended bool
 }
 
 // newFatalSite starts a site whose engines end under fatalBody.
@@ -58,6 +65,9 @@
 	spec.ID, spec.Address = id, "127.0.0.1:0"
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.mended {
+		spec.FatalBody = ""
+	}
 	if srv, err := standin.StartServer(r.site.store, spec); err == nil {
 		r.site.replace(old, srv)
 	}
@@ -72,6 +82,35 @@
 	s.servers[i] = started
 }
 
+// mend has engines that start from now on bear the fatal request.
+func (r *engineRoom) mend() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mended = true
+	r.site.mu.Lock()
+	defer r.site.mu.Unlock()
+	for _, srv := range r.site.servers {
+		srv.Endure()
+	}
+}
+
+// endAll ends all engines at once.
+func (r *engineRoom) endAll() {
+	r.site.mu.Lock()
+	servers := slices.Clone(r.site.servers)
+	r.site.mu.Unlock()
+	for _, srv := range servers {
+		if srv.Spec.Streams {
+			srv.Close()
+		}
+	}
+	for _, srv := range servers {
+		if srv.Spec.Streams {
+			r.ended(srv)
+		}
+	}
+}
+
 func (r *engineRoom) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,6 +161,52 @@
 	}
 }
 
+// sendUntilRefused sends the fatal request by each host in turn until it is told that it
+// is in quarantine.
+func (s *site) sendUntilRefused() {
+	for i := 0; ; i++ {
+		r := s.send(s.hosts[i%len(s.hosts)], fatal())
+		if inQuarantine(r) {
+			return
+		}
+		Expect(i).To(BeNumerically("<", 100), "the request is never put in quarantine")
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func inQuarantine(r standin.Reply) bool {
+	return r.Status == http.StatusServiceUnavailable && strings.Contains(r.Body, "quarantined")
+}
+
+// refusedBy expects that a host refuses the fatal request, and that no engine gets it.
+func (s *site) refusedBy(h *host) {
+	before := len(s.runsOfBody(fatalBody))
+	Expect(inQuarantine(s.send(h, fatal()))).To(BeTrue(), h.name)
+	Expect(s.runsOfBody(fatalBody)).To(HaveLen(before), h.name)
+}
+
+// killAll kills all hosts at once and starts them anew.
+func (s *site) killAll() {
+	for _, h := range s.hosts {
+		h.session.Kill()
+	}
+	for _, h := range s.hosts {
+		Eventually(h.session.Exited).Should(BeClosed())
+		s.start(h)
+	}
+	for _, h := range s.hosts {
+		Eventually(func() int { return s.ready(h) }).Should(Equal(http.StatusOK), h.name)
+	}
+	Eventually(s.hasHome).Should(BeTrue())
+}
+
+// stored counts the rows that the store keeps of requests in quarantine.
+func (s *site) stored() int {
+	rows, _, err := platform.NewStore(s.address).Snapshot(context.Background(), platform.QuarantineTable)
+	Expect(err).NotTo(HaveOccurred())
+	return len(rows)
+}
+
 var _ = Describe("a request that ends the servers which run it", func() {
 	// Story: a poem's review crashes the engine that begins to run it. Its caller sends it
 	// again, under a new id, to whatever host it is told of; each host passes it on to the
@@ -148,4 +233,97 @@
 			Expect(r.RetryAfter).To(BeNumerically(">", learnTime))
 		}
 	})
+
+	// Story: five callers send the same request at once, by different hosts. Were all
+	// copies sent on, five engines would end before anybody knew.
+	It("runs one copy at a time once it has ended a server", func() {
+		s, room := newFatalSite(siteOptions{hosts: 3, engines: 6, apps: 1})
+		s.send(s.hosts[0], fatal())
+		s.under(20*time.Millisecond, func() {
+			var copies sync.WaitGroup
+			for i := range 5 {
+				copies.Go(func() {
+					defer GinkgoRecover()
+					s.send(s.hosts[i%3], fatal())
+				})
+			}
+			copies.Wait()
+		})
+		Expect(room.count()).To(BeNumerically("<=", 3))
+	})
+
+	// Story: the host that knew which request it was loses its power. The next home must
+	// know, and so must hosts that have none yet.
+	It("is known when the home is lost or frozen", func() {
+		s, _ := newFatalSite(siteOptions{hosts: 4, engines: 5, apps: 1, largeFirst: true})
+		s.sendUntilRefused()
+		s.hosts[0].session.Signal(syscall.SIGSTOP)
+		for _, h := range s.hosts[1:] {
+			s.refusedBy(h)
+		}
+		s.hosts[0].session.Signal(syscall.SIGCONT).Kill()
+		for range 10 {
+			time.Sleep(100 * time.Millisecond)
+			for _, h := range s.hosts[1:] {
+				s.refusedBy(h)
+			}
+		}
+	})
+
+	// Story: all hosts lose their power at once, also while the store is away. None
+	// remembers anything; the request would end three more engines each time.
+	It("is known to hosts that start anew, once the store has it", func() {
+		s, _ := newFatalSite(siteOptions{hosts: 3, engines: 5, apps: 1})
+		s.store.SetDown(true)
+		s.sendUntilRefused()
+		s.store.SetDown(false)
+		Eventually(s.stored).Should(Equal(1))
+		s.killAll()
+		ended := len(s.runsOfBody(fatalBody))
+		time.Sleep(500 * time.Millisecond) // the new home reads what the store keeps
+		for _, h := range s.hosts {
+			s.refusedBy(h)
+		}
+		Expect(s.runsOfBody(fatalBody)).To(HaveLen(ended))
+	})
+
+	// Story: the engines were mended. The operator releases the request; until then it is
+	// refused, and after it its callers get their answers again.
+	It("runs again when an operator releases it", func() {
+		s, room := newFatalSite(siteOptions{hosts: 2, engines: 5, apps: 1})
+		s.sendUntilRefused()
+		Eventually(s.stored).Should(Equal(1))
+		room.mend()
+		rows, _, err := platform.NewStore(s.address).Snapshot(context.Background(), platform.QuarantineTable)
+		Expect(err).NotTo(HaveOccurred())
+		released, err := quarantine.Row{Released: true}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(platform.NewStore(s.address).Put(context.Background(), platform.QuarantineTable, rows[0].Key, released)).To(Succeed())
+		Eventually(func() int { return s.send(s.hosts[0], fatal()).Status }).WithTimeout(15 * time.Second).Should(Equal(http.StatusOK))
+		Eventually(s.stored).Should(BeZero())
+	})
+
+	// Story: all engines of a service end at the same moment, again and again, for a reason
+	// of their own. A caller whose long answer is cut off each time comes again and must
+	// not be taken for the cause, at its first try or its fourth.
+	It("is not mistaken for one that is there whenever all servers end", func() {
+		s, room := newFatalSite(siteOptions{hosts: 2, engines: 4, apps: 1, engine: standin.ServerSpec{PerEvent: 50 * time.Millisecond}})
+		for round := range 5 {
+			var calls sync.WaitGroup
+			for i := range 8 {
+				c := digest()
+				c.Output, c.Body = 90, fmt.Sprint("caller ", i)
+				calls.Go(func() {
+					defer GinkgoRecover()
+					r := s.send(s.hosts[i%2], c)
+					Expect(r.Body).NotTo(ContainSubstring("quarantined"), "round %d", round)
+				})
+			}
+			time.Sleep(500 * time.Millisecond)
+			room.endAll()
+			calls.Wait()
+			time.Sleep(restartTime + time.Second)
+		}
+		Expect(s.stored()).To(BeZero())
+	})
 })
