A request that fails at every server does not have servers taken out

A body that every server breaks off a few times a second made each of them look faulty after three answers; all servers of a service were taken out in turn and others were refused (spec, red without the change). One that has failed at two servers and succeeded nowhere is at fault itself; its failures count against no server.

--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -20,6 +20,7 @@
 	runs     map[Key]*run
 	orphans  int
 	suspects *quarantine.Table
+	faults   faults
 	copies   map[quarantine.Fingerprint]int    // of runs
 	review   map[quarantine.Fingerprint]string // to be judged again, with their service
 	out      []Decision                        // of the running call
@@ -53,7 +54,7 @@
 		policy: p, share: Share{Servers: 1, Limits: 1},
 		services: map[string]*service{}, servers: map[string]*server{},
 		accounts: map[string]*bucket{}, runs: map[Key]*run{},
-		suspects: quarantine.NewTable(), copies: map[quarantine.Fingerprint]int{},
+		suspects: quarantine.NewTable(), faults: newFaults(), copies: map[quarantine.Fingerprint]int{},
 		review: map[quarantine.Fingerprint]string{},
 	}
 }
@@ -200,7 +201,7 @@
 	if r == nil {
 		return nil
 	}
-	r.server.learn(now, o)
+	s.learnServer(now, r, o)
 	s.learnEnd(now, r, o)
 	if svc := s.services[r.req.Service]; svc != nil && o.Pace > 0 {
 		svc.typical = 0
@@ -231,6 +232,14 @@
 	return s.out
 }
 
+// learnServer takes in what a run's end tells of its server.
+func (s *Scheduler) learnServer(now Time, r *run, o Outcome) {
+	if s.faults.own(now, r.req.Print, r.server.ID, o.Result) {
+		o.Result = Left // it says nothing about the server
+	}
+	r.server.learn(now, o)
+}
+
 // Blame counts a failure against a server: it failed a request that another
 // server then answered. A failure alone does not tell, since some requests fail
 // wherever they run; were those counted, every server would look like a faulty
--- a/internal/sched/suspects_test.go
+++ b/internal/sched/suspects_test.go
@@ -155,3 +155,34 @@
 		}
 	})
 })
+
+var _ = Describe("a request that fails wherever it runs", func() {
+	// Story: one caller sends a body that every engine breaks off, a few times a second.
+	// Each engine looked faulty after a few of them and was taken out for seconds; other
+	// callers were told that no server was usable.
+	It("has no server taken out", func() {
+		d := newSuspectsDay(3)
+		for i := range 60 {
+			now := time.Duration(i) * 200 * ms
+			for j := range 4 {
+				at := now + time.Duration(j)*20*ms
+				k, _ := d.place(at, printOf(1))
+				d.finish(at+10*ms, k, Broken)
+			}
+			other, _ := d.place(now+100*ms, printOf(1000+i))
+			d.finish(now+150*ms, other, OK)
+		}
+	})
+	It("is not known by one faulty server", func() {
+		d := newSuspectsDay(2)
+		for i := range 20 {
+			now := time.Duration(i) * 100 * ms
+			if k, out := d.ask(now, printOf(i)); len(out) > 0 && out[0].Server == "e0" {
+				d.finish(now+10*ms, k, Broken)
+			} else {
+				d.finish(now+10*ms, k, OK)
+			}
+		}
+		Expect(d.servers["e0"].failing).To(BeNumerically(">", 0.2))
+	})
+})
