Word of suspects goes to all hosts when it is urgent, else to those that may take over

Cause: a rack of 50 engines that ends makes 200 requests suspects at once; told to each of 195 hosts that is 4 MB, 1.6 s of a 20 Mbit/s link. Requests under which one server ended go to the two successors only; two ends, quarantine and its end go to all. Whatever else a new home needs its followers tell it: each keeps what it lost itself.

Who ended with whom is looked up in a list by time: judging a suspect walked through all ended servers, 78,000 steps in the worst case at 150 of them.

--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -31,7 +31,7 @@
 	}
 	var got sched.Share
 	c := NewClient(ident.Incarnation(self), "z", NewLoop(sched.DefaultPolicy(), events, func([]sched.Decision) {}), never, events)
-	f := NewFollower(c, members, nil, NewHome(c.loop), events, func() int { return listed }, func(s sched.Share) { got = s })
+	f := NewFollower(c, members, nil, NewHome(c.loop, func() []uint64 { return nil }), events, func() int { return listed }, func(s sched.Share) { got = s })
 	f.followers = func() int { return live }
 	f.started = time.Now().Add(-age)
 	set(f)
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -23,6 +23,8 @@
 type Home struct {
 	loop  *Loop
 	leads atomic.Bool // this host schedules for all that follow it
+	// next names the hosts that may take over.
+	next  func() []uint64
 	mu    sync.Mutex
 	links map[uint64]*holderLink // by incarnation of the holder
 }
@@ -37,9 +39,9 @@
 	superseded atomic.Bool
 }
 
-// NewHome makes the scheduling side over a loop.
-func NewHome(loop *Loop) *Home {
-	return &Home{loop: loop, links: map[uint64]*holderLink{}}
+// NewHome makes the scheduling side over a loop; next names the hosts that may take over.
+func NewHome(loop *Loop, next func() []uint64) *Home {
+	return &Home{loop: loop, next: next, links: map[uint64]*holderLink{}}
 }
 
 // Serve handles the stream of one holder until it breaks. The stream's service
@@ -88,9 +90,9 @@
 // 630 servers it is 7 KB a second for each.
 const teachPeriod = 2 * time.Second
 
-// TeachNext tells the hosts that next names what this one has learned of servers, while it
-// leads and until ctx ends.
-func (h *Home) TeachNext(ctx context.Context, next func() []uint64) {
+// TeachNext tells the hosts that may take over what this one has learned of servers, while
+// it leads and until ctx ends.
+func (h *Home) TeachNext(ctx context.Context) {
 	tick := time.NewTicker(teachPeriod)
 	defer tick.Stop()
 	for {
@@ -102,7 +104,7 @@
 		if !h.leads.Load() {
 			continue
 		}
-		h.loop.Do(func(_ sched.Time, s *sched.Scheduler) { h.teach(next(), s.Learned()) })
+		h.loop.Do(func(_ sched.Time, s *sched.Scheduler) { h.teach(h.next(), s.Learned()) })
 	}
 }
 
--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -23,7 +23,8 @@
 	events := event.NewRecorder("h", "i", 64, log.NewNopLogger())
 	var h *Home
 	loop := NewLoop(sched.DefaultPolicy(), events, func(out []sched.Decision) { h.Deliver(out) })
-	h = NewHome(loop)
+	h = NewHome(loop, func() []uint64 { return nil })
+	loop.OnSuspects(h.TellSuspects)
 	loop.Do(func(now sched.Time, s *sched.Scheduler) {
 		s.SetServices(now, []sched.Service{{Name: "svc"}})
 		s.SetServers(now, []sched.Server{{ID: "a", Service: "svc", Address: "a", Slots: 1}})
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -36,9 +36,8 @@
 	sched   *sched.Scheduler
 	deliver func([]sched.Decision)
 	events  *event.Recorder
-	// spread gets what has changed of requests that end servers. It must not block.
-	spread func([]quarantine.Record)
-	blamed map[quarantine.Fingerprint]bool // those whose quarantine was logged
+	spread  Spread
+	blamed  map[quarantine.Fingerprint]bool // those whose quarantine was logged
 }
 
 // NewLoop makes a loop. deliver gets the decisions of each round, on the
@@ -47,13 +46,17 @@
 	return &Loop{
 		in: ring.New[input](loopInputs), start: time.Now(),
 		sched: sched.New(p), deliver: deliver, events: events,
-		spread: func([]quarantine.Record) {}, blamed: map[quarantine.Fingerprint]bool{},
+		spread: func([]quarantine.Record, func(quarantine.Fingerprint) bool) {}, blamed: map[quarantine.Fingerprint]bool{},
 	}
 }
 
-// OnSuspects sets who gets what has changed of requests that end servers, on the loop's
-// goroutine. It comes before Run.
-func (l *Loop) OnSuspects(spread func([]quarantine.Record)) { l.spread = spread }
+// Spread gets what has changed of requests that end servers, on the loop's goroutine; lifted
+// tells which have come out of quarantine with it. It must not block.
+type Spread func(news []quarantine.Record, lifted func(quarantine.Fingerprint) bool)
+
+// OnSuspects sets who gets what has changed of requests that end servers. It comes before
+// Run.
+func (l *Loop) OnSuspects(spread Spread) { l.spread = spread }
 
 // push hands an input to the loop. When the ring is full the caller waits:
 // dropping one would leave a request without its decision.
@@ -92,8 +95,8 @@
 			l.deliver(out)
 		}
 		if news := l.sched.SuspectNews(l.now()); len(news) > 0 {
-			l.logSuspects(news)
-			l.spread(news)
+			lifted := l.logSuspects(news)
+			l.spread(news, func(f quarantine.Fingerprint) bool { return lifted[f] })
 		}
 		// Inputs must not put the tick off, or it would never come under load.
 		next = min(next, l.now()+l.period())
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
@@ -11,11 +12,11 @@
 
 // How word of requests that end servers travels:
 //
-// The home sees the ends of all runs and tells each change to all that have a link to it,
-// 150 bytes for each end, within a round of its loop. So each host can take over with the
-// whole table. A host that begins to follow tells all it knows, and gets all that the home
-// knows; what it lost itself it knows in any case, so nothing is lost with a home. What is
-// told twice or late changes nothing (see package quarantine).
+// The home sees the ends of all runs. Within a round of its loop it tells each change, 100
+// bytes, to those that may take over, and what is urgent to all that have a link to it. A
+// host that begins to follow tells all it knows; what it lost itself it knows in any case,
+// so nothing is lost with a home, whoever is the next. What is told twice or late changes
+// nothing (see package quarantine).
 
 // suspectsPerMessage bounds the records in one message, 300 bytes each at most.
 const suspectsPerMessage = 64
@@ -63,15 +64,22 @@
 	return out
 }
 
-// TellSuspects tells all hosts that have a link here what has changed, if this one leads.
-func (h *Home) TellSuspects(records []quarantine.Record) {
+// TellSuspects tells the hosts that have a link here what has changed, if this one leads:
+// successors everything, the others what is urgent or lifted.
+func (h *Home) TellSuspects(records []quarantine.Record, lifted func(quarantine.Fingerprint) bool) {
 	if !h.leads.Load() {
 		return
 	}
+	urgent := slices.DeleteFunc(slices.Clone(records), func(r quarantine.Record) bool { return !r.Urgent() && !lifted(r.Print) })
+	successors := h.next()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, l := range h.links {
-		l.tellSuspects(records)
+	for holder, l := range h.links {
+		if slices.Contains(successors, holder) {
+			l.tellSuspects(records)
+		} else {
+			l.tellSuspects(urgent)
+		}
 	}
 }
 
@@ -82,9 +90,12 @@
 	})
 }
 
-// tellAllSuspects tells one host everything.
+// tellAllSuspects tells one host what it needs of all that is known here.
 func (h *Home) tellAllSuspects(l *holderLink) {
-	h.loop.Do(func(now sched.Time, s *sched.Scheduler) { l.tellSuspects(s.Suspects(now)) })
+	all := slices.Contains(h.next(), l.holder)
+	h.loop.Do(func(now sched.Time, s *sched.Scheduler) {
+		l.tellSuspects(slices.DeleteFunc(s.Suspects(now), func(r quarantine.Record) bool { return !all && !r.Urgent() }))
+	})
 }
 
 // tellSuspects tells a home that this host begins to follow everything.
@@ -133,8 +144,10 @@
 	})
 }
 
-// logSuspects writes a line for each request that goes into quarantine or out of it.
-func (l *Loop) logSuspects(records []quarantine.Record) {
+// logSuspects writes a line for each request that goes into quarantine or out of it, and
+// returns the latter.
+func (l *Loop) logSuspects(records []quarantine.Record) (lifted map[quarantine.Fingerprint]bool) {
+	lifted = map[quarantine.Fingerprint]bool{}
 	for _, r := range records {
 		f := event.Fields{Service: r.Service, Detail: "fingerprint=" + r.Print.String()}
 		switch {
@@ -144,7 +157,9 @@
 			l.events.Record(event.RequestQuarantined, f)
 		case !r.Blamed && l.blamed[r.Print]:
 			delete(l.blamed, r.Print)
+			lifted[r.Print] = true
 			l.events.Record(event.QuarantineLifted, f)
 		}
 	}
+	return lifted
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,7 +163,7 @@
 		s.SetOwner(uint64(n.inc))
 		s.SetHost(n.set.Host)
 	})
-	n.home = dispatch.NewHome(n.loop)
+	n.home = dispatch.NewHome(n.loop, func() []uint64 { return dispatch.NextHomes(n.members) })
 	n.servers = newServers(n.plat.DecodeServer, n.events, n.applyServers)
 	n.client = dispatch.NewClient(n.inc, n.set.AvailabilityZone, n.loop, n.servers.leaving, n.events)
 	n.follower = dispatch.NewFollower(n.client, n.members, n.peers, n.home, n.events, n.listedHosts, n.setShare)
@@ -206,9 +206,9 @@
 
 // spreadSuspects tells the other hosts and the store what has changed of requests that end
 // servers.
-func (n *Node) spreadSuspects(records []quarantine.Record) {
-	n.home.TellSuspects(records)
-	n.kept.note(records)
+func (n *Node) spreadSuspects(news []quarantine.Record, lifted func(quarantine.Fingerprint) bool) {
+	n.home.TellSuspects(news, lifted)
+	n.kept.note(news)
 }
 
 func (n *Node) serveStream(st *peer.Stream) {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -59,7 +59,7 @@
 	n.duties.Go(func() { n.peers.Serve(n.control) })
 	n.duties.Go(func() { n.loop.Run(run) })
 	n.duties.Go(func() { n.follower.Run(run) })
-	n.duties.Go(func() { n.home.TeachNext(run, func() []uint64 { return dispatch.NextHomes(n.members) }) })
+	n.duties.Go(func() { n.home.TeachNext(run) })
 	n.duties.Go(func() { n.join(run) })
 	n.duties.Go(func() { n.kept.run(run) })
 	n.duties.Go(func() { n.releaseReaders(run) })
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -114,8 +114,8 @@
 // moment.
 func (t *Table) common(f Fingerprint, lost *end) bool {
 	others := 0
-	for name, s := range t.servers {
-		if name != lost.server && !s.prints[f] && max(s.at-lost.at, lost.at-s.at) <= sameMoment {
+	for _, s := range t.endsAround(lost.at) {
+		if s.name != lost.server && !s.prints[f] {
 			others++
 		}
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -28,6 +28,11 @@
 	Shown  bool // the request had shown an event there
 }
 
+// Urgent reports whether every host needs to know at once, and not only those that may take
+// over: what servers ended under twice. Of a rack that ends hundreds of requests are told;
+// few of them come twice.
+func (r *Record) Urgent() bool { return r.Blamed || len(r.Ends) > 1 }
+
 // Merge takes what another host or the store knows. Told twice, late or out of order it
 // changes nothing.
 func (t *Table) Merge(now Time, r Record) {
--- a/internal/quarantine/row.go
+++ b/internal/quarantine/row.go
@@ -58,8 +58,12 @@
 	if row.Released {
 		return Record{Print: f, Cleared: true}
 	}
-	return Record{
+	r := Record{
 		Print: f, Account: row.Account, Service: row.Service, Blamed: true, By: row.By, Age: row.Age(now),
 		RetryIn: max(0, time.UnixMilli(row.RetryMs).Sub(now)),
 	}
+	for _, server := range row.Servers {
+		r.Ends = append(r.Ends, End{Server: server, Age: r.Age})
+	}
+	return r
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -69,6 +69,7 @@
 
 // serverEnd is a server's end and the requests that ran there.
 type serverEnd struct {
+	name   string
 	at     Time
 	prints map[Fingerprint]bool
 }
@@ -101,6 +102,9 @@
 	host    string // its own name, for those it blames
 	entries map[Fingerprint]*entry
 	servers map[string]*serverEnd
+	// order has the servers by the time of their end, if sorted is set.
+	order   []*serverEnd
+	sorted  bool
 	cleared map[Fingerprint]Time // facts up to then do not count
 	news    map[Fingerprint]bool // changed since TakeNews
 	changes uint64               // of what is known
@@ -155,6 +159,7 @@
 	ended := t.servers[l.Server]
 	if len(ended.prints) == 0 || l.At < ended.at {
 		ended.at = l.At // a failed connection may have been noted much earlier
+		t.sorted = false
 	}
 	ended.prints[l.Print] = true
 	if e.blamed && l.At > e.retryAt {
@@ -218,7 +223,21 @@
 		maps.DeleteFunc(t.servers, func(_ string, s *serverEnd) bool { return len(s.prints) == 0 })
 	}
 	t.changes++
-	t.servers[server] = &serverEnd{at: at, prints: map[Fingerprint]bool{}}
+	t.sorted = false
+	t.servers[server] = &serverEnd{name: server, at: at, prints: map[Fingerprint]bool{}}
+}
+
+// endsAround lists the servers that ended within sameMoment of a moment.
+func (t *Table) endsAround(at Time) []*serverEnd {
+	if !t.sorted {
+		t.sorted = true
+		t.order = slices.AppendSeq(t.order[:0], maps.Values(t.servers))
+		slices.SortFunc(t.order, func(a, b *serverEnd) int { return cmp.Compare(a.at, b.at) })
+	}
+	byTime := func(s *serverEnd, at Time) int { return cmp.Compare(s.at, at) }
+	from, _ := slices.BinarySearchFunc(t.order, at-sameMoment, byTime)
+	to, _ := slices.BinarySearchFunc(t.order, at+sameMoment+1, byTime)
+	return t.order[from:to]
 }
 
 // makeRoom keeps the table bounded: it drops what is old, and then the oldest of the
@@ -252,9 +271,17 @@
 		if e.account != most {
 			continue
 		}
-		if old := t.entries[oldest]; old == nil || e.last() < old.last() {
+		if old := t.entries[oldest]; old == nil || e.lessThan(old) {
 			oldest = f
 		}
 	}
 	t.drop(oldest)
 }
+
+// lessThan orders what is dropped first: what is not in quarantine, then what is old.
+func (e *entry) lessThan(other *entry) bool {
+	if e.blamed != other.blamed {
+		return !e.blamed
+	}
+	return e.last() < other.last()
+}
--- a/internal/sched/suspects.go
+++ b/internal/sched/suspects.go
@@ -63,7 +63,7 @@
 	switch {
 	case standing == quarantine.Free:
 		return false
-	case standing > quarantine.Probation || s.copies[r.Print] > 0:
+	case standing == quarantine.Wait || standing == quarantine.Quarantined || s.copies[r.Print] > 0:
 		return true
 	case standing == quarantine.Probation && s.share.Servers < 1:
 		return true
