Names: a request's fingerprint is a Fingerprint everywhere; a server that answers again has not ended

Reading as a newcomer: Print read like a verb, Strong said nothing. A run placed after a server's supposed end that gets its answer refutes that end.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -31,7 +31,7 @@
 	MaxPause     time.Duration // longest between events of a stream that is on time, 0: any
 	Repeat       bool
 	Avoid        []string
-	Print        quarantine.Fingerprint
+	Fingerprint  quarantine.Fingerprint
 }
 
 // Place is the permission to send a request once to a server.
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -15,7 +15,7 @@
 		Id: id, Service: a.Service, Account: a.Account, Priority: uint32(a.Priority),
 		PromptTokens: uint32(a.PromptTokens), OutputTokens: uint32(a.OutputTokens), Units: uint32(a.Units),
 		DeadlineMs: millis(a.Deadline.Sub(now)), AimMs: millis(a.Aim.Sub(now)), WaitedMs: millis(now.Sub(a.Arrived)),
-		PauseMs: millis(a.MaxPause), Repeat: a.Repeat, Avoid: a.Avoid, Fingerprint: a.Print.Bytes(),
+		PauseMs: millis(a.MaxPause), Repeat: a.Repeat, Avoid: a.Avoid, Fingerprint: a.Fingerprint.Bytes(),
 	}
 	if !a.LeavesAt.IsZero() {
 		m.LeavesMs = max(1, millis(a.LeavesAt.Sub(now)))
@@ -37,7 +37,7 @@
 		Key: sched.Key{Holder: holder, ID: m.Id}, Zone: zone, Service: m.Service, Account: m.Account,
 		Priority: int(m.Priority), PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens),
 		Units: float64(m.Units), Arrived: now - fromMillis(m.WaitedMs), Aim: now + fromMillis(m.AimMs),
-		Deadline: now + fromMillis(m.DeadlineMs), MaxPause: fromMillis(m.PauseMs), Repeat: m.Repeat, Avoid: m.Avoid, Print: quarantine.FromBytes(m.Fingerprint),
+		Deadline: now + fromMillis(m.DeadlineMs), MaxPause: fromMillis(m.PauseMs), Repeat: m.Repeat, Avoid: m.Avoid, Fingerprint: quarantine.FromBytes(m.Fingerprint),
 	}
 	if m.LeavesMs > 0 {
 		r.LeavesAt = now + fromMillis(m.LeavesMs)
@@ -66,7 +66,7 @@
 	return &wire.Running{
 		Id: id, Service: p.ask.Service, Server: p.server, PromptTokens: uint32(p.ask.PromptTokens),
 		OutputTokens: uint32(p.ask.OutputTokens), ElapsedMs: millis(now.Sub(p.placed)), PauseMs: millis(p.ask.MaxPause),
-		Account: p.ask.Account, Fingerprint: p.ask.Print.Bytes(),
+		Account: p.ask.Account, Fingerprint: p.ask.Fingerprint.Bytes(),
 	}
 }
 
@@ -74,7 +74,7 @@
 	return sched.Run{
 		Key: sched.Key{Holder: holder, ID: m.Id}, Service: m.Service, Server: m.Server,
 		PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens), Elapsed: fromMillis(m.ElapsedMs), MaxPause: fromMillis(m.PauseMs),
-		Account: m.Account, Print: quarantine.FromBytes(m.Fingerprint),
+		Account: m.Account, Fingerprint: quarantine.FromBytes(m.Fingerprint),
 	}
 }
 
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -36,7 +36,7 @@
 	out := make([]*wire.Suspect, 0, len(records))
 	for _, r := range records {
 		m := &wire.Suspect{
-			Fingerprint: r.Print.Bytes(), Account: r.Account, Service: r.Service,
+			Fingerprint: r.Fingerprint.Bytes(), Account: r.Account, Service: r.Service,
 			Blamed: r.Blamed, BlamedMs: millis(r.Age), RetryMs: millis(r.RetryIn), By: r.By,
 			Cleared: r.Cleared, ClearedMs: millis(r.ClearedAge),
 		}
@@ -52,7 +52,7 @@
 	out := make([]quarantine.Record, 0, len(list))
 	for _, m := range list {
 		r := quarantine.Record{
-			Print: quarantine.FromBytes(m.Fingerprint), Account: m.Account, Service: m.Service,
+			Fingerprint: quarantine.FromBytes(m.Fingerprint), Account: m.Account, Service: m.Service,
 			Blamed: m.Blamed, Age: fromMillis(m.BlamedMs), RetryIn: fromMillis(m.RetryMs), By: m.By,
 			Cleared: m.Cleared, ClearedAge: fromMillis(m.ClearedMs),
 		}
@@ -70,7 +70,7 @@
 	if !h.leads.Load() {
 		return
 	}
-	urgent := slices.DeleteFunc(slices.Clone(records), func(r quarantine.Record) bool { return !r.Urgent() && !lifted(r.Print) })
+	urgent := slices.DeleteFunc(slices.Clone(records), func(r quarantine.Record) bool { return !r.Urgent() && !lifted(r.Fingerprint) })
 	successors := h.next()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -120,7 +120,7 @@
 // learnLoss keeps a run that was lost with its server in this host's own table as well. The
 // caller holds mu.
 func (c *Client) learnLoss(p *pending, shown bool) {
-	loss := quarantine.Loss{Print: p.ask.Print, Account: p.ask.Account, Service: p.ask.Service, Server: p.server, Shown: shown}
+	loss := quarantine.Loss{Fingerprint: p.ask.Fingerprint, Account: p.ask.Account, Service: p.ask.Service, Server: p.server, Shown: shown}
 	c.local(func(now sched.Time, s *sched.Scheduler) []sched.Decision {
 		s.LearnLoss(now, loss)
 		return nil
@@ -149,15 +149,15 @@
 func (l *Loop) logSuspects(records []quarantine.Record) (lifted map[quarantine.Fingerprint]bool) {
 	lifted = map[quarantine.Fingerprint]bool{}
 	for _, r := range records {
-		f := event.Fields{Service: r.Service, Detail: "fingerprint=" + r.Print.String()}
+		f := event.Fields{Service: r.Service, Detail: "fingerprint=" + r.Fingerprint.String()}
 		switch {
-		case r.Blamed && !l.blamed[r.Print]:
-			l.blamed[r.Print] = true
+		case r.Blamed && !l.blamed[r.Fingerprint]:
+			l.blamed[r.Fingerprint] = true
 			f.Detail += " account=" + r.Account + " " + r.Explain()
 			l.events.Record(event.RequestQuarantined, f)
-		case !r.Blamed && l.blamed[r.Print]:
-			delete(l.blamed, r.Print)
-			lifted[r.Print] = true
+		case !r.Blamed && l.blamed[r.Fingerprint]:
+			delete(l.blamed, r.Fingerprint)
+			lifted[r.Fingerprint] = true
 			l.events.Record(event.QuarantineLifted, f)
 		}
 	}
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -76,7 +76,7 @@
 	// Story: a host loses a run with its server, and its home in the same moment.
 	It("is kept by the host whose run was lost", func() {
 		c, loop := hostOf(never, "a")
-		p := &pending{ask: &Ask{Service: "svc", Print: fatal}, server: "a", placed: time.Now(), via: nil}
+		p := &pending{ask: &Ask{Service: "svc", Fingerprint: fatal}, server: "a", placed: time.Now(), via: nil}
 		c.mu.Lock()
 		c.learnLoss(p, false)
 		c.mu.Unlock()
@@ -85,7 +85,7 @@
 
 	It("travels whole", func() {
 		r := quarantine.Record{
-			Print: fatal, Account: "a", Service: "s", Blamed: true, Age: time.Second, RetryIn: time.Minute, By: "front-1",
+			Fingerprint: fatal, Account: "a", Service: "s", Blamed: true, Age: time.Second, RetryIn: time.Minute, By: "front-1",
 			Cleared: true, ClearedAge: time.Hour, Ends: []quarantine.End{{Server: "e1", Age: 2 * time.Second, Shown: true}},
 		}
 		Expect(decodeSuspects(encodeSuspects([]quarantine.Record{r}))).To(Equal([]quarantine.Record{r}))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,12 +97,12 @@
 	head    Head
 	arrived time.Time
 
-	route    *routing.Route
-	account  *routing.Account // nil on a public route
-	service  string
-	deadline time.Time
-	body     []byte
-	print    quarantine.Fingerprint // not known until the request is admitted
+	route       *routing.Route
+	account     *routing.Account // nil on a public route
+	service     string
+	deadline    time.Time
+	body        []byte
+	fingerprint quarantine.Fingerprint // not known until the request is admitted
 
 	sends  int           // to servers, whether they ran it or not
 	runs   int           // of sends, those that may have run it
@@ -166,7 +166,7 @@
 	if err := x.readBody(table.MaxBody); err != nil {
 		return err
 	}
-	x.print = quarantine.Of(x.r.Method, x.r.Host, x.r.RequestURI, x.caller(), x.body)
+	x.fingerprint = quarantine.Of(x.r.Method, x.r.Host, x.r.RequestURI, x.caller(), x.body)
 	return nil
 }
 
@@ -229,7 +229,7 @@
 		Request: x.head.ID, Service: x.service, Priority: priority(x.route, x.account),
 		PromptTokens: x.head.PromptTokens, OutputTokens: x.expectedOutput(), Parts: x.head.Parts,
 		Arrived: x.arrived, Aim: x.arrived.Add(x.route.Aim), Deadline: x.deadline,
-		MaxPause: x.route.GapAim, Repeat: x.repeat, Avoid: x.tried, Print: x.print,
+		MaxPause: x.route.GapAim, Repeat: x.repeat, Avoid: x.tried, Fingerprint: x.fingerprint,
 	}
 	if x.account != nil {
 		a.Account = x.account.Name
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -127,8 +127,8 @@
 	if x.head.HasTokens {
 		f.Detail += " prompt=" + strconv.Itoa(x.head.PromptTokens) + " output=" + strconv.Itoa(x.head.OutputTokens) + " hint=" + strconv.Itoa(x.head.OutputHint)
 	}
-	if x.print.Known() {
-		f.Detail += " fingerprint=" + x.print.String()
+	if x.fingerprint.Known() {
+		f.Detail += " fingerprint=" + x.fingerprint.String()
 	}
 	if x.held != "" {
 		f.Detail += " " + x.held
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -379,6 +379,6 @@
 	x.h.Meter.ServerEnded()
 	x.h.Events.Record(event.ServerEnded, event.Fields{
 		Request: x.head.ID, Service: x.service, Server: t.place.Server,
-		Detail: "fingerprint=" + x.print.String() + " ran=" + milliseconds(ran),
+		Detail: "fingerprint=" + x.fingerprint.String() + " ran=" + milliseconds(ran),
 	})
 }
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -58,16 +58,16 @@
 	defer q.mu.Unlock()
 	for _, r := range records {
 		switch {
-		case r.Blamed && !q.known[r.Print]:
-			q.known[r.Print] = true
+		case r.Blamed && !q.known[r.Fingerprint]:
+			q.known[r.Fingerprint] = true
 			if r.By == q.host {
 				row := quarantine.RowOf(time.Now(), r)
-				q.due[r.Print] = &row
+				q.due[r.Fingerprint] = &row
 			}
-		case !r.Blamed && q.known[r.Print]:
-			delete(q.known, r.Print)
+		case !r.Blamed && q.known[r.Fingerprint]:
+			delete(q.known, r.Fingerprint)
 			if q.leads() {
-				q.due[r.Print] = nil
+				q.due[r.Fingerprint] = nil
 			}
 		}
 	}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -115,7 +115,7 @@
 func (t *Table) common(f Fingerprint, lost *end) bool {
 	others := 0
 	for _, s := range t.endsAround(lost.at) {
-		if s.name != lost.server && !s.prints[f] {
+		if s.name != lost.server && !s.requests[f] {
 			others++
 		}
 	}
@@ -140,7 +140,7 @@
 // has seen more ends, or as many, and had shown nothing there while this one had.
 func (t *Table) outweighed(f Fingerprint, e *entry, lost *end) bool {
 	mine := t.weight(f, e)
-	for other := range t.servers[lost.server].prints {
+	for other := range t.servers[lost.server].requests {
 		if other == f {
 			continue
 		}
@@ -171,8 +171,8 @@
 	}
 }
 
-// Strong reports whether a request is on probation or worse, without judging it anew.
-func (t *Table) Strong(f Fingerprint) bool {
+// Recurrent reports whether more than one server has ended under a request.
+func (t *Table) Recurrent(f Fingerprint) bool {
 	e := t.entries[f]
 	return e != nil && (e.blamed || len(e.ends) > 1)
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -8,15 +8,15 @@
 // Record is what a table knows of one request, as hosts tell it to each other and to the
 // store. Moments are told as ages, since clocks of hosts differ.
 type Record struct {
-	Print   Fingerprint
-	Account string
-	Service string
-	Ends    []End
-	Blamed  bool
-	Age     Time // since it was blamed
-	RetryIn Time // until it may be tried
-	By      string
-	Cleared bool // what is older than ClearedAge does not count
+	Fingerprint Fingerprint
+	Account     string
+	Service     string
+	Ends        []End
+	Blamed      bool
+	Age         Time // since it was blamed
+	RetryIn     Time // until it may be tried
+	By          string
+	Cleared     bool // what is older than ClearedAge does not count
 	// ClearedAge is how long ago it succeeded or was released.
 	ClearedAge Time
 }
@@ -36,14 +36,14 @@
 // Merge takes what another host or the store knows. Told twice, late or out of order it
 // changes nothing.
 func (t *Table) Merge(now Time, r Record) {
-	if !r.Print.Known() {
+	if !r.Fingerprint.Known() {
 		return
 	}
 	if r.Cleared {
-		t.mergeCleared(now-r.ClearedAge, r.Print)
+		t.mergeCleared(now-r.ClearedAge, r.Fingerprint)
 	}
 	for _, lost := range r.Ends {
-		t.Add(now, Loss{Print: r.Print, Account: r.Account, Service: r.Service, Server: lost.Server, At: now - lost.Age, Shown: lost.Shown})
+		t.Add(now, Loss{Fingerprint: r.Fingerprint, Account: r.Account, Service: r.Service, Server: lost.Server, At: now - lost.Age, Shown: lost.Shown})
 	}
 	if r.Blamed {
 		t.mergeBlamed(now, r)
@@ -65,25 +65,25 @@
 
 func (t *Table) mergeBlamed(now Time, r Record) {
 	since := now - r.Age
-	if at, ok := t.cleared[r.Print]; ok && since <= at {
+	if at, ok := t.cleared[r.Fingerprint]; ok && since <= at {
 		return
 	}
-	e := t.entries[r.Print]
+	e := t.entries[r.Fingerprint]
 	if e == nil {
 		t.makeRoom(now)
 		e = &entry{account: r.Account, service: r.Service}
-		t.entries[r.Print] = e
+		t.entries[r.Fingerprint] = e
 	}
 	if !e.blamed {
 		e.blamed, e.since, e.by = true, since, r.By
-		t.changed(r.Print)
+		t.changed(r.Fingerprint)
 	}
 	e.retryAt = max(e.retryAt, now+r.RetryIn)
 }
 
 // Record tells what the table knows of a request.
 func (t *Table) Record(now Time, f Fingerprint) Record {
-	r := Record{Print: f}
+	r := Record{Fingerprint: f}
 	if at, ok := t.cleared[f]; ok {
 		r.Cleared, r.ClearedAge = true, now-at
 	}
--- a/internal/quarantine/row.go
+++ b/internal/quarantine/row.go
@@ -56,10 +56,10 @@
 // Record is what the row tells a table.
 func (row Row) Record(now time.Time, f Fingerprint) Record {
 	if row.Released {
-		return Record{Print: f, Cleared: true}
+		return Record{Fingerprint: f, Cleared: true}
 	}
 	r := Record{
-		Print: f, Account: row.Account, Service: row.Service, Blamed: true, By: row.By, Age: row.Age(now),
+		Fingerprint: f, Account: row.Account, Service: row.Service, Blamed: true, By: row.By, Age: row.Age(now),
 		RetryIn: max(0, time.UnixMilli(row.RetryMs).Sub(now)),
 	}
 	for _, server := range row.Servers {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -50,11 +50,11 @@
 
 // Loss is the fact that a request ran at a server as it ended.
 type Loss struct {
-	Print   Fingerprint
-	Account string
-	Service string
-	Server  string // its incarnation
-	At      Time
+	Fingerprint Fingerprint
+	Account     string
+	Service     string
+	Server      string // its incarnation
+	At          Time
 	// Shown is set when the run had shown an event: the server had begun with it before.
 	Shown bool
 }
@@ -69,9 +69,9 @@
 
 // serverEnd is a server's end and the requests that ran there.
 type serverEnd struct {
-	name   string
-	at     Time
-	prints map[Fingerprint]bool
+	name     string
+	at       Time
+	requests map[Fingerprint]bool
 }
 
 // entry is what is known of one request.
@@ -133,17 +133,17 @@
 
 // Add takes a fact and reports whether it is new.
 func (t *Table) Add(now Time, l Loss) bool {
-	if !l.Print.Known() {
+	if !l.Fingerprint.Known() {
 		return false
 	}
-	if at, ok := t.cleared[l.Print]; ok && l.At <= at {
+	if at, ok := t.cleared[l.Fingerprint]; ok && l.At <= at {
 		return false
 	}
-	e := t.entries[l.Print]
+	e := t.entries[l.Fingerprint]
 	if e == nil {
 		t.makeRoom(now)
 		e = &entry{account: l.Account, service: l.Service}
-		t.entries[l.Print] = e
+		t.entries[l.Fingerprint] = e
 	}
 	if i := slices.IndexFunc(e.ends, func(have end) bool { return have.server == l.Server }); i >= 0 {
 		e.ends[i].at = min(e.ends[i].at, l.At) // word that comes late tells a later time
@@ -152,21 +152,21 @@
 	e.ends = append(e.ends, end{server: l.Server, at: l.At, shown: l.Shown})
 	slices.SortStableFunc(e.ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
 	if len(e.ends) > maxLosses {
-		t.unlink(l.Print, e.ends[0].server)
+		t.unlink(l.Fingerprint, e.ends[0].server)
 		e.ends = slices.Delete(e.ends, 0, 1)
 	}
 	t.ServerEnded(l.Server, l.At)
 	ended := t.servers[l.Server]
-	if len(ended.prints) == 0 || l.At < ended.at {
+	if len(ended.requests) == 0 || l.At < ended.at {
 		ended.at = l.At // a failed connection may have been noted much earlier
 		t.sorted = false
 	}
-	ended.prints[l.Print] = true
+	ended.requests[l.Fingerprint] = true
 	if e.blamed && l.At > e.retryAt {
 		e.trials++
 		e.retryAt = l.At + min(trialMost, firstTrial<<min(e.trials, 8))
 	}
-	t.changed(l.Print)
+	t.changed(l.Fingerprint)
 	return true
 }
 
@@ -210,7 +210,7 @@
 
 func (t *Table) unlink(f Fingerprint, server string) {
 	if s := t.servers[server]; s != nil {
-		delete(s.prints, f)
+		delete(s.requests, f)
 	}
 }
 
@@ -220,11 +220,11 @@
 		return
 	}
 	if len(t.servers) >= maxServers {
-		maps.DeleteFunc(t.servers, func(_ string, s *serverEnd) bool { return len(s.prints) == 0 })
+		maps.DeleteFunc(t.servers, func(_ string, s *serverEnd) bool { return len(s.requests) == 0 })
 	}
 	t.changes++
 	t.sorted = false
-	t.servers[server] = &serverEnd{name: server, at: at, prints: map[Fingerprint]bool{}}
+	t.servers[server] = &serverEnd{name: server, at: at, requests: map[Fingerprint]bool{}}
 }
 
 // endsAround lists the servers that ended within sameMoment of a moment.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -26,7 +26,7 @@
 // end has a server end under requests.
 func (t *Table) end(at Time, server string, prints ...Fingerprint) {
 	for _, f := range prints {
-		t.Add(at, Loss{Print: f, Account: "a", Service: "s", Server: server, At: at})
+		t.Add(at, Loss{Fingerprint: f, Account: "a", Service: "s", Server: server, At: at})
 	}
 }
 
@@ -90,8 +90,8 @@
 	It("prefers the one that had shown nothing yet", func() {
 		for i := range 3 {
 			at, server := time.Duration(i)*3*time.Second, fmt.Sprint("e", i)
-			t.Add(at, Loss{Print: beside, Server: server, At: at, Shown: true})
-			t.Add(at, Loss{Print: culprit, Server: server, At: at})
+			t.Add(at, Loss{Fingerprint: beside, Server: server, At: at, Shown: true})
+			t.Add(at, Loss{Fingerprint: culprit, Server: server, At: at})
 		}
 		Expect(t.Judge(9*time.Second, culprit, always)).To(Equal(Quarantined))
 		Expect(t.Judge(9*time.Second, beside, always)).To(Equal(Suspect))
@@ -130,12 +130,12 @@
 	// another account's request is pushed out, which then ends servers again.
 	It("stays bounded, and one account cannot push out another's", func() {
 		for i := range 3 {
-			t.Add(0, Loss{Print: culprit, Account: "other", Server: fmt.Sprint("e", i), At: time.Duration(i) * 2 * time.Second})
+			t.Add(0, Loss{Fingerprint: culprit, Account: "other", Server: fmt.Sprint("e", i), At: time.Duration(i) * 2 * time.Second})
 		}
 		Expect(t.Judge(6*time.Second, culprit, always)).To(Equal(Quarantined))
 		for i := range 3 * maxEntries {
 			at := 10*time.Second + time.Duration(i)*time.Millisecond
-			t.Add(at, Loss{Print: request("flood", i), Account: "flood", Server: fmt.Sprint("f", i), At: at})
+			t.Add(at, Loss{Fingerprint: request("flood", i), Account: "flood", Server: fmt.Sprint("f", i), At: at})
 		}
 		Expect(len(t.entries)).To(BeNumerically("<=", maxEntries))
 		Expect(len(t.servers)).To(BeNumerically("<=", maxServers+maxEntries))
@@ -185,7 +185,7 @@
 		}
 		Expect(t.Judge(6*time.Second, culprit, always)).To(Equal(Quarantined))
 		stale := t.Record(6*time.Second, culprit)
-		t.Merge(7*time.Second, Record{Print: culprit, Cleared: true})
+		t.Merge(7*time.Second, Record{Fingerprint: culprit, Cleared: true})
 		Expect(t.Judge(7*time.Second, culprit, always)).To(Equal(Free))
 		stale.Age += 2 * time.Second
 		for i := range stale.Ends {
--- a/internal/sched/fatal_load_test.go
+++ b/internal/sched/fatal_load_test.go
@@ -49,10 +49,10 @@
 
 // fatalRequest is one request that ends engines.
 type fatalRequest struct {
-	print quarantine.Fingerprint
-	ends  []Time
-	sends []Time
-	told  int // that it is in quarantine
+	fingerprint quarantine.Fingerprint
+	ends        []Time
+	sends       []Time
+	told        int // that it is in quarantine
 }
 
 type fatalRun struct {
@@ -72,12 +72,12 @@
 		d.start(0)
 	}
 	for i := range fatal {
-		d.fatal = append(d.fatal, &fatalRequest{print: printOf(-1 - i)})
+		d.fatal = append(d.fatal, &fatalRequest{fingerprint: fingerprintOf(-1 - i)})
 	}
 	return d
 }
 
-func printOf(n int) quarantine.Fingerprint {
+func fingerprintOf(n int) quarantine.Fingerprint {
 	return quarantine.Of("POST", "h", "/", "account", fmt.Append(nil, n))
 }
 
@@ -129,13 +129,13 @@
 		d.lostTwice++
 		return
 	}
-	d.at(now+d.between(5*ms, 60*ms), func(at Time) { d.submit(at, r.Print, nil, true) })
+	d.at(now+d.between(5*ms, 60*ms), func(at Time) { d.submit(at, r.Fingerprint, nil, true) })
 }
 
 func (d *fatalDay) submit(now Time, f quarantine.Fingerprint, fatal *fatalRequest, again bool) {
 	d.next++
 	r := &fatalRun{fatal: fatal, again: again}
-	r.Key, r.Service, r.Print = Key{Holder: d.next % 7, ID: d.next}, engine, f
+	r.Key, r.Service, r.Fingerprint = Key{Holder: d.next % 7, ID: d.next}, engine, f
 	r.PromptTokens, r.OutputTokens = 500, 40+d.rng.IntN(300)
 	r.Arrived, r.Aim, r.Deadline = now, now+800*ms, now+8*time.Second
 	d.open[r.Key] = r
@@ -177,7 +177,7 @@
 		d.at(now+3*ms, func(at Time) {
 			d.take(at, d.s.Finish(at, Outcome{Key: r.Key, Result: Unreachable}))
 			delete(d.open, r.Key)
-			d.submit(at, r.Print, r.fatal, r.again)
+			d.submit(at, r.Fingerprint, r.fatal, r.again)
 		})
 		return
 	}
@@ -205,12 +205,12 @@
 	for t := Time(0); t < fatalTime; t += time.Second / ordinaryRate {
 		d.at(t+d.between(0, 50*ms), func(at Time) {
 			d.ordinary++
-			d.submit(at, printOf(d.ordinary), nil, false)
+			d.submit(at, fingerprintOf(d.ordinary), nil, false)
 		})
 	}
 	for _, f := range d.fatal {
 		for t := 2 * time.Second; t < fatalTime; t += time.Second / fatalRate {
-			d.at(t+d.between(0, 160*ms), func(at Time) { d.submit(at, f.print, f, false) })
+			d.at(t+d.between(0, 160*ms), func(at Time) { d.submit(at, f.fingerprint, f, false) })
 		}
 	}
 	for t := Time(0); t < fatalTime+10*time.Second; t += 10 * ms {
--- a/internal/sched/ownfault.go
+++ b/internal/sched/ownfault.go
@@ -42,24 +42,24 @@
 }
 
 // own notes how a run ended and reports whether its failure is the request's own.
-func (f faults) own(now Time, print quarantine.Fingerprint, server string, result Result) bool {
-	if !print.Known() {
+func (f faults) own(now Time, request quarantine.Fingerprint, server string, result Result) bool {
+	if !request.Known() {
 		return false
 	}
 	switch result {
 	case OK:
-		f.recent.Remove(print)
+		f.recent.Remove(request)
 		return false
 	case Broken, Errored:
 	default:
 		return false
 	}
-	known, failed := f.recent.Get(print)
+	known, failed := f.recent.Get(request)
 	if !failed || now-known.at >= faultMemory {
 		known = fault{server: server}
 	}
 	known.at = now
 	known.own = known.own || known.server != server
-	f.recent.Add(print, known)
+	f.recent.Add(request, known)
 	return known.own
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -167,8 +167,8 @@
 	req := w.Request
 	placed := srv.start(now, svc, &req)
 	s.runs[w.Key] = placed
-	s.countCopy(w.Print, 1)
-	if s.suspects.Strong(w.Print) {
+	s.countCopy(w.Fingerprint, 1)
+	if s.suspects.Recurrent(w.Fingerprint) {
 		placed.trial = true
 		srv.trials++
 		svc.tried = now
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -215,7 +215,7 @@
 	}
 	if o.Result == Pace {
 		r.server.endTrial(r)
-		s.suspects.Progress(now, r.req.Print)
+		s.suspects.Progress(now, r.req.Fingerprint)
 	}
 	if o.Result == Pace || o.Result == Stalled {
 		return nil
@@ -234,9 +234,12 @@
 
 // learnServer takes in what a run's end tells of its server.
 func (s *Scheduler) learnServer(now Time, r *run, o Outcome) {
-	if s.faults.own(now, r.req.Print, r.server.ID, o.Result) {
+	if s.faults.own(now, r.req.Fingerprint, r.server.ID, o.Result) {
 		o.Result = Left // it says nothing about the server
 	}
+	if (o.Result == OK || o.Result == Pace) && r.placed > r.server.endedAt {
+		r.server.ended = false // it was not its end
+	}
 	r.server.learn(now, o)
 }
 
@@ -263,7 +266,7 @@
 		s.orphans--
 	}
 	r.server.finish(r)
-	s.countCopy(r.req.Print, -1)
+	s.countCopy(r.req.Fingerprint, -1)
 	delete(s.runs, r.req.Key)
 }
 
@@ -282,12 +285,12 @@
 	if srv == nil || svc == nil {
 		return
 	}
-	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, MaxPause: a.MaxPause, Account: a.Account, Print: a.Print}
+	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, MaxPause: a.MaxPause, Account: a.Account, Fingerprint: a.Fingerprint}
 	r := srv.start(now, svc, req)
 	r.ends = max(now, r.ends-a.Elapsed)
 	r.repaid = true // charged elsewhere
 	s.runs[a.Key] = r
-	s.countCopy(a.Print, 1)
+	s.countCopy(a.Fingerprint, 1)
 }
 
 // HolderGone drops what a holder had waiting. Its runs go on at their servers
@@ -345,11 +348,11 @@
 
 // refuseQuarantined refuses w until it may be tried again.
 func (s *Scheduler) refuseQuarantined(now Time, w *waiting) {
-	s.refuse(now, w, Quarantined, max(s.policy.RetryAfter, s.suspects.RetryIn(now, w.Print)))
+	s.refuse(now, w, Quarantined, max(s.policy.RetryAfter, s.suspects.RetryIn(now, w.Fingerprint)))
 }
 
 func (s *Scheduler) refuse(now Time, w *waiting, why Reason, after time.Duration) {
-	d := Decision{Key: w.Key, Reason: why, RetryAfter: after, Detail: s.suspects.Explain(now, w.Print)}
+	d := Decision{Key: w.Key, Reason: why, RetryAfter: after, Detail: s.suspects.Explain(now, w.Fingerprint)}
 	if svc := s.services[w.Service]; svc != nil {
 		d.Waiting = svc.queue.size
 		for _, srv := range svc.servers {
--- a/internal/sched/suspects.go
+++ b/internal/sched/suspects.go
@@ -31,10 +31,10 @@
 
 // standing is how a request is to be treated for the servers that ended under it.
 func (s *Scheduler) standing(now Time, r *Request) quarantine.Standing {
-	if !s.suspects.Has(r.Print) {
+	if !s.suspects.Has(r.Fingerprint) {
 		return quarantine.Free
 	}
-	return s.suspects.Judge(now, r.Print, func(since Time) bool { return s.serviceWell(r.Service, since) })
+	return s.suspects.Judge(now, r.Fingerprint, func(since Time) bool { return s.serviceWell(r.Service, since) })
 }
 
 // serviceWell reports whether a server that was there before a moment has answered since,
@@ -63,23 +63,23 @@
 	switch {
 	case standing == quarantine.Free:
 		return false
-	case standing == quarantine.Wait || standing == quarantine.Quarantined || s.copies[r.Print] > 0:
+	case standing == quarantine.Wait || standing == quarantine.Quarantined || s.copies[r.Fingerprint] > 0:
 		return true
 	case standing == quarantine.Probation && s.share.Servers < 1:
 		return true
 	}
 	svc := s.services[r.Service]
-	return s.suspects.Strong(r.Print) && svc.tried > 0 && now-svc.tried < trialSpace
+	return s.suspects.Recurrent(r.Fingerprint) && svc.tried > 0 && now-svc.tried < trialSpace
 }
 
 // keptApart reports whether srv must not take r for the sake of others there, or of r.
 func (s *Scheduler) keptApart(srv *server, r *Request) bool {
-	if !s.suspects.Has(r.Print) {
+	if !s.suspects.Has(r.Fingerprint) {
 		return false
 	}
-	strong := s.suspects.Strong(r.Print)
+	recurrent := s.suspects.Recurrent(r.Fingerprint)
 	for _, other := range srv.runs {
-		if s.suspects.Has(other.req.Print) && (strong || s.suspects.Strong(other.req.Print)) {
+		if s.suspects.Has(other.req.Fingerprint) && (recurrent || s.suspects.Recurrent(other.req.Fingerprint)) {
 			return true
 		}
 	}
@@ -88,15 +88,15 @@
 
 // suspectCost is what a place at srv costs a suspect beyond what it costs others.
 func (s *Scheduler) suspectCost(srv *server, r *Request) time.Duration {
-	if !s.suspects.Has(r.Print) {
+	if !s.suspects.Has(r.Fingerprint) {
 		return 0
 	}
 	cost := time.Duration(0)
-	if s.suspects.Strong(r.Print) {
+	if s.suspects.Recurrent(r.Fingerprint) {
 		cost = besideOthers * time.Duration(srv.running)
 	}
 	for _, other := range srv.runs {
-		if s.suspects.Has(other.req.Print) {
+		if s.suspects.Has(other.req.Fingerprint) {
 			return cost + besideSuspect
 		}
 	}
@@ -117,7 +117,7 @@
 func (s *Scheduler) learnEnd(now Time, r *run, o Outcome) {
 	switch o.Result {
 	case OK:
-		s.suspects.Clear(now, r.req.Print)
+		s.suspects.Clear(now, r.req.Fingerprint)
 	case Ended:
 		s.ended(now, r.server)
 		s.lost(r.server, s.loss(now, r, o.First > 0))
@@ -136,7 +136,7 @@
 
 func (s *Scheduler) loss(now Time, r *run, shown bool) quarantine.Loss {
 	return quarantine.Loss{
-		Print: r.req.Print, Account: r.req.Account, Service: r.req.Service, Server: r.server.ID, At: now, Shown: shown,
+		Fingerprint: r.req.Fingerprint, Account: r.req.Account, Service: r.req.Service, Server: r.server.ID, At: now, Shown: shown,
 	}
 }
 
@@ -147,7 +147,7 @@
 		return
 	}
 	if s.suspects.Add(l.At, l) {
-		s.review[l.Print] = l.Service
+		s.review[l.Fingerprint] = l.Service
 	}
 }
 
@@ -155,7 +155,7 @@
 // the copies of those that are to blame off their servers.
 func (s *Scheduler) judgeSuspects(now Time) {
 	for f, service := range s.review {
-		switch s.standing(now, &Request{Print: f, Service: service}) {
+		switch s.standing(now, &Request{Fingerprint: f, Service: service}) {
 		case quarantine.Wait:
 		case quarantine.Quarantined:
 			delete(s.review, f)
@@ -171,11 +171,11 @@
 // Guard: copies that were sent before the first end was known may still stand in the
 // queues of servers, and each would end one more.
 func (s *Scheduler) revoke(now Time, f quarantine.Fingerprint) {
-	if s.copies[f] == 0 || s.standing(now, &Request{Print: f}) != quarantine.Quarantined {
+	if s.copies[f] == 0 || s.suspects.RetryIn(now, f) == 0 {
 		return
 	}
 	for k, r := range s.runs {
-		if r.req.Print == f && !r.orphan {
+		if r.req.Fingerprint == f && !r.orphan {
 			s.out = append(s.out, Decision{Key: k, Reason: Quarantined, RetryAfter: s.suspects.RetryIn(now, f), Detail: s.suspects.Explain(now, f)})
 		}
 	}
@@ -207,6 +207,10 @@
 // LearnLoss takes a run that this host lost with its server, whoever schedules for it.
 func (s *Scheduler) LearnLoss(now Time, l quarantine.Loss) {
 	l.At = now
+	if srv := s.servers[l.Server]; srv != nil {
+		s.lost(srv, l)
+		return
+	}
 	s.suspects.Add(now, l)
 }
 
@@ -216,7 +220,7 @@
 	for _, r := range records {
 		s.suspects.Merge(now, r)
 		if r.Blamed {
-			s.revoke(now, r.Print)
+			s.revoke(now, r.Fingerprint)
 		}
 	}
 	return s.out
@@ -230,6 +234,3 @@
 
 // Quarantined counts the requests in quarantine.
 func (s *Scheduler) Quarantined() int { return s.suspects.Quarantined() }
-
-// Release takes a request out of quarantine and reports whether it was in the table.
-func (s *Scheduler) Release(now Time, f quarantine.Fingerprint) bool { return s.suspects.Clear(now, f) }
--- a/internal/sched/suspects_test.go
+++ b/internal/sched/suspects_test.go
@@ -36,7 +36,7 @@
 func (d *suspectsDay) ask(now Time, f quarantine.Fingerprint) (Key, []Decision) {
 	d.next++
 	r := Request{
-		Key: Key{Holder: 1, ID: d.next}, Service: engine, Print: f, PromptTokens: 500, OutputTokens: 100,
+		Key: Key{Holder: 1, ID: d.next}, Service: engine, Fingerprint: f, PromptTokens: 500, OutputTokens: 100,
 		Arrived: now, Aim: now + 800*ms, Deadline: now + 8*time.Second,
 	}
 	out, _ := d.Submit(now, r)
@@ -55,7 +55,7 @@
 }
 
 var _ = Describe("a request under which a server ended", func() {
-	f := printOf(1)
+	f := fingerprintOf(1)
 
 	// Story: the same request stands at several hosts. Each copy that is sent before the
 	// first has ended its engine ends another one.
@@ -140,7 +140,7 @@
 	// culprit. On the same engine it would be lost once more.
 	It("keeps apart from the others that were lost with it", func() {
 		d := newSuspectsDay(3)
-		other := printOf(2)
+		other := fingerprintOf(2)
 		for i := range 2 {
 			at := time.Duration(i) * 3 * time.Second
 			k, _ := d.place(at, f)
@@ -166,10 +166,10 @@
 			now := time.Duration(i) * 200 * ms
 			for j := range 4 {
 				at := now + time.Duration(j)*20*ms
-				k, _ := d.place(at, printOf(1))
+				k, _ := d.place(at, fingerprintOf(1))
 				d.finish(at+10*ms, k, Broken)
 			}
-			other, _ := d.place(now+100*ms, printOf(1000+i))
+			other, _ := d.place(now+100*ms, fingerprintOf(1000+i))
 			d.finish(now+150*ms, other, OK)
 		}
 	})
@@ -177,7 +177,7 @@
 		d := newSuspectsDay(2)
 		for i := range 20 {
 			now := time.Duration(i) * 100 * ms
-			if k, out := d.ask(now, printOf(i)); len(out) > 0 && out[0].Server == "e0" {
+			if k, out := d.ask(now, fingerprintOf(i)); len(out) > 0 && out[0].Server == "e0" {
 				d.finish(now+10*ms, k, Broken)
 			} else {
 				d.finish(now+10*ms, k, OK)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -76,12 +76,12 @@
 	Aim          Time // latency objective: first event, or whole answer
 	// LeavesAt is when the caller gives up for want of an event, 0 when it
 	// stays until its deadline. Callers of streams leave well before that.
-	LeavesAt Time
-	Deadline Time
-	MaxPause time.Duration // longest between events of a stream that is on time, 0: any
-	Repeat   bool          // draws on the service's retry budget
-	Avoid    []string      // servers that were tried already
-	Print    quarantine.Fingerprint
+	LeavesAt    Time
+	Deadline    Time
+	MaxPause    time.Duration // longest between events of a stream that is on time, 0: any
+	Repeat      bool          // draws on the service's retry budget
+	Avoid       []string      // servers that were tried already
+	Fingerprint quarantine.Fingerprint
 }
 
 // Result tells how a run ended.
@@ -144,7 +144,7 @@
 	Elapsed      time.Duration
 	MaxPause     time.Duration
 	Account      string
-	Print        quarantine.Fingerprint
+	Fingerprint  quarantine.Fingerprint
 }
 
 // Reason tells why a request is refused. Nothing of it ran.
