--- a/test/platform/fatal_test.go
+++ b/test/platform/fatal_test.go
@@ -235,6 +235,22 @@
 		}
 	})
 
+	// Story: a plain call crashes the copy of the service that runs it. It may not be repeated
+	// by us, and its caller comes again; with three copies the whole service is down.
+	It("is not sent on to plain services either", func() {
+		s, room := newFatalSite(siteOptions{hosts: 3, engines: 1, apps: 5})
+		call := confirm()
+		call.Body = fatalBody
+		s.under(20*time.Millisecond, func() {
+			for i := range 60 {
+				s.send(s.hosts[i%3], call)
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+		Expect(inQuarantine(s.send(s.hosts[0], call))).To(BeTrue())
+		Expect(room.count()).To(Equal(3))
+	})
+
 	// Story: five callers send the same request at once, by different hosts. Were all
 	// copies sent on, five engines would end before anybody knew.
 	It("runs one copy at a time once it has ended a server", func() {
--- a/test/platform/site_test.go
+++ b/test/platform/site_test.go
@@ -122,6 +122,7 @@
 		s.addServer(standin.ServerSpec{
 			ID: fmt.Sprintf("i-app%d", i), Service: standin.AppName, Zone: s.zone(i), Address: "127.0.0.1:0",
 			Slots: 6, Queue: 24, Work: 10 * time.Millisecond, Advertise: advertise,
+			FatalBody: o.engine.FatalBody, Ended: o.engine.Ended,
 		})
 	}
 	for i := range o.hosts {
