A host that stood still sends nothing on for callers that have left

Cause: the context of a request ends when another goroutine has read the end of its caller's connection. A host that goes on after a standstill reads what came meanwhile and may send it to a server before that.

Before each send the host looks at the connection once, one system call, without the lock that the reading goroutine holds.

--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -76,6 +76,11 @@
 // only place from which a request reaches a server.
 func (x *exchange) try(ctx context.Context, place dispatch.Place) verdict {
 	t := &attempt{x: x, place: place}
+	if callerLeft(x.r.Context()) {
+		x.h.Places.Finish(place.ID, sched.Unused, 0, 0)
+		x.note(event.RequestLeft, "before it was sent")
+		return final
+	}
 	dial, cancel := context.WithTimeout(ctx, min(maxDial, max(minDial, x.route.Aim/2)))
 	conn, err := x.h.Pool.Get(dial, t.server())
 	cancel()
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/gentianflow/gentianflow/internal/dispatch"
+	"github.com/gentianflow/gentianflow/internal/entry"
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/member"
@@ -24,6 +25,7 @@
 func (n *Node) open() error {
 	n.front = &http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ConnContext: entry.WithConn,
 	}
 	small := func(h http.Handler) *http.Server {
 		return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
--- a/test/platform/fail_test.go
+++ b/test/platform/fail_test.go
@@ -1,9 +1,11 @@
 package platform
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -102,6 +104,32 @@
 		s.hosts[0].session.Signal(syscall.SIGCONT)
 	})
 
+	// Story: a host stands still for seconds. Callers connect, send, and leave after a second.
+	// When it goes on it reads what they sent, and servers got requests that nobody waits for.
+	It("sends nothing on for callers that left while it stood still", func() {
+		s := newSite(siteOptions{hosts: 1, engines: 2, apps: 2})
+		h := s.hosts[0]
+		h.session.Signal(syscall.SIGSTOP)
+		attempts := make(chan string, 40)
+		var calls sync.WaitGroup
+		for range cap(attempts) {
+			calls.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				defer cancel()
+				c := check()
+				c.Key, c.Deadline = standin.AccountKey, 10*time.Second
+				attempts <- standin.NewCaller().Send(ctx, h.at(entryPort), c).Attempt
+			})
+		}
+		calls.Wait()
+		close(attempts)
+		h.session.Signal(syscall.SIGCONT)
+		Eventually(func() int { return s.send(h, check()).Status }).Should(Equal(http.StatusOK))
+		for attempt := range attempts {
+			Expect(s.runsOf(attempt)).To(BeEmpty())
+		}
+	})
+
 	It("serves what it knows while the store is away", func() {
 		s := newSite(siteOptions{hosts: 2, engines: 1, apps: 1})
 		s.store.SetDown(true)
