Only a host that knows all blames a request; word of a blame comes before its refusal

Cause, found while a spec of a lost home was written: followers judged by what they had been told. They hear of the ends under a request, not of each server that ended in the same moment, so one could blame an ordinary request and write it to the store. And a home killed right after it had blamed one left nothing in the store while that was away.

A table that knows a part blames nobody; it holds the request back. The next home writes the rows that are missing. Ends that are known to have causes of their own are told as such, since another home cannot know who answered meanwhile.

--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -91,13 +91,14 @@
 			out = append(out, l.sched.Tick(l.now())...)
 			next = l.now() + l.period()
 		}
-		if len(out) > 0 {
-			l.deliver(out)
-		}
+		// Other hosts hear of a request in quarantine before its caller does.
 		if news := l.sched.SuspectNews(l.now()); len(news) > 0 {
 			lifted := l.logSuspects(news)
 			l.spread(news, func(f quarantine.Fingerprint) bool { return lifted[f] })
 		}
+		if len(out) > 0 {
+			l.deliver(out)
+		}
 		// Inputs must not put the tick off, or it would never come under load.
 		next = min(next, l.now()+l.period())
 		tick.Reset(next - l.now())
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -41,7 +41,7 @@
 			Cleared: r.Cleared, ClearedMs: millis(r.ClearedAge),
 		}
 		for _, e := range r.Ends {
-			m.Ends = append(m.Ends, &wire.ServerEnd{Server: e.Server, AgoMs: millis(e.Age), Shown: e.Shown})
+			m.Ends = append(m.Ends, &wire.ServerEnd{Server: e.Server, AgoMs: millis(e.Age), Shown: e.Shown, Distinct: e.Distinct})
 		}
 		out = append(out, m)
 	}
@@ -57,7 +57,7 @@
 			Cleared: m.Cleared, ClearedAge: fromMillis(m.ClearedMs),
 		}
 		for _, e := range m.Ends {
-			r.Ends = append(r.Ends, quarantine.End{Server: e.Server, Age: fromMillis(e.AgoMs), Shown: e.Shown})
+			r.Ends = append(r.Ends, quarantine.End{Server: e.Server, Age: fromMillis(e.AgoMs), Shown: e.Shown, Distinct: e.Distinct})
 		}
 		out = append(out, r)
 	}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -26,8 +26,8 @@
 )
 
 // quarantineStore keeps the requests in quarantine in the platform's store, where they
-// outlive all hosts. Only the host that blamed a request writes its row, and only the home
-// deletes it: two calls for each. mu guards due and known.
+// outlive all hosts. The host that blamed a request writes its row, a new home what that one
+// could not, and only the home deletes it: two calls for each. mu guards due and known.
 //
 // Guard: when all hosts lose their power at once, nothing that they knew is left, and the
 // request would end three servers more each time.
@@ -42,13 +42,13 @@
 
 	mu    sync.Mutex
 	due   map[quarantine.Fingerprint]*quarantine.Row // to be written; nil: to be deleted
-	known map[quarantine.Fingerprint]bool            // in quarantine
+	known map[quarantine.Fingerprint]quarantine.Row  // in quarantine
 }
 
 func newQuarantineStore(host, table string, tables store.Tables, writer store.Writer, leads func() bool, events *event.Recorder) *quarantineStore {
 	return &quarantineStore{
 		host: host, table: table, tables: tables, writer: writer, leads: leads, events: events, wake: make(chan struct{}, 1),
-		due: map[quarantine.Fingerprint]*quarantine.Row{}, known: map[quarantine.Fingerprint]bool{},
+		due: map[quarantine.Fingerprint]*quarantine.Row{}, known: map[quarantine.Fingerprint]quarantine.Row{},
 	}
 }
 
@@ -57,14 +57,15 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, r := range records {
+		_, known := q.known[r.Fingerprint]
 		switch {
-		case r.Blamed && !q.known[r.Fingerprint]:
-			q.known[r.Fingerprint] = true
+		case r.Blamed && !known:
+			row := quarantine.RowOf(time.Now(), r)
+			q.known[r.Fingerprint] = row
 			if r.By == q.host {
-				row := quarantine.RowOf(time.Now(), r)
 				q.due[r.Fingerprint] = &row
 			}
-		case !r.Blamed && q.known[r.Fingerprint]:
+		case !r.Blamed && known:
 			delete(q.known, r.Fingerprint)
 			if q.leads() {
 				q.due[r.Fingerprint] = nil
@@ -156,6 +157,7 @@
 		return err
 	}
 	now := time.Now()
+	listed := map[quarantine.Fingerprint]bool{}
 	var records []quarantine.Record
 	for _, r := range rows {
 		f, row, err := quarantine.DecodeRow(r.Key, r.Value)
@@ -163,6 +165,7 @@
 			q.events.Record(event.ConfigRefused, event.Fields{Detail: "quarantine: " + failure.From(err).Message})
 			continue
 		}
+		listed[f] = true
 		old := !row.Released && row.Age(now) > keptFor
 		if !old {
 			records = append(records, row.Record(now, f))
@@ -171,10 +174,24 @@
 			q.forget(f)
 		}
 	}
+	q.repair(listed)
 	loop.LearnSuspects(records)
 	return nil
 }
 
+// repair has rows written that are missing: the host that blamed the request was lost
+// before the store took it.
+func (q *quarantineStore) repair(listed map[quarantine.Fingerprint]bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for f, row := range q.known {
+		if !listed[f] {
+			q.due[f] = &row
+		}
+	}
+	q.wakeUp()
+}
+
 // forget has a row deleted that is not needed any more.
 func (q *quarantineStore) forget(f quarantine.Fingerprint) {
 	q.mu.Lock()
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -24,8 +24,20 @@
 // has answered since, and has not ended.
 type Well func(since Time) bool
 
+// SetPartial tells whether the table lacks what others know.
+//
+// Guard: a host that does not schedule for all hears of ends under a request from the home,
+// but not of every other server that ended in the same moment. Were it to blame by that, an
+// ordinary request would be refused everywhere for a rack that ended.
+func (t *Table) SetPartial(partial bool) {
+	if t.partial != partial {
+		t.partial = partial
+		t.changes++
+	}
+}
+
 // Judge tells how a request is to be treated now. It blames the request when the facts
-// are enough.
+// are enough and nothing is missing.
 func (t *Table) Judge(now Time, f Fingerprint, well Well) Standing {
 	e := t.entries[f]
 	if e == nil {
@@ -78,6 +90,9 @@
 	if apart < endsToBlame {
 		return Probation
 	}
+	if t.partial {
+		return Wait
+	}
 	e.blamed, e.since, e.by = true, now, t.host
 	e.retryAt = now + firstTrial
 	t.changed(f)
@@ -97,10 +112,10 @@
 		if t.common(f, lost) || t.outweighed(f, e, lost) {
 			continue
 		}
-		if n := len(list); n == 0 {
-			lost.distinct = true
-		} else if before := list[n-1].at; lost.at-before >= sameCause || !lost.distinct && well(before) {
+		n := len(list)
+		if !lost.distinct && (n == 0 || lost.at-list[n-1].at >= sameCause || well(list[n-1].at)) {
 			lost.distinct = true
+			t.news[f] = true // another home would not know who was well then
 		}
 		if lost.distinct {
 			apart++
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -26,6 +26,8 @@
 	Server string
 	Age    Time
 	Shown  bool // the request had shown an event there
+	// Distinct is set when it is known to have another cause than the end before.
+	Distinct bool
 }
 
 // Urgent reports whether every host needs to know at once, and not only those that may take
@@ -43,7 +45,7 @@
 		t.mergeCleared(now-r.ClearedAge, r.Fingerprint)
 	}
 	for _, lost := range r.Ends {
-		t.Add(now, Loss{Fingerprint: r.Fingerprint, Account: r.Account, Service: r.Service, Server: lost.Server, At: now - lost.Age, Shown: lost.Shown})
+		t.Add(now, Loss{Fingerprint: r.Fingerprint, Account: r.Account, Service: r.Service, Server: lost.Server, At: now - lost.Age, Shown: lost.Shown, Distinct: lost.Distinct})
 	}
 	if r.Blamed {
 		t.mergeBlamed(now, r)
@@ -93,7 +95,7 @@
 	}
 	r.Account, r.Service = e.account, e.service
 	for _, lost := range e.ends {
-		r.Ends = append(r.Ends, End{Server: lost.server, Age: now - lost.at, Shown: lost.shown})
+		r.Ends = append(r.Ends, End{Server: lost.server, Age: now - lost.at, Shown: lost.shown, Distinct: lost.distinct})
 	}
 	if e.blamed {
 		r.Blamed, r.Age, r.RetryIn, r.By = true, now-e.since, max(0, e.retryAt-now), e.by
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -57,6 +57,8 @@
 	At          Time
 	// Shown is set when the run had shown an event: the server had begun with it before.
 	Shown bool
+	// Distinct is set when it is known to have another cause than the end before.
+	Distinct bool
 }
 
 // end is a server's end as one request saw it.
@@ -100,6 +102,7 @@
 // Table is what one host knows. It is not safe for concurrent use.
 type Table struct {
 	host    string // its own name, for those it blames
+	partial bool   // others know more; see SetPartial
 	entries map[Fingerprint]*entry
 	servers map[string]*serverEnd
 	// order has the servers by the time of their end, if sorted is set.
@@ -147,9 +150,10 @@
 	}
 	if i := slices.IndexFunc(e.ends, func(have end) bool { return have.server == l.Server }); i >= 0 {
 		e.ends[i].at = min(e.ends[i].at, l.At) // word that comes late tells a later time
+		e.ends[i].distinct = e.ends[i].distinct || l.Distinct
 		return false
 	}
-	e.ends = append(e.ends, end{server: l.Server, at: l.At, shown: l.Shown})
+	e.ends = append(e.ends, end{server: l.Server, at: l.At, shown: l.Shown, distinct: l.Distinct})
 	slices.SortStableFunc(e.ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
 	if len(e.ends) > maxLosses {
 		t.unlink(l.Fingerprint, e.ends[0].server)
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -179,6 +179,21 @@
 		})
 	})
 
+	// Story: three engines end under a request within a second while others answer. The home
+	// is lost; the next one did not see who answered then, and sent the request on.
+	It("tells another host which ends have a cause of their own", func() {
+		for i := range 3 {
+			t.end(time.Duration(i)*300*time.Millisecond, fmt.Sprint("e", i), culprit)
+			Expect(t.Judge(time.Duration(i)*300*time.Millisecond+250*time.Millisecond, culprit, always)).To(BeNumerically(">", Free))
+		}
+		next := NewTable()
+		for _, f := range t.All(time.Second) {
+			f.Blamed = false // as when the home is lost before it could tell
+			next.Merge(time.Second, f)
+		}
+		Expect(next.Judge(3*time.Second, culprit, never)).To(Equal(Quarantined))
+	})
+
 	It("drops what an operator has released, and word from before it", func() {
 		for i := range 3 {
 			t.end(time.Duration(i)*2*time.Second, fmt.Sprint("e", i), culprit)
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -19,6 +19,7 @@
 		svc.retries.rescale(now, factor)
 	}
 	s.share = share
+	s.suspects.SetPartial(share.Servers < 1)
 	s.SetAccounts(now, s.quotas)
 }
 
--- a/internal/sched/suspects_test.go
+++ b/internal/sched/suspects_test.go
@@ -136,6 +136,23 @@
 		Expect(d.Tick(7 * time.Second)).To(ConsistOf(HaveField("Server", Not(BeEmpty()))))
 	})
 
+	// Story: a host that follows a home hears of three ends under a request, but not that a
+	// rack ended each time. It blamed the request, and told the store.
+	It("is not blamed by a host that knows a part", func() {
+		d := newSuspectsDay(6)
+		d.SetShare(0, Share{Servers: 0.5, Limits: 0.1})
+		for i := range 4 {
+			at := time.Duration(i) * 3 * time.Second
+			d.LearnLoss(at, quarantine.Loss{Fingerprint: f, Service: engine, Server: fmt.Sprint("e", i)})
+			d.Tick(at + 2*time.Second)
+		}
+		_, out := d.ask(20*time.Second, f)
+		Expect(out).To(BeEmpty())
+		Expect(d.Quarantined()).To(BeZero())
+		d.SetShare(21*time.Second, Share{Servers: 1, Limits: 1})
+		Expect(d.Tick(21 * time.Second)).To(ConsistOf(HaveField("Reason", Quarantined)))
+	})
+
 	// Story: a caller whose engine ended with the culprit comes again, and so does the
 	// culprit. On the same engine it would be lost once more.
 	It("keeps apart from the others that were lost with it", func() {
--- a/test/platform/fatal_test.go
+++ b/test/platform/fatal_test.go
@@ -304,6 +304,26 @@
 		Expect(s.runsOfBody(fatalBody)).To(HaveLen(ended))
 	})
 
+	// Story: the home blames the request while the store is away, and is lost before it could
+	// write that down. The other hosts know; later all of them start anew at once.
+	It("is written down by the next home when the first could not", func() {
+		s, _ := newFatalSite(siteOptions{hosts: 3, engines: 5, apps: 1, largeFirst: true})
+		time.Sleep(3 * time.Second) // a host that has just started waits for its home
+		s.store.SetDown(true)
+		s.sendUntilRefused()
+		for _, h := range s.hosts {
+			Eventually(func() string { return string(h.session.Out.Contents()) }).Should(ContainSubstring("request_quarantined"), h.name)
+		}
+		s.hosts[0].session.Kill()
+		Eventually(s.hosts[0].session.Exited).Should(BeClosed())
+		time.Sleep(time.Second) // until there is another home
+		for _, h := range s.hosts[1:] {
+			s.refusedBy(h)
+		}
+		s.store.SetDown(false)
+		Eventually(s.stored).WithTimeout(15 * time.Second).Should(Equal(1))
+	})
+
 	// Story: the engines were mended. The operator releases the request; until then it is
 	// refused, and after it its callers get their answers again.
 	It("runs again when an operator releases it", func() {
