Two specs wait until what they speak of has happened

'Sends nothing on for callers that left': the signal stops a process a moment later, and calls of that moment were sent on while their callers waited (the run began 310 ms before the process went on; 'answered' lines with first=324ms). 'Is known when the home is lost or frozen': the home stood still in the millisecond in which it told the others; they held the request back (503 after 1.2 s, no engine got it) without naming quarantine. It waits until all hosts have heard; that no engine gets the request is checked as before. A comment tells of the moment.

--- a/test/platform/fail_test.go
+++ b/test/platform/fail_test.go
@@ -110,6 +110,7 @@
 		s := newSite(siteOptions{hosts: 1, engines: 2, apps: 2})
 		h := s.hosts[0]
 		h.session.Signal(syscall.SIGSTOP)
+		Eventually(h.stopped).Should(BeTrue()) // what comes before that may be sent on
 		attempts := make(chan string, 40)
 		var calls sync.WaitGroup
 		for range cap(attempts) {
--- a/test/platform/fatal_test.go
+++ b/test/platform/fatal_test.go
@@ -175,6 +175,15 @@
 	}
 }
 
+// knownEverywhere waits until all hosts know that the request is in quarantine. A home that
+// stands still or ends in the millisecond before it has told leaves it to the others to hold
+// the request back, which they do without naming quarantine.
+func (s *site) knownEverywhere() {
+	for _, h := range s.hosts {
+		Eventually(func() string { return string(h.session.Out.Contents()) }).Should(ContainSubstring("request_quarantined"), h.name)
+	}
+}
+
 func inQuarantine(r standin.Reply) bool {
 	return r.Status == http.StatusServiceUnavailable && strings.Contains(r.Body, "quarantined")
 }
@@ -274,6 +283,7 @@
 	It("is known when the home is lost or frozen", func() {
 		s, _ := newFatalSite(siteOptions{hosts: 4, engines: 5, apps: 1, largeFirst: true})
 		s.sendUntilRefused()
+		s.knownEverywhere()
 		s.hosts[0].session.Signal(syscall.SIGSTOP)
 		for _, h := range s.hosts[1:] {
 			s.refusedBy(h)
@@ -311,9 +321,7 @@
 		time.Sleep(3 * time.Second) // a host that has just started waits for its home
 		s.store.SetDown(true)
 		s.sendUntilRefused()
-		for _, h := range s.hosts {
-			Eventually(func() string { return string(h.session.Out.Contents()) }).Should(ContainSubstring("request_quarantined"), h.name)
-		}
+		s.knownEverywhere()
 		s.hosts[0].session.Kill()
 		Eventually(s.hosts[0].session.Exited).Should(BeClosed())
 		time.Sleep(time.Second) // until there is another home
--- a/test/platform/site_test.go
+++ b/test/platform/site_test.go
@@ -59,6 +59,13 @@
 	held    atomic.Bool // by a fault of the soak
 }
 
+// stopped reports whether a signal has stopped the process: its state is T then.
+func (h *host) stopped() bool {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", h.session.Command.Process.Pid))
+	_, state, ok := strings.Cut(string(stat), ") ")
+	return err == nil && ok && strings.HasPrefix(state, "T")
+}
+
 func (h *host) at(port int) string { return net.JoinHostPort(h.ip, fmt.Sprint(port)) }
 
 // site is the system with the platform around it.
