Names of the field: poison request, isolated, in quarantine

Reading as a newcomer: culprit, guilty, blamed and probation were pictures of our own. The package says quarantined, isolated, attributed; comments say poison request. No change of logic, by the compiler and the specs.

--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -31,13 +31,13 @@
 // Loop owns a scheduler. Its goroutine alone touches it; all others push
 // inputs.
 type Loop struct {
-	in      *ring.Ring[input]
-	start   time.Time
-	sched   *sched.Scheduler
-	deliver func([]sched.Decision)
-	events  *event.Recorder
-	spread  Spread
-	blamed  map[quarantine.Fingerprint]bool // those whose quarantine was logged
+	in          *ring.Ring[input]
+	start       time.Time
+	sched       *sched.Scheduler
+	deliver     func([]sched.Decision)
+	events      *event.Recorder
+	spread      Spread
+	quarantined map[quarantine.Fingerprint]bool // those whose quarantine was logged
 }
 
 // NewLoop makes a loop. deliver gets the decisions of each round, on the
@@ -46,7 +46,7 @@
 	return &Loop{
 		in: ring.New[input](loopInputs), start: time.Now(),
 		sched: sched.New(p), deliver: deliver, events: events,
-		spread: func([]quarantine.Record, func(quarantine.Fingerprint) bool) {}, blamed: map[quarantine.Fingerprint]bool{},
+		spread: func([]quarantine.Record, func(quarantine.Fingerprint) bool) {}, quarantined: map[quarantine.Fingerprint]bool{},
 	}
 }
 
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -37,7 +37,7 @@
 	for _, r := range records {
 		m := &wire.Suspect{
 			Fingerprint: r.Fingerprint.Bytes(), Account: r.Account, Service: r.Service,
-			Blamed: r.Blamed, BlamedMs: millis(r.Age), RetryMs: millis(r.RetryIn), By: r.By,
+			Quarantined: r.Quarantined, QuarantinedMs: millis(r.Age), RetryMs: millis(r.RetryIn), By: r.By,
 			Cleared: r.Cleared, ClearedMs: millis(r.ClearedAge),
 		}
 		for _, e := range r.Ends {
@@ -53,7 +53,7 @@
 	for _, m := range list {
 		r := quarantine.Record{
 			Fingerprint: quarantine.FromBytes(m.Fingerprint), Account: m.Account, Service: m.Service,
-			Blamed: m.Blamed, Age: fromMillis(m.BlamedMs), RetryIn: fromMillis(m.RetryMs), By: m.By,
+			Quarantined: m.Quarantined, Age: fromMillis(m.QuarantinedMs), RetryIn: fromMillis(m.RetryMs), By: m.By,
 			Cleared: m.Cleared, ClearedAge: fromMillis(m.ClearedMs),
 		}
 		for _, e := range m.Ends {
@@ -151,12 +151,12 @@
 	for _, r := range records {
 		f := event.Fields{Service: r.Service, Detail: "fingerprint=" + r.Fingerprint.String()}
 		switch {
-		case r.Blamed && !l.blamed[r.Fingerprint]:
-			l.blamed[r.Fingerprint] = true
+		case r.Quarantined && !l.quarantined[r.Fingerprint]:
+			l.quarantined[r.Fingerprint] = true
 			f.Detail += " account=" + r.Account + " " + r.Explain()
 			l.events.Record(event.RequestQuarantined, f)
-		case !r.Blamed && l.blamed[r.Fingerprint]:
-			delete(l.blamed, r.Fingerprint)
+		case !r.Quarantined && l.quarantined[r.Fingerprint]:
+			delete(l.quarantined, r.Fingerprint)
 			lifted[r.Fingerprint] = true
 			l.events.Record(event.QuarantineLifted, f)
 		}
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -85,7 +85,7 @@
 
 	It("travels whole", func() {
 		r := quarantine.Record{
-			Fingerprint: fatal, Account: "a", Service: "s", Blamed: true, Age: time.Second, RetryIn: time.Minute, By: "front-1",
+			Fingerprint: fatal, Account: "a", Service: "s", Quarantined: true, Age: time.Second, RetryIn: time.Minute, By: "front-1",
 			Cleared: true, ClearedAge: time.Hour, Ends: []quarantine.End{{Server: "e1", Age: 2 * time.Second, Shown: true, Distinct: true}},
 		}
 		Expect(decodeSuspects(encodeSuspects([]quarantine.Record{r}))).To(Equal([]quarantine.Record{r}))
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -26,7 +26,7 @@
 )
 
 // quarantineStore keeps the requests in quarantine in the platform's store, where they
-// outlive all hosts. The host that blamed a request writes its row, a new home what that one
+// outlive all hosts. The host that puts a request there writes its row, a new home what that one
 // could not, and only the home deletes it: two calls for each. mu guards due and known.
 //
 // Guard: when all hosts lose their power at once, nothing that they knew is left, and the
@@ -59,13 +59,13 @@
 	for _, r := range records {
 		_, known := q.known[r.Fingerprint]
 		switch {
-		case r.Blamed && !known:
+		case r.Quarantined && !known:
 			row := quarantine.RowOf(time.Now(), r)
 			q.known[r.Fingerprint] = row
 			if r.By == q.host {
 				q.due[r.Fingerprint] = &row
 			}
-		case !r.Blamed && known:
+		case !r.Quarantined && known:
 			delete(q.known, r.Fingerprint)
 			if q.leads() {
 				q.due[r.Fingerprint] = nil
@@ -179,7 +179,7 @@
 	return nil
 }
 
-// repair has rows written that are missing: the host that blamed the request was lost
+// repair has rows written that are missing: the host that put the request there was lost
 // before the store took it.
 func (q *quarantineStore) repair(listed map[quarantine.Fingerprint]bool) {
 	q.mu.Lock()
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -11,10 +11,10 @@
 	// Suspect: it ran at a server that ended. So did others there; it goes on, but for
 	// copies of it, one at a time.
 	Suspect
-	// Probation: it was the most suspect at two ends or more, or its time in quarantine is
+	// Isolated: it was the most suspect at two ends or more, or its time in quarantine is
 	// over. One copy at a time runs, apart from other suspects.
-	Probation
-	// Wait: as Probation, but the cause of its newest end is not plain yet.
+	Isolated
+	// Wait: as Isolated, but the cause of its newest end is not plain yet.
 	Wait
 	// Quarantined: it has ended servers until no doubt was left. It is not run.
 	Quarantined
@@ -27,7 +27,7 @@
 // SetPartial tells whether the table lacks what others know.
 //
 // Guard: a host that does not schedule for all hears of ends under a request from the home,
-// but not of every other server that ended in the same moment. Were it to blame by that, an
+// but not of every other server that ended in the same moment. Were it to judge by that, an
 // ordinary request would be refused everywhere for a rack that ended.
 func (t *Table) SetPartial(partial bool) {
 	if t.partial != partial {
@@ -36,8 +36,8 @@
 	}
 }
 
-// Judge tells how a request is to be treated now. It blames the request when the facts
-// are enough and nothing is missing.
+// Judge tells how a request is to be treated now. It puts the request in quarantine when the
+// facts are enough and nothing is missing.
 func (t *Table) Judge(now Time, f Fingerprint, well Well) Standing {
 	e := t.entries[f]
 	if e == nil {
@@ -59,16 +59,16 @@
 }
 
 // stale reports whether new facts, or time, may change the judgment. Each suspect that
-// waits is judged in each round of the scheduler: in a burst with five culprits about that
+// waits is judged in each round of the scheduler: in a burst with five poison requests about that
 // was half of its work.
 func (j judgment) stale(now Time, changes uint64) bool {
 	return j.changes != changes || now-j.at >= judgedFor
 }
 
 func (t *Table) judge(now Time, f Fingerprint, e *entry, well Well) Standing {
-	if e.blamed {
+	if e.quarantined {
 		if now >= e.retryAt {
-			return Probation
+			return Isolated
 		}
 		return Quarantined
 	}
@@ -76,37 +76,37 @@
 		t.drop(f)
 		return Free
 	}
-	guilty, apart := t.guilty(f, e, well)
-	if len(guilty) < 2 {
+	ends, apart := t.attributed(f, e, well)
+	if len(ends) < 2 {
 		if e.progress > e.last() {
 			return Free
 		}
 		return Suspect
 	}
-	last := guilty[len(guilty)-1].at
+	last := ends[len(ends)-1].at
 	if now-last < sameMoment || now-last < sameCause && !well(last) {
 		return Wait
 	}
-	if apart < endsToBlame {
-		return Probation
+	if apart < endsToQuarantine {
+		return Isolated
 	}
 	if t.partial {
 		return Wait
 	}
-	e.blamed, e.since, e.by = true, now, t.host
+	e.quarantined, e.since, e.by = true, now, t.host
 	e.retryAt = now + firstTrial
 	t.changed(f)
 	return Quarantined
 }
 
-// guilty lists the ends that are held against a request, and counts those that have each
+// attributed lists the ends that are held against a request, and counts those that have each
 // a cause of their own.
 //
-// Guard: up to a server's places of ordinary requests run beside the culprit, and some of
-// them come again beside it. The culprit is there each time, so the more ends it has seen
+// Guard: up to a server's places of ordinary requests run beside the poison request, and some of
+// them come again beside it. The poison request is there each time, so the more ends it has seen
 // the less of them is held against others. And servers end for reasons of their own: a rack
 // at a time, again and again, with hundreds of requests, of which a few are there each time.
-func (t *Table) guilty(f Fingerprint, e *entry, well Well) (list []end, apart int) {
+func (t *Table) attributed(f Fingerprint, e *entry, well Well) (list []end, apart int) {
 	for i := range e.ends {
 		lost := &e.ends[i]
 		if t.common(f, lost) || t.outweighed(f, e, lost) {
@@ -145,7 +145,7 @@
 			n++
 		}
 	}
-	if e.blamed {
+	if e.quarantined {
 		n += maxLosses
 	}
 	return n
@@ -189,12 +189,12 @@
 // Recurrent reports whether more than one server has ended under a request.
 func (t *Table) Recurrent(f Fingerprint) bool {
 	e := t.entries[f]
-	return e != nil && (e.blamed || len(e.ends) > 1)
+	return e != nil && (e.quarantined || len(e.ends) > 1)
 }
 
 // RetryIn is how long a request stays in quarantine.
 func (t *Table) RetryIn(now Time, f Fingerprint) Time {
-	if e := t.entries[f]; e != nil && e.blamed {
+	if e := t.entries[f]; e != nil && e.quarantined {
 		return max(0, e.retryAt-now)
 	}
 	return 0
@@ -212,7 +212,7 @@
 // Quarantined counts the requests in quarantine.
 func (t *Table) Quarantined() (n int) {
 	for _, e := range t.entries {
-		if e.blamed {
+		if e.quarantined {
 			n++
 		}
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -12,8 +12,8 @@
 	Account     string
 	Service     string
 	Ends        []End
-	Blamed      bool
-	Age         Time // since it was blamed
+	Quarantined bool
+	Age         Time // since it was put there
 	RetryIn     Time // until it may be tried
 	By          string
 	Cleared     bool // what is older than ClearedAge does not count
@@ -33,7 +33,7 @@
 // Urgent reports whether every host needs to know at once, and not only those that may take
 // over: what servers ended under twice. Of a rack that ends hundreds of requests are told;
 // few of them come twice.
-func (r *Record) Urgent() bool { return r.Blamed || len(r.Ends) > 1 }
+func (r *Record) Urgent() bool { return r.Quarantined || len(r.Ends) > 1 }
 
 // Merge takes what another host or the store knows. Told twice, late or out of order it
 // changes nothing.
@@ -47,8 +47,8 @@
 	for _, lost := range r.Ends {
 		t.Add(now, Loss{Fingerprint: r.Fingerprint, Account: r.Account, Service: r.Service, Server: lost.Server, At: now - lost.Age, Shown: lost.Shown, Distinct: lost.Distinct})
 	}
-	if r.Blamed {
-		t.mergeBlamed(now, r)
+	if r.Quarantined {
+		t.mergeQuarantined(now, r)
 	}
 }
 
@@ -65,7 +65,7 @@
 	t.setCleared(at, f)
 }
 
-func (t *Table) mergeBlamed(now Time, r Record) {
+func (t *Table) mergeQuarantined(now Time, r Record) {
 	since := now - r.Age
 	if at, ok := t.cleared[r.Fingerprint]; ok && since <= at {
 		return
@@ -76,8 +76,8 @@
 		e = &entry{account: r.Account, service: r.Service}
 		t.entries[r.Fingerprint] = e
 	}
-	if !e.blamed {
-		e.blamed, e.since, e.by = true, since, r.By
+	if !e.quarantined {
+		e.quarantined, e.since, e.by = true, since, r.By
 		t.changed(r.Fingerprint)
 	}
 	e.retryAt = max(e.retryAt, now+r.RetryIn)
@@ -97,8 +97,8 @@
 	for _, lost := range e.ends {
 		r.Ends = append(r.Ends, End{Server: lost.server, Age: now - lost.at, Shown: lost.shown, Distinct: lost.distinct})
 	}
-	if e.blamed {
-		r.Blamed, r.Age, r.RetryIn, r.By = true, now-e.since, max(0, e.retryAt-now), e.by
+	if e.quarantined {
+		r.Quarantined, r.Age, r.RetryIn, r.By = true, now-e.since, max(0, e.retryAt-now), e.by
 	}
 	return r
 }
@@ -138,7 +138,7 @@
 	for _, e := range r.Ends {
 		fmt.Fprintf(&text, " %s %.1fs ago", e.Server, e.Age.Seconds())
 	}
-	if r.Blamed {
+	if r.Quarantined {
 		fmt.Fprintf(&text, "; in quarantine by %s for %.1fs", r.By, r.Age.Seconds())
 	}
 	return text.String()
--- a/internal/quarantine/row.go
+++ b/internal/quarantine/row.go
@@ -13,7 +13,7 @@
 	Account  string   `json:"account,omitempty"`
 	Service  string   `json:"service,omitempty"`
 	Servers  []string `json:"servers,omitempty"` // that ended under it
-	By       string   `json:"by,omitempty"`      // the host that blamed it
+	By       string   `json:"by,omitempty"`      // the host that put it there
 	SinceMs  int64    `json:"sinceMs,omitempty"` // Unix, by the clock of that host
 	RetryMs  int64    `json:"retryMs,omitempty"` // Unix, when it may be tried
 	Released bool     `json:"released,omitempty"`
@@ -47,7 +47,7 @@
 	return f, row, failure.Wrap(failure.BadConfig, json.Unmarshal(value, &row), "decode the row of request %s", key)
 }
 
-// Age is how long ago the request was blamed. The clock of the host that did may be off:
+// Age is how long ago the request was put in quarantine. The clock of the host that did may be off:
 // an age below zero counts as none.
 func (row Row) Age(now time.Time) time.Duration {
 	return max(0, now.Sub(time.UnixMilli(row.SinceMs)))
@@ -59,7 +59,7 @@
 		return Record{Fingerprint: f, Cleared: true}
 	}
 	r := Record{
-		Fingerprint: f, Account: row.Account, Service: row.Service, Blamed: true, By: row.By, Age: row.Age(now),
+		Fingerprint: f, Account: row.Account, Service: row.Service, Quarantined: true, By: row.By, Age: row.Age(now),
 		RetryIn: max(0, time.UnixMilli(row.RetryMs).Sub(now)),
 	}
 	for _, server := range row.Servers {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -3,7 +3,7 @@
 //
 // What is known is a set of facts: this request ran at that server as it ended. Facts of
 // several hosts are joined as sets, so it does not matter in which order they come, or how
-// often. Who is to blame is worked out from them anew each time. A request that succeeds
+// often. Which request is the cause is worked out from them anew each time. A request that succeeds
 // anywhere is not one of these, and its facts are dropped.
 //
 // The package is pure: it reads no clock and does no I/O.
@@ -20,16 +20,16 @@
 type Time = time.Duration
 
 const (
-	// endsToBlame is how many servers must have ended under a request. Two may be chance:
-	// of the requests beside a culprit some come again beside it.
-	endsToBlame = 3
+	// endsToQuarantine is how many servers must have ended under a request. Two may be chance:
+	// of the requests beside a poison request some come again beside it.
+	endsToQuarantine = 3
 	// sameCause is how close ends may be that have one cause, other than a request: a rack
 	// or all servers of a service that end together, while a request goes from one to the
 	// next. They count once, unless a server that was there before goes on answering.
 	sameCause = time.Second
 	// sameMoment is how close ends are that come of one failure; hosts notice them within
 	// that. otherEnds is how many other servers must have ended in the moment for it to be
-	// one: several culprits may be about, each of which ends one or two servers a second.
+	// one: several poison requests may be about, each of which ends one or two servers a second.
 	sameMoment = 200 * time.Millisecond
 	otherEnds  = 2
 	// firstTrial is how long a request stays in quarantine before it is tried once: its
@@ -37,7 +37,7 @@
 	// to trialMost.
 	firstTrial = 10 * time.Minute
 	trialMost  = 4 * time.Hour
-	// memory is how long an end is held against a request that has not been blamed.
+	// memory is how long an end is held against a request that is not in quarantine.
 	memory = 10 * time.Minute
 	// judgedFor is how long a judgment holds while nothing new is known.
 	judgedFor = 50 * time.Millisecond
@@ -81,12 +81,12 @@
 	account string
 	service string
 	ends    []end // in order of time
-	// since is when it was blamed, by the host named; retryAt when it may be tried next.
-	blamed  bool
-	since   Time
-	by      string
-	retryAt Time
-	trials  int // that ended a server
+	// since is when it was put there, by the host named; retryAt when it may be tried next.
+	quarantined bool
+	since       Time
+	by          string
+	retryAt     Time
+	trials      int // that ended a server
 	// progress is when a run was well on its way last.
 	progress Time
 	judged   judgment
@@ -101,7 +101,7 @@
 
 // Table is what one host knows. It is not safe for concurrent use.
 type Table struct {
-	host    string // its own name, for those it blames
+	host    string // its own name, for those it puts in quarantine
 	partial bool   // others know more; see SetPartial
 	entries map[Fingerprint]*entry
 	servers map[string]*serverEnd
@@ -166,7 +166,7 @@
 		t.sorted = false
 	}
 	ended.requests[l.Fingerprint] = true
-	if e.blamed && l.At > e.retryAt {
+	if e.quarantined && l.At > e.retryAt {
 		e.trials++
 		e.retryAt = l.At + min(trialMost, firstTrial<<min(e.trials, 8))
 	}
@@ -255,7 +255,7 @@
 	}
 	counts := map[string]int{}
 	for f, e := range t.entries {
-		if !e.blamed && now-e.last() > memory {
+		if !e.quarantined && now-e.last() > memory {
 			t.drop(f)
 			continue
 		}
@@ -284,8 +284,8 @@
 
 // lessThan orders what is dropped first: what is not in quarantine, then what is old.
 func (e *entry) lessThan(other *entry) bool {
-	if e.blamed != other.blamed {
-		return !e.blamed
+	if e.quarantined != other.quarantined {
+		return !e.quarantined
 	}
 	return e.last() < other.last()
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -31,8 +31,8 @@
 }
 
 var (
-	culprit = request("a", 0)
-	beside  = request("a", 1)
+	poison = request("a", 0)
+	beside = request("a", 1)
 )
 
 var _ = Describe("judging requests under which servers ended", func() {
@@ -43,23 +43,23 @@
 	})
 
 	It("blames one at the third end, and not before", func() {
-		t.end(0, "e1", culprit)
-		Expect(t.Judge(time.Second, culprit, always)).To(Equal(Suspect))
-		t.end(2*time.Second, "e2", culprit)
-		Expect(t.Judge(3*time.Second, culprit, always)).To(Equal(Probation))
-		t.end(4*time.Second, "e3", culprit)
-		Expect(t.Judge(5*time.Second, culprit, always)).To(Equal(Quarantined))
-		Expect(t.RetryIn(5*time.Second, culprit)).To(Equal(firstTrial))
+		t.end(0, "e1", poison)
+		Expect(t.Judge(time.Second, poison, always)).To(Equal(Suspect))
+		t.end(2*time.Second, "e2", poison)
+		Expect(t.Judge(3*time.Second, poison, always)).To(Equal(Isolated))
+		t.end(4*time.Second, "e3", poison)
+		Expect(t.Judge(5*time.Second, poison, always)).To(Equal(Quarantined))
+		Expect(t.RetryIn(5*time.Second, poison)).To(Equal(firstTrial))
 	})
 
 	// Story: a caller's answer is cut off with its engine. It comes again and lands beside
-	// the culprit again, and again: one engine is left for all. It was there as often as
-	// the culprit but for the first time.
-	It("does not blame one that comes again beside the culprit", func() {
-		t.end(0, "e1", culprit)
+	// the poison request again, and again: one engine is left for all. It was there as often as
+	// the poison request but for the first time.
+	It("does not blame one that comes again beside the poison request", func() {
+		t.end(0, "e1", poison)
 		for i := range 6 {
 			at := time.Duration(i+2) * time.Second
-			t.end(at, fmt.Sprint("e", i+2), culprit, beside)
+			t.end(at, fmt.Sprint("e", i+2), poison, beside)
 			Expect(t.Judge(at+500*time.Millisecond, beside, always)).To(BeNumerically("<", Quarantined))
 		}
 	})
@@ -84,16 +84,16 @@
 			t.end(time.Duration(i)*150*time.Millisecond, fmt.Sprint("e", i), beside)
 		}
 		Expect(t.Judge(400*time.Millisecond, beside, never)).To(Equal(Wait))
-		Expect(t.Judge(3*time.Second, beside, never)).To(Equal(Probation))
+		Expect(t.Judge(3*time.Second, beside, never)).To(Equal(Isolated))
 	})
 
 	It("prefers the one that had shown nothing yet", func() {
 		for i := range 3 {
 			at, server := time.Duration(i)*3*time.Second, fmt.Sprint("e", i)
 			t.Add(at, Loss{Fingerprint: beside, Server: server, At: at, Shown: true})
-			t.Add(at, Loss{Fingerprint: culprit, Server: server, At: at})
+			t.Add(at, Loss{Fingerprint: poison, Server: server, At: at})
 		}
-		Expect(t.Judge(9*time.Second, culprit, always)).To(Equal(Quarantined))
+		Expect(t.Judge(9*time.Second, poison, always)).To(Equal(Quarantined))
 		Expect(t.Judge(9*time.Second, beside, always)).To(Equal(Suspect))
 	})
 
@@ -111,35 +111,35 @@
 		t.Progress(5*time.Second, beside)
 		Expect(t.Judge(5*time.Second, beside, always)).To(Equal(Free))
 		t.end(6*time.Second, "e5", beside)
-		Expect(t.Judge(7*time.Second, beside, always)).To(Equal(Probation))
+		Expect(t.Judge(7*time.Second, beside, always)).To(Equal(Isolated))
 	})
 
 	It("lets one be tried when its time is over, later each time", func() {
 		for i := range 3 {
-			t.end(time.Duration(i)*2*time.Second, fmt.Sprint("e", i), culprit)
+			t.end(time.Duration(i)*2*time.Second, fmt.Sprint("e", i), poison)
 		}
-		Expect(t.Judge(5*time.Second, culprit, always)).To(Equal(Quarantined))
+		Expect(t.Judge(5*time.Second, poison, always)).To(Equal(Quarantined))
 		at := 5*time.Second + firstTrial
-		Expect(t.Judge(at, culprit, always)).To(Equal(Probation))
-		t.end(at+time.Second, "again", culprit)
-		Expect(t.Judge(at+2*time.Second, culprit, always)).To(Equal(Quarantined))
-		Expect(t.RetryIn(at+time.Second, culprit)).To(Equal(2 * firstTrial))
+		Expect(t.Judge(at, poison, always)).To(Equal(Isolated))
+		t.end(at+time.Second, "again", poison)
+		Expect(t.Judge(at+2*time.Second, poison, always)).To(Equal(Quarantined))
+		Expect(t.RetryIn(at+time.Second, poison)).To(Equal(2 * firstTrial))
 	})
 
 	// Story: a caller changes a byte each time. The table fills, and what is known of
 	// another account's request is pushed out, which then ends servers again.
 	It("stays bounded, and one account cannot push out another's", func() {
 		for i := range 3 {
-			t.Add(0, Loss{Fingerprint: culprit, Account: "other", Server: fmt.Sprint("e", i), At: time.Duration(i) * 2 * time.Second})
+			t.Add(0, Loss{Fingerprint: poison, Account: "other", Server: fmt.Sprint("e", i), At: time.Duration(i) * 2 * time.Second})
 		}
-		Expect(t.Judge(6*time.Second, culprit, always)).To(Equal(Quarantined))
+		Expect(t.Judge(6*time.Second, poison, always)).To(Equal(Quarantined))
 		for i := range 3 * maxEntries {
 			at := 10*time.Second + time.Duration(i)*time.Millisecond
 			t.Add(at, Loss{Fingerprint: request("flood", i), Account: "flood", Server: fmt.Sprint("f", i), At: at})
 		}
 		Expect(len(t.entries)).To(BeNumerically("<=", maxEntries))
 		Expect(len(t.servers)).To(BeNumerically("<=", maxServers+maxEntries))
-		Expect(t.Judge(time.Minute, culprit, always)).To(Equal(Quarantined))
+		Expect(t.Judge(time.Minute, poison, always)).To(Equal(Quarantined))
 	})
 
 	// Story: hosts tell each other what they know while the home changes. Word comes twice,
@@ -183,31 +183,31 @@
 	// is lost; the next one did not see who answered then, and sent the request on.
 	It("tells another host which ends have a cause of their own", func() {
 		for i := range 3 {
-			t.end(time.Duration(i)*300*time.Millisecond, fmt.Sprint("e", i), culprit)
-			Expect(t.Judge(time.Duration(i)*300*time.Millisecond+250*time.Millisecond, culprit, always)).To(BeNumerically(">", Free))
+			t.end(time.Duration(i)*300*time.Millisecond, fmt.Sprint("e", i), poison)
+			Expect(t.Judge(time.Duration(i)*300*time.Millisecond+250*time.Millisecond, poison, always)).To(BeNumerically(">", Free))
 		}
 		next := NewTable()
 		for _, f := range t.All(time.Second) {
-			f.Blamed = false // as when the home is lost before it could tell
+			f.Quarantined = false // as when the home is lost before it could tell
 			next.Merge(time.Second, f)
 		}
-		Expect(next.Judge(3*time.Second, culprit, never)).To(Equal(Quarantined))
+		Expect(next.Judge(3*time.Second, poison, never)).To(Equal(Quarantined))
 	})
 
 	It("drops what an operator has released, and word from before it", func() {
 		for i := range 3 {
-			t.end(time.Duration(i)*2*time.Second, fmt.Sprint("e", i), culprit)
+			t.end(time.Duration(i)*2*time.Second, fmt.Sprint("e", i), poison)
 		}
-		Expect(t.Judge(6*time.Second, culprit, always)).To(Equal(Quarantined))
-		stale := t.Record(6*time.Second, culprit)
-		t.Merge(7*time.Second, Record{Fingerprint: culprit, Cleared: true})
-		Expect(t.Judge(7*time.Second, culprit, always)).To(Equal(Free))
+		Expect(t.Judge(6*time.Second, poison, always)).To(Equal(Quarantined))
+		stale := t.Record(6*time.Second, poison)
+		t.Merge(7*time.Second, Record{Fingerprint: poison, Cleared: true})
+		Expect(t.Judge(7*time.Second, poison, always)).To(Equal(Free))
 		stale.Age += 2 * time.Second
 		for i := range stale.Ends {
 			stale.Ends[i].Age += 2 * time.Second
 		}
 		t.Merge(8*time.Second, stale)
-		Expect(t.Judge(8*time.Second, culprit, always)).To(Equal(Free))
+		Expect(t.Judge(8*time.Second, poison, always)).To(Equal(Free))
 	})
 })
 
@@ -224,12 +224,12 @@
 		}
 	})
 	It("are read as they are written", func() {
-		f, ok := Parse(culprit.String())
+		f, ok := Parse(poison.String())
 		Expect(ok).To(BeTrue())
-		Expect(f).To(Equal(culprit))
+		Expect(f).To(Equal(poison))
 		_, ok = Parse("not one")
 		Expect(ok).To(BeFalse())
-		Expect(FromBytes(culprit.Bytes())).To(Equal(culprit))
+		Expect(FromBytes(poison.Bytes())).To(Equal(poison))
 		Expect(Fingerprint{}.Bytes()).To(BeNil())
 	})
 })
@@ -240,11 +240,11 @@
 		row := RowOf(now, Record{Account: "a", Service: "s", By: "front-1", Age: time.Second, RetryIn: time.Minute, Ends: []End{{Server: "e1"}}})
 		text, err := row.Encode()
 		Expect(err).NotTo(HaveOccurred())
-		f, again, err := DecodeRow(culprit.String(), text)
+		f, again, err := DecodeRow(poison.String(), text)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(f).To(Equal(culprit))
+		Expect(f).To(Equal(poison))
 		r := again.Record(now.Add(time.Second), f)
-		Expect(r).To(And(HaveField("Blamed", true), HaveField("Age", 2*time.Second), HaveField("RetryIn", 59*time.Second)))
+		Expect(r).To(And(HaveField("Quarantined", true), HaveField("Age", 2*time.Second), HaveField("RetryIn", 59*time.Second)))
 		// The clock of the host that wrote it is ahead.
 		Expect(again.Record(now.Add(-time.Hour), f).Age).To(BeZero())
 	})
@@ -253,6 +253,6 @@
 		Expect(err).To(HaveOccurred())
 	},
 		Entry(nil, "x", "{}"),
-		Entry(nil, culprit.String(), "nonsense"),
+		Entry(nil, poison.String(), "nonsense"),
 	)
 })
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -18,7 +18,7 @@
 	tokens int           // of engine memory
 	orphan bool          // its holder is gone; it ends by the clock
 	repaid bool
-	trial  bool // on probation, and has shown no progress yet
+	trial  bool // isolated, and has shown no progress yet
 }
 
 // server is the scheduler's view of one backend server. Every placement is
@@ -27,7 +27,7 @@
 	Server
 	running     int
 	runs        []*run
-	trials      int  // of runs, those on probation
+	trials      int  // of runs, those isolated
 	tokens      int  // of memory, that the runs need
 	prefillFree Time // when the prompts placed so far are predicted to be read
 	tokenTime   time.Duration
@@ -65,7 +65,7 @@
 //
 // Guard: a server that comes back from time out may still be gone. It gets one
 // request at a time until one was answered, not as many as it has places. One that runs a
-// request on probation may be about to end, with all that is sent there meanwhile.
+// request isolated may be about to end, with all that is sent there meanwhile.
 func (s *server) room(now Time, limit int) bool {
 	if s.trials > 0 || s.bench > s.timeOut && s.running > 0 {
 		return false
--- a/internal/sched/suspects.go
+++ b/internal/sched/suspects.go
@@ -9,15 +9,15 @@
 
 const (
 	// trialSpace is how far apart those start at one service that have seen two ends or
-	// more. A culprit ends its server within half a second of its start, as a rule; so the
-	// ends of several culprits at once can be told apart, each from the others and all
-	// from a rack that ends. Of five culprits at nine engines each was known by its third
+	// more. A poison request ends its server within half a second of its start, as a rule; so the
+	// ends of several poison requests at once can be told apart, each from the others and all
+	// from a rack that ends. Of five poison requests at nine engines each was known by its third
 	// to fifth end so, and by its ninth without.
 	trialSpace = 400 * time.Millisecond
-	// besideSuspect is what a place beside another suspect costs one: the culprit and those
+	// besideSuspect is what a place beside another suspect costs one: the poison request and those
 	// that were lost with it must not meet again, if another server has room.
 	besideSuspect = 2 * time.Second
-	// besideOthers is what each request that would be lost with it costs one on probation:
+	// besideOthers is what each request that would be lost with it costs one isolated:
 	// it goes where it does the least harm.
 	besideOthers = 500 * time.Millisecond
 	// breakMemory is how long a broken answer may turn out to have been its server's end:
@@ -57,7 +57,7 @@
 // Guard: the same request may stand at several hosts at once. Each copy that is sent
 // before the first has ended its server ends another one; so a suspect's copies run one
 // at a time. A host that decides alone knows neither all ends nor all copies, and leaves
-// those on probation to its home.
+// those isolated to its home.
 func (s *Scheduler) heldBack(now Time, r *Request) bool {
 	standing := s.standing(now, r)
 	switch {
@@ -65,7 +65,7 @@
 		return false
 	case standing == quarantine.Wait || standing == quarantine.Quarantined || s.copies[r.Fingerprint] > 0:
 		return true
-	case standing == quarantine.Probation && s.share.Servers < 1:
+	case standing == quarantine.Isolated && s.share.Servers < 1:
 		return true
 	}
 	svc := s.services[r.Service]
@@ -152,7 +152,7 @@
 }
 
 // judgeSuspects looks again at requests under which servers have ended lately, and takes
-// the copies of those that are to blame off their servers.
+// the copies of those that are in quarantine off their servers.
 func (s *Scheduler) judgeSuspects(now Time) {
 	for f, service := range s.review {
 		switch s.standing(now, &Request{Fingerprint: f, Service: service}) {
@@ -219,7 +219,7 @@
 	s.out = nil
 	for _, r := range records {
 		s.suspects.Merge(now, r)
-		if r.Blamed {
+		if r.Quarantined {
 			s.revoke(now, r.Fingerprint)
 		}
 	}
--- a/internal/sched/suspects_test.go
+++ b/internal/sched/suspects_test.go
@@ -72,7 +72,7 @@
 
 	// Story: five copies were sent before the first end. Three engines end, one after the
 	// other; the two copies that still wait at theirs must be taken back.
-	It("has its copies revoked when it is blamed", func() {
+	It("has its copies revoked when it is in quarantine", func() {
 		d := newSuspectsDay(6)
 		keys := map[Key]bool{}
 		var running []Key
@@ -137,8 +137,8 @@
 	})
 
 	// Story: a host that follows a home hears of three ends under a request, but not that a
-	// rack ended each time. It blamed the request, and told the store.
-	It("is not blamed by a host that knows a part", func() {
+	// rack ended each time. It put the request in quarantine, and told the store.
+	It("is not put in quarantine by a host that knows a part", func() {
 		d := newSuspectsDay(6)
 		d.SetShare(0, Share{Servers: 0.5, Limits: 0.1})
 		for i := range 4 {
@@ -153,8 +153,8 @@
 		Expect(d.Tick(21 * time.Second)).To(ConsistOf(HaveField("Reason", Quarantined)))
 	})
 
-	// Story: a caller whose engine ended with the culprit comes again, and so does the
-	// culprit. On the same engine it would be lost once more.
+	// Story: a caller whose engine ended with the poison request comes again, and so does the
+	// poison. On the same engine it would be lost once more.
 	It("keeps apart from the others that were lost with it", func() {
 		d := newSuspectsDay(3)
 		other := fingerprintOf(2)
--- a/test/platform/fatal_test.go
+++ b/test/platform/fatal_test.go
@@ -314,7 +314,7 @@
 		Expect(s.runsOfBody(fatalBody)).To(HaveLen(ended))
 	})
 
-	// Story: the home blames the request while the store is away, and is lost before it could
+	// Story: the home puts the request in quarantine while the store is away, and is lost before it could
 	// write that down. The other hosts know; later all of them start anew at once.
 	It("is written down by the next home when the first could not", func() {
 		s, _ := newFatalSite(siteOptions{hosts: 3, engines: 5, apps: 1, largeFirst: true})
