--- a/test/platform/fatal_test.go
+++ b/test/platform/fatal_test.go
@@ -265,6 +265,8 @@
 	It("runs one copy at a time once it has ended a server", func() {
 		s, room := newFatalSite(siteOptions{hosts: 3, engines: 6, apps: 1})
 		s.send(s.hosts[0], fatal())
+		Eventually(func() string { return string(s.hosts[0].session.Out.Contents()) }).Should(ContainSubstring("server_ended"))
+		time.Sleep(100 * time.Millisecond) // word of it is on its way to the home
 		s.under(20*time.Millisecond, func() {
 			var copies sync.WaitGroup
 			for i := range 5 {
