A session that ends takes no processor for those who wait in its streams

Cause: a read that waits in yamux wakes when its session shuts down, finds its stream open and looks again at once, until the receiving loop has ended and the streams are closed. Ruled out: the relay's own loop (it returns on the first failed read); probes. Change: a session ends what waits in its streams by deadline before yamux shuts down, on its own close and when the connection fails or is closed; streams end with it.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -20,6 +20,7 @@
 	said    atomic.Int64 // when something was sent last, since opened
 	header  []byte       // of a frame whose body comes next; the writer owns it
 	muxed   bool         // the greeting is over, what is written are frames; set before they are
+	failed  func()       // told before yamux is that the connection has ended, set with muxed
 }
 
 func newSessionConn(conn net.Conn, t *Traffic) *sessionConn {
@@ -43,9 +44,22 @@
 	if n > 0 {
 		c.heard.Store(int64(time.Since(c.opened)))
 	}
+	c.tellEnd(err)
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *sessionConn) Close() error {
+	c.tellEnd(net.ErrClosed)
+	return c.Conn.Close()
+}
+
+func (c *sessionConn) tellEnd(err error) {
+	if err != nil && c.failed != nil {
+		c.failed()
+	}
+}
+
 // The layout of a yamux frame's header.
 const (
 	frameHeader   = 12
@@ -74,6 +88,7 @@
 	n, err := c.Conn.Write(b)
 	c.traffic.Sent.Add(int64(n))
 	c.said.Store(int64(time.Since(c.opened)))
+	c.tellEnd(err)
 	return n, err
 }
 
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -90,13 +90,6 @@
 	duties   sync.WaitGroup
 }
 
-// session is one yamux session with its remote identity. Immutable.
-type session struct {
-	mux  *yamux.Session
-	conn *sessionConn
-	peer Identity
-}
-
 // slot is the place of the session to one address. dial is held while one is
 // dialed, so that many streams that are opened at once share it.
 type slot struct {
@@ -142,17 +135,15 @@
 		_ = conn.Close()
 		return
 	}
-	conn.muxed = true
-	mux, err := yamux.Server(conn, muxConfig())
+	s, err := newSession(conn, remote, yamux.Server)
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
-	s := &session{mux: mux, conn: conn, peer: remote}
 	m.mu.Lock()
 	if m.closed {
 		m.mu.Unlock()
-		_ = mux.Close()
+		s.close()
 		return
 	}
 	m.accepted[s] = true
@@ -166,9 +157,9 @@
 
 func (m *Manager) serveStreams(s *session) {
 	for {
-		conn, err := s.mux.Accept()
+		conn, err := s.accept()
 		if err != nil {
-			_ = s.mux.Close()
+			s.close()
 			m.news.Broke(s.peer.Incarnation)
 			return
 		}
@@ -233,9 +224,9 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := s.mux.Open()
+	conn, err := s.open()
 	if err != nil {
-		_ = s.mux.Close()
+		s.close()
 		return nil, failure.Wrap(failure.PeerSilent, err, "open stream to %s", to.Address)
 	}
 	if err := wire.Write(conn, open); err != nil {
@@ -267,7 +258,7 @@
 	m.mu.Lock()
 	s := place.live
 	m.mu.Unlock()
-	if s != nil && !s.mux.IsClosed() {
+	if s != nil && !s.ended() {
 		return s, m.expect(to, s.peer)
 	}
 	s, err := m.connect(ctx, to)
@@ -275,7 +266,7 @@
 		return nil, err
 	}
 	if !m.keep(place, s) {
-		_ = s.mux.Close()
+		s.close()
 		return nil, failure.New(failure.PeerSilent, "this host stops")
 	}
 	return s, m.expect(to, s.peer)
@@ -323,65 +314,13 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	conn.muxed = true
-	mux, err := yamux.Client(conn, muxConfig())
+	s, err := newSession(conn, remote, yamux.Client)
 	if err != nil {
 		_ = conn.Close()
 		return nil, failure.Wrap(failure.PeerSilent, err, "session to %s", to.Address)
 	}
 	m.events.Record(event.PeerOpened, event.Fields{Peer: remote.Host})
-	return &session{mux: mux, conn: conn, peer: remote}, nil
-}
-
-// probe closes a session that this host opened when it does not answer in time. One that
-// has just brought something, and on which this host has spoken too, needs no probe.
-//
-// Only one end probes, so a host that hundreds follow answers probes but sends none:
-// probed from both ends and busy or not, 195 sessions cost it 1,600 messages a second.
-func (m *Manager) probe(s *session) {
-	mux := s.mux
-	tick := time.NewTicker(ProbePeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-mux.CloseChan():
-			return
-		case <-tick.C:
-		}
-		if max(s.conn.quiet(), s.conn.mute()) < ProbePeriod {
-			continue
-		}
-		if _, err := mux.Ping(); err != nil {
-			m.silent(s, err.Error())
-			return
-		}
-	}
-}
-
-// listen closes a session that another host opened when it has brought nothing for
-// acceptedSilence, not even a probe.
-func (m *Manager) listen(s *session) {
-	tick := time.NewTicker(acceptedSilence / 2)
-	defer tick.Stop()
-	for {
-		select {
-		case <-s.mux.CloseChan():
-			return
-		case <-tick.C:
-		}
-		if quiet := s.conn.quiet(); quiet > acceptedSilence {
-			m.silent(s, "nothing came for "+quiet.String())
-			return
-		}
-	}
-}
-
-// silent ends a session whose other end does not answer.
-func (m *Manager) silent(s *session, why string) {
-	if !s.mux.IsClosed() {
-		m.events.Record(event.PeerSilent, event.Fields{Peer: s.peer.Host, Detail: why})
-	}
-	_ = s.mux.Close()
+	return s, nil
 }
 
 // Discard closes the session to an address, so that the next stream dials
@@ -390,7 +329,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if place := m.sessions[address]; place != nil && place.live != nil {
-		_ = place.live.mux.Close()
+		place.live.close()
 		place.live = nil
 	}
 }
@@ -401,22 +340,11 @@
 	m.closed = true
 	for _, place := range m.sessions {
 		if place.live != nil {
-			_ = place.live.mux.Close()
+			place.live.close()
 		}
 	}
 	for s := range m.accepted {
-		_ = s.mux.Close()
+		s.close()
 	}
 	m.mu.Unlock()
 }
-
-// muxConfig turns yamux's own keep-alive off: our probe has its deadlines.
-// ConnectionWriteTimeout also bounds a Ping.
-func muxConfig() *yamux.Config {
-	c := yamux.DefaultConfig()
-	c.EnableKeepAlive = false
-	c.ConnectionWriteTimeout = ProbeDeadline
-	c.AcceptBacklog = acceptBacklog
-	c.LogOutput = io.Discard
-	return c
-}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/hashicorp/yamux"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -164,4 +166,61 @@
 		Expect(err).NotTo(HaveOccurred(), "closed, not timed out")
 		Expect(time.Since(begun)).To(BeNumerically(">", acceptedSilence))
 	})
+
+	// Story: a host loses its link to another one, on which dozens of its duties wait for
+	// word, and for as long as the connection takes to close it takes whole cores and answers
+	// its callers late. Each wait woke when the session began to end, found its stream open
+	// and looked again at once.
+	It("takes no processor while it ends, whoever waits in its streams", func() {
+		const readers, closes = 50, 400 * time.Millisecond
+		var waiting atomic.Int64
+		handler := func(st *Stream) {
+			waiting.Add(1)
+			_, _ = io.Copy(io.Discard, st.R) // ends with the session
+			waiting.Add(-1)
+		}
+		m := NewManager(Identity{Incarnation: 1, Host: "near", Fleet: "f"}, "none", handler, nobody{}, event.NewRecorder("h", "i", 64, log.NewNopLogger()), &Traffic{})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		far, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		near, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		go m.accept(newSessionConn(&slowToClose{Conn: near, takes: closes}, &Traffic{}))
+		opener := NewManager(Identity{Incarnation: 2, Host: "far", Fleet: "f"}, "none", func(*Stream) {}, nobody{}, event.NewRecorder("h", "i", 64, log.NewNopLogger()), &Traffic{})
+		_, err = opener.greet(far)
+		Expect(err).NotTo(HaveOccurred())
+		mux, err := yamux.Client(far, muxConfig())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(mux.Close)
+		for range readers {
+			st, err := mux.Open()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(wire.Write(st, &wire.Open{})).To(Succeed())
+		}
+		Eventually(waiting.Load).Should(BeEquivalentTo(readers))
+		before := processorTime()
+		m.Close()
+		Eventually(waiting.Load).WithTimeout(2 * closes).Should(BeZero())
+		Expect(processorTime() - before).To(BeNumerically("<", closes/4))
+	})
 })
+
+// slowToClose is a connection that goes on for a while when it is closed.
+type slowToClose struct {
+	net.Conn
+	takes time.Duration
+}
+
+func (c *slowToClose) Close() error {
+	time.Sleep(c.takes)
+	return c.Conn.Close()
+}
+
+// processorTime is what this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &u)).To(Succeed())
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
