A request is blamed for its servers' ends only when the entries of idle ones have told

Cause: when all engines end together those with runs are missed at once, the idle ones when their entries lapse, three heartbeats later. Change: an idle server's end is a span of time, from when it was known last to when it was missed; ends in the same span count as of one moment. A verdict waits, for at most as long as an entry outlives its server (from the settings' heartbeat), while two servers or more may have ended unseen. One that has answered since, or has a run whose end would tell, is seen; so a verdict on a busy fleet comes as soon as before (spec of revoked copies unchanged). Specs: two of the table (they use the new calls, so they do not build without the change).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,6 +162,9 @@
 	n.loop.Do(func(_ sched.Time, s *sched.Scheduler) {
 		s.SetOwner(uint64(n.inc))
 		s.SetHost(n.set.Host)
+		if n.set.EntryLapse > 0 {
+			s.SetLapse(n.set.EntryLapse)
+		}
 	})
 	n.home = dispatch.NewHome(n.loop, func() []uint64 { return dispatch.NextHomes(n.members) })
 	n.servers = newServers(n.plat.DecodeServer, n.events, n.applyServers)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -24,5 +24,8 @@
 	ProcessorShare   float64
 	MemoryBytes      int64
 	Grace            time.Duration // from SIGTERM to SIGKILL
-	Policy           sched.Policy
+	// EntryLapse is how long the store lists a server after its end at most, 0 when it is
+	// not known.
+	EntryLapse time.Duration
+	Policy     sched.Policy
 }
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -20,9 +20,15 @@
 	Quarantined
 )
 
-// Well reports whether a server of the request's service that was there before a moment
-// has answered since, and has not ended.
-type Well func(since Time) bool
+// Peers tells of the servers of a request's service.
+type Peers interface {
+	// Well reports whether one that was there before a moment has answered since, and has
+	// not ended.
+	Well(since Time) bool
+	// Unseen counts those that may have ended at a moment without being missed yet: nothing
+	// ran there whose end would have told.
+	Unseen(at Time) int
+}
 
 // SetPartial tells whether the table lacks what others know.
 //
@@ -38,7 +44,7 @@
 
 // Judge tells how a request is to be treated now. It puts the request in quarantine when the
 // facts are enough and nothing is missing.
-func (t *Table) Judge(now Time, f Fingerprint, well Well) Standing {
+func (t *Table) Judge(now Time, f Fingerprint, peers Peers) Standing {
 	e := t.entries[f]
 	if e == nil {
 		return Free
@@ -46,7 +52,7 @@
 	if !e.judged.stale(now, t.changes) {
 		return e.judged.standing
 	}
-	standing := t.judge(now, f, e, well)
+	standing := t.judge(now, f, e, peers)
 	e.judged = judgment{standing: standing, at: now, changes: t.changes}
 	return standing
 }
@@ -65,7 +71,7 @@
 	return j.changes != changes || now-j.at >= judgedFor
 }
 
-func (t *Table) judge(now Time, f Fingerprint, e *entry, well Well) Standing {
+func (t *Table) judge(now Time, f Fingerprint, e *entry, peers Peers) Standing {
 	if e.quarantined {
 		if now >= e.retryAt {
 			return Isolated
@@ -76,7 +82,7 @@
 		t.drop(f)
 		return Free
 	}
-	ends, apart := t.attributed(f, e, well)
+	ends, apart := t.attributed(f, e, peers)
 	if len(ends) < 2 {
 		if e.progress > e.last() {
 			return Free
@@ -84,13 +90,16 @@
 		return Suspect
 	}
 	last := ends[len(ends)-1].at
-	if now-last < sameMoment || now-last < sameCause && !well(last) {
+	if now-last < sameMoment || now-last < sameCause && !peers.Well(last) {
 		return Wait
 	}
 	if apart < endsToQuarantine {
 		return Isolated
 	}
-	if t.partial {
+	// Guard: when all servers of a service end together, those that were idle are missed
+	// only when their entries lapse. Were the request that was at the busy ones judged
+	// before that, it alone would look like the cause.
+	if t.partial || t.unsettled(now, ends, peers) {
 		return Wait
 	}
 	e.quarantined, e.since, e.by = true, now, t.host
@@ -106,14 +115,14 @@
 // them come again beside it. The poison request is there each time, so the more ends it has seen
 // the less of them is held against others. And servers end for reasons of their own: a rack
 // at a time, again and again, with hundreds of requests, of which a few are there each time.
-func (t *Table) attributed(f Fingerprint, e *entry, well Well) (list []end, apart int) {
+func (t *Table) attributed(f Fingerprint, e *entry, peers Peers) (list []end, apart int) {
 	for i := range e.ends {
 		lost := &e.ends[i]
 		if t.common(f, lost) || t.outweighed(f, e, lost) {
 			continue
 		}
 		n := len(list)
-		if !lost.distinct && (n == 0 || lost.at-list[n-1].at >= sameCause || well(list[n-1].at)) {
+		if !lost.distinct && (n == 0 || lost.at-list[n-1].at >= sameCause || peers.Well(list[n-1].at)) {
 			lost.distinct = true
 			t.news[f] = true // another home would not know who was well then
 		}
@@ -134,9 +143,22 @@
 			others++
 		}
 	}
+	for _, idle := range t.idle {
+		if idle.around(lost.at) {
+			others++
+		}
+	}
 	return others >= otherEnds
 }
 
+// unsettled reports whether entries that lapse may yet show that one of the ends was of a
+// moment in which others ended too.
+func (t *Table) unsettled(now Time, ends []end, peers Peers) bool {
+	return slices.ContainsFunc(ends, func(e end) bool {
+		return now-e.at < t.lapse && peers.Unseen(e.at) >= otherEnds
+	})
+}
+
 // weight orders the requests that ran at one server by how suspect they are.
 func (t *Table) weight(f Fingerprint, e *entry) int {
 	n := 0
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -69,6 +69,12 @@
 	distinct bool // it has not the cause of the one before
 }
 
+// span is the time in which a server ended that ran nothing known here.
+type span struct{ from, to Time }
+
+// around reports whether the end may have been in the same moment as another one.
+func (s span) around(at Time) bool { return s.from-sameMoment <= at && at <= s.to+sameMoment }
+
 // serverEnd is a server's end and the requests that ran there.
 type serverEnd struct {
 	name     string
@@ -103,8 +109,10 @@
 type Table struct {
 	host    string // its own name, for those it puts in quarantine
 	partial bool   // others know more; see SetPartial
+	lapse   Time   // see SetLapse
 	entries map[Fingerprint]*entry
 	servers map[string]*serverEnd
+	idle    map[string]span // ends of servers under which nothing known ran
 	// order has the servers by the time of their end, if sorted is set.
 	order   []*serverEnd
 	sorted  bool
@@ -116,7 +124,7 @@
 // NewTable makes an empty table.
 func NewTable() *Table {
 	return &Table{
-		entries: map[Fingerprint]*entry{}, servers: map[string]*serverEnd{},
+		entries: map[Fingerprint]*entry{}, servers: map[string]*serverEnd{}, idle: map[string]span{},
 		cleared: map[Fingerprint]Time{}, news: map[Fingerprint]bool{}, changes: 1,
 	}
 }
@@ -124,6 +132,9 @@
 // SetHost names the host that owns the table.
 func (t *Table) SetHost(name string) { t.host = name }
 
+// SetLapse tells how long after a server's end its entry is listed, at most.
+func (t *Table) SetLapse(d Time) { t.lapse = d }
+
 // Has reports whether a server has ended under a request. It is quick: asked of each
 // request in the queue.
 func (t *Table) Has(f Fingerprint) bool {
@@ -159,13 +170,7 @@
 		t.unlink(l.Fingerprint, e.ends[0].server)
 		e.ends = slices.Delete(e.ends, 0, 1)
 	}
-	t.ServerEnded(l.Server, l.At)
-	ended := t.servers[l.Server]
-	if len(ended.requests) == 0 || l.At < ended.at {
-		ended.at = l.At // a failed connection may have been noted much earlier
-		t.sorted = false
-	}
-	ended.requests[l.Fingerprint] = true
+	t.endUnder(l)
 	if e.quarantined && l.At > e.retryAt {
 		e.trials++
 		e.retryAt = l.At + min(trialMost, firstTrial<<min(e.trials, 8))
@@ -218,17 +223,41 @@
 	}
 }
 
-// ServerEnded notes that a server has ended, whether or not a request was lost there.
-func (t *Table) ServerEnded(server string, at Time) {
+// endUnder notes that a server ended as it ran a request.
+func (t *Table) endUnder(l Loss) {
+	ended := t.servers[l.Server]
+	if ended == nil {
+		if len(t.servers) >= maxServers {
+			maps.DeleteFunc(t.servers, func(_ string, s *serverEnd) bool { return len(s.requests) == 0 })
+		}
+		ended = &serverEnd{name: l.Server, at: l.At, requests: map[Fingerprint]bool{}}
+		t.servers[l.Server] = ended
+		t.sorted = false
+	}
+	if l.At < ended.at {
+		ended.at = l.At
+		t.sorted = false
+	}
+	ended.requests[l.Fingerprint] = true
+	delete(t.idle, l.Server)
+}
+
+// EndedIdle notes that a server has ended between two moments, with nothing known running
+// there. Told again it narrows the time.
+func (t *Table) EndedIdle(server string, from, to Time) {
 	if t.servers[server] != nil {
 		return
 	}
-	if len(t.servers) >= maxServers {
-		maps.DeleteFunc(t.servers, func(_ string, s *serverEnd) bool { return len(s.requests) == 0 })
+	if have, ok := t.idle[server]; ok {
+		from, to = max(from, have.from), min(to, have.to)
+	}
+	if len(t.idle) >= maxServers {
+		maps.DeleteFunc(t.idle, func(_ string, s span) bool { return to-s.to > memory })
+	}
+	if len(t.idle) < maxServers {
+		t.idle[server] = span{from: from, to: to}
+		t.changes++
 	}
-	t.changes++
-	t.sorted = false
-	t.servers[server] = &serverEnd{name: server, at: at, requests: map[Fingerprint]bool{}}
 }
 
 // endsAround lists the servers that ended within sameMoment of a moment.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -20,8 +20,19 @@
 	return Of("POST", "h", "/p", account, fmt.Append(nil, n))
 }
 
-func always(Time) bool { return true }
-func never(Time) bool  { return false }
+// peers are servers of which one is well or none, and some may have ended unnoticed.
+type peers struct {
+	well   bool
+	unseen int
+}
+
+func (p peers) Well(Time) bool  { return p.well }
+func (p peers) Unseen(Time) int { return p.unseen }
+
+var (
+	always = peers{well: true}
+	never  = peers{}
+)
 
 // end has a server end under requests.
 func (t *Table) end(at Time, server string, prints ...Fingerprint) {
@@ -77,6 +88,34 @@
 		}
 	})
 
+	// Story: all engines of a service end at once, three times. Two are busy with the same
+	// caller's answers each time; that the idle ones have ended shows when their entries
+	// lapse, seconds later. The caller's request was refused as the cause meanwhile.
+	It("waits for what the entries of idle servers tell", func() {
+		const lapse = 4 * time.Second
+		t.SetLapse(lapse)
+		idle := peers{well: true, unseen: 2}
+		for round := range 3 {
+			at := time.Duration(round) * 10 * time.Second
+			t.end(at, fmt.Sprint("busy", round), beside)
+			Expect(t.Judge(at+lapse-time.Second, beside, idle)).To(BeNumerically("<", Quarantined))
+			for i := range 2 {
+				t.EndedIdle(fmt.Sprint("idle", round, i), at-time.Second, at+lapse)
+			}
+			Expect(t.Judge(at+lapse+time.Second, beside, always)).To(BeNumerically("<", Quarantined))
+		}
+	})
+
+	It("waits for them no longer than they take, nor when there are none", func() {
+		t.SetLapse(4 * time.Second)
+		for i := range 3 {
+			t.end(time.Duration(2*i)*time.Second, fmt.Sprint("e", i), poison)
+		}
+		idle := peers{well: true, unseen: 2}
+		Expect(t.Judge(5*time.Second, poison, idle)).To(Equal(Wait))
+		Expect(t.Judge(9*time.Second, poison, idle)).To(Equal(Quarantined))
+	})
+
 	// Story: all three servers of a service end one after the other within half a second.
 	// A request that goes from one to the next is there each time, alone.
 	It("counts ends in quick succession once when no server is left", func() {
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -87,6 +87,7 @@
 	for id, srv := range s.servers {
 		if !listed[id] {
 			s.ended(now, srv)
+			s.endedIdle(now, srv)
 			srv.leaves = true // some servers go on for a while, and cut off what lasts longer
 			delete(s.servers, id)
 		}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -20,6 +20,7 @@
 	runs     map[Key]*run
 	orphans  int
 	suspects *quarantine.Table
+	lapse    time.Duration // how long after its end a server is listed, at most
 	faults   faults
 	copies   map[quarantine.Fingerprint]int    // of runs
 	review   map[quarantine.Fingerprint]string // to be judged again, with their service
@@ -48,15 +49,21 @@
 	Limits  float64 // of every account's quota and service's retry budget
 }
 
+// DefaultLapse is how long a server's entry outlives it when the platform does not tell how
+// often servers renew theirs.
+const DefaultLapse = 4500 * time.Millisecond
+
 // New makes a scheduler with no services.
 func New(p Policy) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		policy: p, share: Share{Servers: 1, Limits: 1},
 		services: map[string]*service{}, servers: map[string]*server{},
 		accounts: map[string]*bucket{}, runs: map[Key]*run{},
 		suspects: quarantine.NewTable(), faults: newFaults(), copies: map[quarantine.Fingerprint]int{},
 		review: map[quarantine.Fingerprint]string{},
 	}
+	s.SetLapse(DefaultLapse)
+	return s
 }
 
 // typicalTokenTime is what a server of unknown speed is taken to need for a
--- a/internal/sched/suspects.go
+++ b/internal/sched/suspects.go
@@ -29,22 +29,29 @@
 // SetHost names the host that runs this scheduler, for what it puts in quarantine.
 func (s *Scheduler) SetHost(name string) { s.suspects.SetHost(name) }
 
+// SetLapse tells how long after a server's end its entry is listed, at most.
+func (s *Scheduler) SetLapse(d time.Duration) {
+	s.lapse = d
+	s.suspects.SetLapse(d)
+}
+
 // standing is how a request is to be treated for the servers that ended under it.
 func (s *Scheduler) standing(now Time, r *Request) quarantine.Standing {
 	if !s.suspects.Has(r.Fingerprint) {
 		return quarantine.Free
 	}
-	return s.suspects.Judge(now, r.Fingerprint, func(since Time) bool { return s.serviceWell(r.Service, since) })
+	return s.suspects.Judge(now, r.Fingerprint, peers{s.services[r.Service]})
 }
 
-// serviceWell reports whether a server that was there before a moment has answered since,
-// and has not ended.
-func (s *Scheduler) serviceWell(service string, since Time) bool {
-	svc := s.services[service]
-	if svc == nil {
+// peers are the servers of a service, as the table asks for them.
+type peers struct{ svc *service }
+
+// Well implements quarantine.Peers.
+func (p peers) Well(since Time) bool {
+	if p.svc == nil {
 		return false
 	}
-	for _, srv := range svc.servers {
+	for _, srv := range p.svc.servers {
 		if !srv.ended && srv.known < since && srv.wellAt > since {
 			return true
 		}
@@ -52,6 +59,20 @@
 	return false
 }
 
+// Unseen implements quarantine.Peers.
+func (p peers) Unseen(at Time) (n int) {
+	if p.svc == nil {
+		return 0
+	}
+	for _, srv := range p.svc.servers {
+		busy := slices.ContainsFunc(srv.runs, func(r *run) bool { return r.placed <= at })
+		if srv.known <= at && !srv.ended && srv.wellAt <= at && !busy {
+			n++
+		}
+	}
+	return n
+}
+
 // heldBack reports whether a request must wait although there is room.
 //
 // Guard: the same request may stand at several hosts at once. Each copy that is sent
@@ -128,7 +149,7 @@
 		}
 		r.server.brokeOff(s.loss(now, r, o.First > 0))
 	case Unreachable:
-		s.suspects.ServerEnded(r.server.ID, now)
+		s.endedIdle(now, r.server)
 	case Gone:
 		s.ended(now, r.server)
 	}
@@ -204,6 +225,14 @@
 	srv.breaks = nil
 }
 
+// endedIdle notes that a server was found to have ended at some time since it was known to
+// be there. One that was to leave tells nothing, and of one with runs their ends tell.
+func (s *Scheduler) endedIdle(now Time, srv *server) {
+	if !srv.leaves && srv.running == 0 {
+		s.suspects.EndedIdle(srv.ID, max(now-s.lapse, srv.known, srv.wellAt), now)
+	}
+}
+
 // LearnLoss takes a run that this host lost with its server, whoever schedules for it.
 func (s *Scheduler) LearnLoss(now Time, l quarantine.Loss) {
 	l.At = now
