--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -10,8 +10,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -232,6 +235,26 @@
 func (h *host) pause() {
 	h.f.log.Add(history.Event{Kind: history.Killed, Source: h.name})
 	h.signal(syscall.SIGSTOP)
+	Eventually(h.stopped).Should(BeTrue()) // until then it goes on answering
+}
+
+// stopped reports whether every thread of the process has stopped: its state is T then.
+func (h *host) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", h.session.Command.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, stat := range threads {
+		text, err := os.ReadFile(stat)
+		if err != nil {
+			return false
+		}
+		_, state, _ := strings.Cut(string(text), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
 }
 
 func (h *host) resume() { h.signal(syscall.SIGCONT) }
