Roll-outs: a new version is tried, judged beside the old one, and moved to or taken back

Hypothesis: an order of a roll-out was not read, and servers of a new version got their even part of the traffic when they registered, bad or not; a bad version would break what the platform allows it. Change: package rollout (pure: allowance, judge, chart), the scheduler's part (servers of a version that is tried, held, moved to or taken back), a duty of the home that takes orders up from the store, fences the home before it by rewriting the row under its condition, and writes how they end; word of each step to all hosts; gentianctl platform rollout; events 612 to 615. Servers of a version that nobody ordered wait while the running version has its servers. - Tried with half of the bounds, by turns, each server with a burst of three times its slots; the move comes so late that the bounds hold should the version turn bad then. - Judged by the newest 16 to 512 answers, all routes and each, against what the old version shows now, without the quarter of the servers with most bad answers. - A new home has no slack left and judges anew. At completed nothing that may not be repeated is on the old servers. Four calls to the store for a roll-out, and wishes read now and then.

--- a/charts/charts.go
+++ b/charts/charts.go
@@ -23,6 +23,9 @@
 //go:embed link.yaml
 var linkYAML []byte
 
+//go:embed rollout.yaml
+var rolloutYAML []byte
+
 // Set holds the checked charts.
 type Set struct {
 	Request *chart.Chart
@@ -30,6 +33,7 @@
 	Lease   *chart.Chart
 	Member  *chart.Chart
 	Link    *chart.Chart
+	Rollout *chart.Chart
 }
 
 // Load parses all charts; it fails when any of them is damaged.
@@ -38,7 +42,7 @@
 	for _, c := range []struct {
 		text []byte
 		to   **chart.Chart
-	}{{requestYAML, &s.Request}, {serverYAML, &s.Server}, {leaseYAML, &s.Lease}, {memberYAML, &s.Member}, {linkYAML, &s.Link}} {
+	}{{requestYAML, &s.Request}, {serverYAML, &s.Server}, {leaseYAML, &s.Lease}, {memberYAML, &s.Member}, {linkYAML, &s.Link}, {rolloutYAML, &s.Rollout}} {
 		parsed, err := chart.Parse(c.text)
 		if err != nil {
 			return Set{}, err
--- a/cmd/gentianctl/platform.go
+++ b/cmd/gentianctl/platform.go
@@ -18,12 +18,13 @@
 // a host does.
 func platformCommand() *cli.Command {
 	return &cli.Command{
-		Name: "platform", Usage: "check the files of hosts on the prepared platform, and the requests in quarantine",
+		Name: "platform", Usage: "check the files of hosts on the prepared platform, and the requests in quarantine, the roll-outs",
 		Commands: []*cli.Command{
 			{Name: "settings", Usage: "check settings files, as gentianhost reads them", ArgsUsage: "FILE...", Action: checkEach(checkSettings)},
 			{Name: "config", Usage: "check operators' configurations (JSON) before they are written to the store", ArgsUsage: "FILE...", Action: checkEach(checkConfig)},
 			{Name: "policy", Usage: "list the scheduler's figures, or check some", ArgsUsage: "[NAME=VALUE,...]", Action: listPolicy},
 			quarantineCommand(),
+			rolloutCommand(),
 		},
 	}
 }
--- a/cmd/gentianhost/main.go
+++ b/cmd/gentianhost/main.go
@@ -90,10 +90,12 @@
 func adapter(address string) node.Platform {
 	s := platform.NewStore(address)
 	return node.Platform{
-		Tables: s, Writer: s, Dialect: platform.Headers{},
+		Tables: s, Writer: s, Conditional: s, Dialect: platform.Headers{},
 		OperatorTable: platform.OperatorTable, ServerTable: platform.ServerTable, HostTable: platform.HostTable,
 		QuarantineTable: platform.QuarantineTable,
-		DecodeConfig:    platform.DecodeConfig, DecodeServer: platform.DecodeServer,
+		StatusTable:     platform.StatusTable, RolloutTable: platform.RolloutTable,
+		DecodeOrder: platform.DecodeOrder, RolloutStatus: platform.RolloutStatus,
+		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
 		LookupHandler: func(f func() ([]string, time.Duration, bool)) http.Handler { return platform.LookupHandler(f) },
 		ReadyHandler:  platform.ReadyHandler,
 	}
--- a/cmd/gentianlab/main.go
+++ b/cmd/gentianlab/main.go
@@ -58,6 +58,7 @@
 				Action: compareReports,
 			},
 			policiesCommand(),
+			rolloutCommand(),
 		},
 	}
 }
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -32,6 +32,8 @@
 	Repeat       bool
 	Avoid        []string
 	Fingerprint  quarantine.Fingerprint
+	Route        string
+	Repeatable   bool // its run may be cut off: it may run again, or go on, elsewhere
 }
 
 // Place is the permission to send a request once to a server.
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -16,6 +16,7 @@
 		PromptTokens: uint32(a.PromptTokens), OutputTokens: uint32(a.OutputTokens), Units: uint32(a.Units),
 		DeadlineMs: millis(a.Deadline.Sub(now)), AimMs: millis(a.Aim.Sub(now)), WaitedMs: millis(now.Sub(a.Arrived)),
 		PauseMs: millis(a.MaxPause), Repeat: a.Repeat, Avoid: a.Avoid, Fingerprint: a.Fingerprint.Bytes(),
+		Route: a.Route, Repeatable: a.Repeatable,
 	}
 	if !a.LeavesAt.IsZero() {
 		m.LeavesMs = max(1, millis(a.LeavesAt.Sub(now)))
@@ -38,6 +39,7 @@
 		Priority: int(m.Priority), PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens),
 		Units: float64(m.Units), Arrived: now - fromMillis(m.WaitedMs), Aim: now + fromMillis(m.AimMs),
 		Deadline: now + fromMillis(m.DeadlineMs), MaxPause: fromMillis(m.PauseMs), Repeat: m.Repeat, Avoid: m.Avoid, Fingerprint: quarantine.FromBytes(m.Fingerprint),
+		Route: m.Route, Repeatable: m.Repeatable,
 	}
 	if m.LeavesMs > 0 {
 		r.LeavesAt = now + fromMillis(m.LeavesMs)
@@ -66,7 +68,7 @@
 	return &wire.Running{
 		Id: id, Service: p.ask.Service, Server: p.server, PromptTokens: uint32(p.ask.PromptTokens),
 		OutputTokens: uint32(p.ask.OutputTokens), ElapsedMs: millis(now.Sub(p.placed)), PauseMs: millis(p.ask.MaxPause),
-		Account: p.ask.Account, Fingerprint: p.ask.Fingerprint.Bytes(),
+		Account: p.ask.Account, Fingerprint: p.ask.Fingerprint.Bytes(), Repeatable: p.ask.Repeatable,
 	}
 }
 
@@ -74,7 +76,7 @@
 	return sched.Run{
 		Key: sched.Key{Holder: holder, ID: m.Id}, Service: m.Service, Server: m.Server,
 		PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens), Elapsed: fromMillis(m.ElapsedMs), MaxPause: fromMillis(m.PauseMs),
-		Account: m.Account, Fingerprint: quarantine.FromBytes(m.Fingerprint),
+		Account: m.Account, Fingerprint: quarantine.FromBytes(m.Fingerprint), Repeatable: m.Repeatable,
 	}
 }
 
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -53,6 +53,7 @@
 	}
 	h.attach(l)
 	h.tellAllSuspects(l)
+	h.tellAllRollouts(l)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var writer sync.WaitGroup
@@ -83,9 +84,13 @@
 	for _, l := range h.links {
 		l.send(&wire.ToHolder{Leads: true})
 		go h.tellAllSuspects(l)
+		go h.tellAllRollouts(l)
 	}
 }
 
+// Leads reports whether this host schedules for all that follow it.
+func (h *Home) Leads() bool { return h.leads.Load() }
+
 // teachPeriod is how often hosts that may take over hear what the home has learned. With
 // 630 servers it is 7 KB a second for each.
 const teachPeriod = 2 * time.Second
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -123,6 +123,7 @@
 		}
 		f.client.taught(m.Paces)
 		f.client.learnSuspects(m.Suspects)
+		f.client.learnRollouts(m.Rollouts)
 		f.client.queued(m.Queued, l)
 		f.client.deliver(decisions(uint64(f.client.self), m), l)
 	}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -14,6 +14,7 @@
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/ring"
+	"github.com/gentianflow/gentianflow/internal/rollout"
 	"github.com/gentianflow/gentianflow/internal/sched"
 )
 
@@ -37,6 +38,7 @@
 	deliver     func([]sched.Decision)
 	events      *event.Recorder
 	spread      Spread
+	stepped     func([]rollout.Standing)
 	quarantined map[quarantine.Fingerprint]bool // those whose quarantine was logged
 }
 
@@ -46,7 +48,8 @@
 	return &Loop{
 		in: ring.New[input](loopInputs), start: time.Now(),
 		sched: sched.New(p), deliver: deliver, events: events,
-		spread: func([]quarantine.Record, func(quarantine.Fingerprint) bool) {}, quarantined: map[quarantine.Fingerprint]bool{},
+		stepped: func([]rollout.Standing) {},
+		spread:  func([]quarantine.Record, func(quarantine.Fingerprint) bool) {}, quarantined: map[quarantine.Fingerprint]bool{},
 	}
 }
 
@@ -96,6 +99,10 @@
 			lifted := l.logSuspects(news)
 			l.spread(news, func(f quarantine.Fingerprint) bool { return lifted[f] })
 		}
+		if steps := l.sched.RolloutNews(); len(steps) > 0 {
+			l.logRollouts(steps)
+			l.stepped(steps)
+		}
 		if len(out) > 0 {
 			l.deliver(out)
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -230,6 +230,7 @@
 		PromptTokens: x.head.PromptTokens, OutputTokens: x.expectedOutput(), Parts: x.head.Parts,
 		Arrived: x.arrived, Aim: x.arrived.Add(x.route.Aim), Deadline: x.deadline,
 		MaxPause: x.route.GapAim, Repeat: x.repeat, Avoid: x.tried, Fingerprint: x.fingerprint,
+		Route: x.route.Name, Repeatable: x.route.Repeatable(),
 	}
 	if x.account != nil {
 		a.Account = x.account.Name
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -303,7 +303,7 @@
 	x := t.x
 	result := sched.Errored
 	if x.route.Kind == routing.Safe {
-		result = sched.Left // the answer of another server will tell whose fault it is
+		result = sched.Unblamed
 	}
 	x.h.Places.Finish(t.place.ID, result, t.first, 0)
 	x.tried = append(x.tried, t.place.Server)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -95,6 +95,10 @@
 	ServerLost        Code = 609
 	ServersChanged    Code = 610
 	ServerEnded       Code = 611
+	RolloutOrdered    Code = 612
+	RolloutStep       Code = 613
+	RolloutWritten    Code = 614
+	RolloutRefused    Code = 615
 
 	StoreDown      Code = 701
 	StoreUp        Code = 702
@@ -179,6 +183,11 @@
 	ServersChanged: {"servers_changed", Info, "The list of backend servers changed; detail tells how."},
 	ServerEnded:    {"server_ended", Warn, "A backend server ended while it had a request: it broke the answer off and refuses connections; detail names the request's fingerprint."},
 
+	RolloutOrdered: {"rollout_ordered", Info, "This host carries out an order to move a service to a version; detail names it and its deadline."},
+	RolloutStep:    {"rollout_step", Info, "A roll-out took a step; detail gives phase, reason, requests and answers, and by route bad answers, answers and the old version's share of bad ones."},
+	RolloutWritten: {"rollout_written", Info, "The state of a roll-out stands in the store."},
+	RolloutRefused: {"rollout_refused", Warn, "An order for a roll-out makes no sense or could not be read; detail tells why."},
+
 	StoreDown:      {"store_down", Alarm, "The table service does not answer."},
 	StoreUp:        {"store_up", Info, "The table service answers again."},
 	ClaimInDoubt:   {"claim_in_doubt", Warn, "The answer to a claim was lost; the row is being read back."},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
+	"github.com/gentianflow/gentianflow/internal/rollout"
 	"github.com/gentianflow/gentianflow/internal/routing"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/store"
@@ -58,16 +59,23 @@
 type Platform struct {
 	Tables        store.Tables
 	Writer        store.Writer
+	Conditional   store.Conditional
 	Dialect       entry.Dialect
 	OperatorTable string
 	ServerTable   string
 	HostTable     string
 	// QuarantineTable keeps the requests in quarantine for hosts that start.
 	QuarantineTable string
-	DecodeConfig    func(key string, value []byte) (c routing.Config, ok bool, err error)
-	DecodeServer    func(id string, value []byte) (sched.Server, error)
-	LookupHandler   func(func() (list []string, ttl time.Duration, ok bool)) http.Handler
-	ReadyHandler    func(func() bool) http.Handler
+	// StatusTable tells operators how far their orders got, RolloutTable is the system's own
+	// for hosts that take one up.
+	StatusTable   string
+	RolloutTable  string
+	DecodeOrder   func(key string, value []byte, version int64) (o rollout.Order, ok bool, err error)
+	RolloutStatus func(o rollout.Order, s rollout.State) (key string, value []byte, err error)
+	DecodeConfig  func(key string, value []byte) (c routing.Config, ok bool, err error)
+	DecodeServer  func(id string, value []byte) (sched.Server, error)
+	LookupHandler func(func() (list []string, ttl time.Duration, ok bool)) http.Handler
+	ReadyHandler  func(func() bool) http.Handler
 }
 
 // Node is one running entry host.
@@ -96,6 +104,7 @@
 	front     *http.Server
 	listed    atomic.Pointer[hostList]
 	kept      *quarantineStore
+	rollouts  *rollouts
 	joined    chan struct{} // closed when this host may know whom to ask for tables
 	configRow int64         // version of the newest row decoded; the watcher owns it
 	leaving   atomic.Bool
@@ -159,12 +168,18 @@
 	n.loop = dispatch.NewLoop(n.set.Policy, n.events, n.deliver)
 	n.kept = newQuarantineStore(n.set.Host, n.plat.QuarantineTable, n.plat.Tables, n.plat.Writer, n.isHome, n.events)
 	n.loop.OnSuspects(n.spreadSuspects)
+	n.rollouts = newRollouts(n.set.Host+" "+n.inc.String(), n.plat, n.loop, func() bool { return n.home.Leads() }, n.events)
+	n.loop.OnRollouts(func(steps []rollout.Standing) {
+		n.home.TellRollouts(steps)
+		n.rollouts.stepped(steps)
+	})
 	n.loop.Do(func(_ sched.Time, s *sched.Scheduler) {
 		s.SetOwner(uint64(n.inc))
 		s.SetHost(n.set.Host)
 		if n.set.EntryLapse > 0 {
 			s.SetLapse(n.set.EntryLapse)
 		}
+		s.SetBounds(n.set.Rollouts)
 	})
 	n.home = dispatch.NewHome(n.loop, func() []uint64 { return dispatch.NextHomes(n.members) })
 	n.servers = newServers(n.plat.DecodeServer, n.events, n.applyServers)
@@ -250,7 +265,7 @@
 // applyConfig takes rows of the operator's table.
 func (n *Node) applyConfig(u store.Update) {
 	for _, row := range u.Rows {
-		if row.Deleted || row.Version <= n.configRow {
+		if row.Deleted || n.rollouts.order(row) || row.Version <= n.configRow {
 			continue
 		}
 		c, ok, err := n.plat.DecodeConfig(row.Key, row.Value)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -64,6 +64,7 @@
 	n.duties.Go(func() { n.home.TeachNext(run) })
 	n.duties.Go(func() { n.join(run) })
 	n.duties.Go(func() { n.kept.run(run) })
+	n.duties.Go(func() { n.rollouts.run(run) })
 	n.duties.Go(func() { n.releaseReaders(run) })
 	n.watch(run, n.plat.OperatorTable, n.applyConfig)
 	n.watch(run, n.plat.ServerTable, n.servers.take)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -153,9 +153,9 @@
 
 func state(srv sched.Server) string {
 	if srv.Draining {
-		return "draining at " + srv.Address
+		return "draining at " + srv.Address + " version " + srv.Version
 	}
-	return "ready at " + srv.Address
+	return "ready at " + srv.Address + " version " + srv.Version
 }
 
 func (s *servers) removeUnlisted(listed map[string]serverRow, now time.Time) {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/gentianflow/gentianflow/internal/rollout"
 	"github.com/gentianflow/gentianflow/internal/sched"
 )
 
@@ -27,5 +28,7 @@
 	// EntryLapse is how long the store lists a server after its end at most, 0 when it is
 	// not known.
 	EntryLapse time.Duration
-	Policy     sched.Policy
+	// Rollouts bounds what a version on trial may get.
+	Rollouts rollout.Bounds
+	Policy   sched.Policy
 }
--- /dev/null
+++ b/internal/rollout/samples.go
@@ -0,0 +1,126 @@
+package rollout
+
+import "math"
+
+// Sample is how one answer of a server went.
+type Sample struct {
+	Route  string
+	Server string
+	New    bool // of the version that is tried
+	Failed bool // a failure, or an answer that was cut off or spoilt
+	// Took is how long the answer took against what such an answer is expected to take,
+	// 1 for as long; 0 when it is not known.
+	Took float64
+}
+
+const (
+	// slowFrom is how many times the usual an answer takes that counts as bad. Engines of
+	// one service differ threefold in speed, so twice the middle is nothing unusual, and a
+	// server that is tried has all its slots taken.
+	slowFrom = 3
+	// kept is how many answers of the new version a verdict looks back on.
+	kept = 512
+	// steady and recent are how many answers of the old version tell what is usual: enough
+	// to know the share of bad ones within a hundredth, and few enough to follow a trouble
+	// that both versions have.
+	steady = 1000
+	recent = 100
+)
+
+// mean is a moving mean of the newest answers.
+type mean struct{ n, value float64 }
+
+func (m *mean) add(x, most float64) {
+	m.n = min(most, m.n+1)
+	m.value += (x - m.value) / m.n
+}
+
+// usual is what the old version's answers on one route are like.
+type usual struct {
+	bad    mean // share of the answers
+	newest mean // the same of a few
+	took   mean // logarithm of Took, of those not bad
+}
+
+func (u *usual) slow(s Sample) bool {
+	return s.Took > 0 && u.took.n > 0 && math.Log(s.Took)-u.took.value > math.Log(slowFrom)
+}
+
+func (u *usual) add(s Sample) {
+	bad := 0.0
+	if s.Failed || u.slow(s) {
+		bad = 1
+	}
+	u.bad.add(bad, steady)
+	u.newest.add(bad, recent)
+	if s.Took > 0 && bad == 0 {
+		u.took.add(math.Log(s.Took), recent)
+	}
+}
+
+// expected is the share of bad answers that a sound version may well show on the route.
+func (u *usual) expected() float64 {
+	n, share := max(1, u.bad.n), u.bad.value
+	return min(1, max(share+2*math.Sqrt(share*(1-share)/n), u.newest.value)+leastBad)
+}
+
+// leastBad is the share of bad answers that says nothing: a connection that breaks, a
+// server that is slow for a moment.
+const leastBad = 0.01
+
+// seen is an answer of the new version as it was judged when it came.
+type seen struct {
+	route    string
+	server   string
+	bad      bool
+	expected float64 // chance that a sound version's answer is bad there
+}
+
+// samples holds what is known of both versions.
+type samples struct {
+	usual map[string]*usual // by route
+	list  []seen            // of the new version, a ring once it is full
+	next  int
+	n     int // of the new version in all
+	bad   int
+}
+
+func newSamples() samples { return samples{usual: map[string]*usual{}} }
+
+// add takes an answer and reports whether it is a bad one of the new version.
+func (s *samples) add(one Sample) (isBad bool) {
+	u := s.usual[one.Route]
+	if u == nil {
+		u = &usual{}
+		s.usual[one.Route] = u
+	}
+	if !one.New {
+		u.add(one)
+		return false
+	}
+	// Before the old version has answered there is nothing to compare a time with.
+	bad := one.Failed || u.slow(one)
+	got := seen{route: one.Route, server: one.Server, bad: bad, expected: u.expected()}
+	s.n++
+	if bad {
+		s.bad++
+	}
+	if len(s.list) < kept {
+		s.list = append(s.list, got)
+		return bad
+	}
+	s.list[s.next] = got
+	s.next = (s.next + 1) % kept
+	return bad
+}
+
+// newest calls f for the newest answers of the new version, newest first, until it returns
+// false.
+func (s *samples) newest(f func(seen) bool) {
+	for i := range s.list {
+		at := (s.next - 1 - i + 2*len(s.list)) % len(s.list)
+		if !f(s.list[at]) {
+			return
+		}
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -53,6 +53,18 @@
 	Weight  int
 }
 
+// Repeatable reports whether a request may run once more, or go on, after a run that was
+// cut off.
+func (r *Route) Repeatable() bool {
+	switch {
+	case r.MaxAttempts < 2:
+		return false
+	case r.Kind == Safe:
+		return true
+	}
+	return r.Kind == Streaming && r.Resumable
+}
+
 // Service draws the service of one request.
 func (r *Route) Service() string {
 	total := 0
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -30,7 +30,7 @@
 		svc := s.services[spec.Name]
 		if svc == nil {
 			burst := s.policy.RetryBurst * s.share.Limits
-			svc = &service{retries: bucket{burst: burst, level: burst, at: now}, readShare: firstReadShare}
+			svc = &service{retries: bucket{burst: burst, level: burst, at: now}, readShare: firstReadShare, versions: s.versionsOf(spec.Name)}
 			s.services[spec.Name] = svc
 		}
 		svc.Service = spec
@@ -74,7 +74,7 @@
 		if have == nil {
 			svc := s.services[spec.Service]
 			if svc == nil {
-				svc = &service{Service: Service{Name: spec.Service}}
+				svc = &service{Service: Service{Name: spec.Service}, versions: s.versionsOf(spec.Service)}
 			}
 			s.servers[spec.ID] = newServer(now, spec, svc, s.policy.TimeOut)
 			s.servers[spec.ID].lot = lot(s.owner, spec.ID)
@@ -107,16 +107,17 @@
 }
 
 func (s *Scheduler) regroup() {
-	for _, svc := range s.services {
-		svc.servers, svc.typical = svc.servers[:0], 0
-	}
+	byService := map[string][]*server{}
 	for _, srv := range s.servers {
-		if svc := s.services[srv.Service]; svc != nil {
-			svc.servers = append(svc.servers, srv)
+		byService[srv.Service] = append(byService[srv.Service], srv)
+	}
+	for name, svc := range s.services {
+		all := byService[name]
+		slices.SortFunc(all, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+		for _, srv := range all {
 			srv.cache.capacity = svc.KVTokens
 		}
-	}
-	for _, svc := range s.services {
-		slices.SortFunc(svc.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+		svc.servers, svc.onTrial = svc.versions.sort(all)
+		svc.typical = 0
 	}
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -170,6 +170,9 @@
 	lane.given.add(now, svc.work(&w.Request))
 	req := w.Request
 	placed := srv.start(now, svc, &req)
+	if v := svc.versions; v.trial != nil {
+		v.trial.Reached(now, srv.Version == v.order.To)
+	}
 	placed.class, placed.counted = w.class, true
 	s.runs[w.Key] = placed
 	s.countCopy(w.Fingerprint, 1)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/quarantine"
+	"github.com/gentianflow/gentianflow/internal/rollout"
 )
 
 // Scheduler owns the queues of all services. One goroutine owns it; nothing
@@ -24,13 +25,18 @@
 	faults   faults
 	copies   map[quarantine.Fingerprint]int    // of runs
 	review   map[quarantine.Fingerprint]string // to be judged again, with their service
-	out      []Decision                        // of the running call
+	versions map[string]*versions              // by service
+	bounds   rollout.Bounds
+	rollouts []rollout.Standing // steps since RolloutNews
+	out      []Decision         // of the running call
 }
 
 // service is a service with its queue.
 type service struct {
 	Service
-	servers  []*server
+	servers  []*server // that serve
+	onTrial  []*server // of a version that is tried
+	versions *versions
 	queue    queue
 	retries  bucket
 	lead     spread        // from a place to the first event or the whole answer
@@ -60,7 +66,7 @@
 		services: map[string]*service{}, servers: map[string]*server{},
 		accounts: map[string]*bucket{}, runs: map[Key]*run{},
 		suspects: quarantine.NewTable(), faults: newFaults(), copies: map[quarantine.Fingerprint]int{},
-		review: map[quarantine.Fingerprint]string{},
+		review: map[quarantine.Fingerprint]string{}, versions: map[string]*versions{}, bounds: rollout.DefaultBounds(),
 	}
 	s.SetLapse(DefaultLapse)
 	return s
@@ -125,6 +131,10 @@
 // offerTo places w, which has just come, if a server has room for it, and reports
 // whether it did. Whoever waits already was offered what there is when it opened.
 func (s *Scheduler) offerTo(now Time, svc *service, w *waiting) bool {
+	if s.offerTrial(now, svc, w) || s.offerNew(now, svc, w) {
+		svc.queue.remove(w.Key)
+		return true
+	}
 	if free := s.withRoom(now, svc); len(free) > 0 && s.try(now, svc, s.offer(now, svc, free), w) {
 		svc.queue.remove(w.Key)
 		return true
@@ -218,6 +228,7 @@
 	if r == nil {
 		return nil
 	}
+	s.learnVersion(now, r, o)
 	s.learnServer(now, r, o)
 	s.learnEnd(now, r, o)
 	if svc := s.services[r.req.Service]; svc != nil && o.Pace > 0 {
@@ -247,7 +258,11 @@
 	s.judgeSuspects(now)
 	listed := s.servers[r.server.ID] == r.server
 	if svc := s.services[r.req.Service]; svc != nil && listed && r.server.room(now, s.places(svc, r.server)) {
-		s.fill(now, svc, []*server{r.server})
+		if slices.Contains(svc.servers, r.server) {
+			s.fill(now, svc, []*server{r.server})
+		} else {
+			s.fillTrial(now, svc)
+		}
 	}
 	return s.out
 }
@@ -305,7 +320,7 @@
 	if srv == nil || svc == nil {
 		return
 	}
-	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, MaxPause: a.MaxPause, Account: a.Account, Fingerprint: a.Fingerprint}
+	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, MaxPause: a.MaxPause, Account: a.Account, Fingerprint: a.Fingerprint, Repeatable: a.Repeatable}
 	r := srv.start(now, svc, req)
 	r.ends = max(now, r.ends-a.Elapsed)
 	r.repaid = true // charged elsewhere
@@ -334,8 +349,10 @@
 	s.out = nil
 	s.expireOrphans(now)
 	s.judgeSuspects(now)
+	s.passTrials(now)
 	for _, svc := range s.services {
 		if svc.queue.size > 0 {
+			s.fillTrial(now, svc)
 			s.fill(now, svc, s.withRoom(now, svc))
 			s.expire(now, svc)
 		}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -33,6 +33,7 @@
 type Server struct {
 	ID       string
 	Service  string
+	Version  string // of its software, empty when it is not told
 	Address  string // IP:PORT
 	Zone     string
 	Slots    int // requests it works on at once
@@ -82,6 +83,8 @@
 	Repeat      bool          // draws on the service's retry budget
 	Avoid       []string      // servers that were tried already
 	Fingerprint quarantine.Fingerprint
+	Route       string
+	Repeatable  bool // its run may be cut off: it may run again, or go on, elsewhere
 }
 
 // Result tells how a run ended.
@@ -116,6 +119,9 @@
 	// Ended: the answer was lost or cut off, and nothing listens at the server's address
 	// any more.
 	Ended
+	// Unblamed: the server answered with a failure that may be the request's own; another
+	// server's answer will tell.
+	Unblamed
 )
 
 // NotRun reports whether nothing ran, so that the account is given back its units.
@@ -145,6 +151,7 @@
 	MaxPause     time.Duration
 	Account      string
 	Fingerprint  quarantine.Fingerprint
+	Repeatable   bool
 }
 
 // Reason tells why a request is refused. Nothing of it ran.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,6 +44,29 @@
 	Delete(ctx context.Context, table, key string) error
 }
 
+// Write is a row to be written.
+type Write struct {
+	Table string
+	Key   string
+	Value []byte
+}
+
+// Condition is the version that a row must have, 0 when it must not exist.
+type Condition struct {
+	Table   string
+	Key     string
+	Version int64
+}
+
+// Conditional reads and changes rows that several hosts may write.
+type Conditional interface {
+	// Rows reads a table as of one moment, and the store's own clock.
+	Rows(ctx context.Context, table string) (rows []Row, now time.Duration, err error)
+	// Commit writes all rows if the condition holds, and nothing else; it fails with
+	// Conflict then. After another failure it may have been done, or be done later.
+	Commit(ctx context.Context, holds Condition, writes ...Write) error
+}
+
 const (
 	// changeWait is how long one call waits for changes. A connection that
 	// has gone silent shows after it, so it stays well under the time within
