--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -33,18 +33,14 @@
 	// LengthWeight puts a request behind others of its priority by this part of
 	// the time that its answer takes at a middling engine. Answers differ a
 	// hundredfold in length, and in a burst one long answer keeps many callers
-	// from theirs. On the heaviest day of the large fleet 0.82 of the requests are
-	// served with it and 0.80 without; a weight of 4 does no more.
+	// from theirs.
 	LengthWeight float64
-	// LengthMost bounds that, as a part of the time that the request may wait. Put
-	// off without a bound, the longest tenth of a kind was served less than half as
-	// often as the kind (0.28 of 0.68 on a day of the large fleet); with it they are
-	// not, and that day earns as much.
+	// LengthMost bounds that, as a part of the time that the request may wait, so that
+	// long answers are put off and not put out.
 	LengthMost float64
 	// MissWeight prices a prompt token that a server has to read though it may be
-	// kept elsewhere, in times of what reading it takes. It also pushes other parts
-	// out. With shared parts of 900 tokens, a calm day reads 0.63 of those that it
-	// reads again with 4, and 0.37 with 16; with parts of 60 tokens nothing changes.
+	// kept elsewhere, in times of what reading it takes: it also pushes other parts
+	// out of the server's memory.
 	MissWeight float64
 	// TotalWeight prices a request's predicted end against its first token.
 	TotalWeight float64
@@ -52,8 +48,7 @@
 	// by what it keeps of their prompts.
 	ChoosesFrom int
 	// HopelessFrom is the least number that wait in a lane before one is refused as
-	// it comes: those that wait show when places open again. With 8 the two smaller
-	// sites measured earn 0.01 less on their heavy days.
+	// it comes: with fewer, chance decides how fast places open.
 	HopelessFrom int
 	// LateBehind puts requests that can no longer be on time behind those that can.
 	LateBehind bool
@@ -65,16 +60,12 @@
 	SparePauses bool
 	// ConnectCost is what a new connection from a holder to a server is priced at. It
 	// takes some milliseconds of the server and a place there meanwhile, and servers
-	// bound their connections. With 8 hosts before 12 servers 1,360 are opened for 3,800
-	// requests without it, 1,200 with 60 ms and 1,150 with 120; with 240 ms callers
-	// would be sent to a slower server for a connection's sake.
+	// bound their connections. It stays below what a slower server costs a caller.
 	ConnectCost time.Duration
 	// FloorShare is the part of the servers' time that a less urgent lane gets while
 	// some wait there that can be on time. Strict order starves the last lane in a
 	// long overload, also where its requests are so short that the urgent ones would
-	// hardly notice: with 86 hosts and 90 engines 0.12 of the least urgent kind were
-	// served on the heaviest day where 0.60 of all were, and 0.18 of 0.59 with a floor
-	// of 0.05. More costs the urgent kinds more than it brings.
+	// hardly notice.
 	FloorShare float64
 	// EndsInTime keeps a place that others wait for from a request that is expected to end
 	// after its deadline even at the fastest engine.
@@ -141,9 +132,8 @@
 	// Samples outside these are a pause of the host or of the link.
 	maxTokenTime = 200 * time.Millisecond
 	minTokenTime = 500 * time.Microsecond
-	// hopelessWait bounds the waits that are judged. Streams of 15 s, which may wait
-	// 3.5 s twice, were served 0.45 instead of 0.70 through a burst of 6 s when they
-	// were refused as they came.
+	// hopelessWait bounds the waits that are judged: requests that may wait for longer
+	// outlast most bursts.
 	hopelessWait = 2 * time.Second
 	// hopelessExcess is how many must come for each that is placed.
 	hopelessExcess = 1.2
@@ -165,8 +155,7 @@
 	// an engine that is slower than the others.
 	leaveMargin = 300 * time.Millisecond
 	// keptFor is how long a holder's connection to a server is taken to stay open when
-	// nobody uses it: of those found closed by their servers on a calm day 0.6 had been
-	// idle for less.
+	// nobody uses it.
 	keptFor = 3 * time.Second
 	// orphanGrace is added to the predicted end of a run whose holder is gone.
 	orphanGrace  = 2 * time.Second
