Orders of roll-outs are taken in before the configuration that they come with

A host that starts in the middle of a roll-out reads both at once. With the configuration first it would serve on servers of the ordered version until the order's own row was taken in, a moment later.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -262,10 +262,16 @@
 	return out
 }
 
-// applyConfig takes rows of the operator's table.
+// applyConfig takes rows of the operator's table: orders first, since a service may begin to
+// be served with the configuration behind them.
 func (n *Node) applyConfig(u store.Update) {
 	for _, row := range u.Rows {
-		if row.Deleted || n.rollouts.order(row) || row.Version <= n.configRow {
+		if !row.Deleted {
+			n.rollouts.order(row)
+		}
+	}
+	for _, row := range u.Rows {
+		if row.Deleted || row.Version <= n.configRow {
 			continue
 		}
 		c, ok, err := n.plat.DecodeConfig(row.Key, row.Value)
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -55,27 +55,26 @@
 	}
 }
 
-// order takes a row of the operator's table and reports whether it is an order. One that
-// makes no sense leaves the order before it in force.
-func (r *rollouts) order(row store.Row) bool {
+// order takes a row of the operator's table if it is an order. One that makes no sense
+// leaves the order before it in force.
+func (r *rollouts) order(row store.Row) {
 	o, ok, err := r.plat.DecodeOrder(row.Key, row.Value, row.Version)
 	if !ok {
-		return false
+		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.read[row.Key] >= row.Version {
-		return true
+		return
 	}
 	r.read[row.Key] = row.Version
 	if err != nil {
 		r.events.Record(event.RolloutRefused, event.Fields{Service: o.Service, Detail: failure.From(err).Message})
-		return true
+		return
 	}
 	r.orders[o.Service] = o
 	r.loop.Do(func(now sched.Time, s *sched.Scheduler) { s.SetOrder(now, o) })
 	r.wakeUp()
-	return true
 }
 
 // stepped takes the steps of the trials that the scheduler carries. It does not block.
