Failures and slow answers of a new version are judged each by itself

Hypothesis: the old version's slow answers, a few in a hundred where servers' speeds differ, hide a new version's failures, since both counted as bad in one share.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -184,7 +184,7 @@
 	ServerEnded:    {"server_ended", Warn, "A backend server ended while it had a request: it broke the answer off and refuses connections; detail names the request's fingerprint."},
 
 	RolloutOrdered: {"rollout_ordered", Info, "This host carries out an order to move a service to a version; detail names it and its deadline."},
-	RolloutStep:    {"rollout_step", Info, "A roll-out took a step; detail gives phase, reason, requests and answers, and by route bad answers, answers and the old version's share of bad ones."},
+	RolloutStep:    {"rollout_step", Info, "A roll-out took a step; detail gives phase, reason, requests and answers, and by route bad answers, answers and the share of the old version's that fail."},
 	RolloutWritten: {"rollout_written", Info, "The state of a roll-out stands in the store."},
 	RolloutRefused: {"rollout_refused", Warn, "An order for a roll-out makes no sense or could not be read; detail tells why."},
 
--- a/internal/rollout/samples.go
+++ b/internal/rollout/samples.go
@@ -19,7 +19,7 @@
 	// server that is tried has all its slots taken.
 	slowFrom = 3
 	// kept is how many answers of the new version a verdict looks back on.
-	kept = 512
+	kept = 1024
 	// steady and recent are how many answers of the old version tell what is usual: enough
 	// to know the share of bad ones within a hundredth, and few enough to follow a trouble
 	// that both versions have.
@@ -35,47 +35,66 @@
 	m.value += (x - m.value) / m.n
 }
 
+// fault is a way in which an answer is bad. Each is judged by itself: the old version's slow
+// answers would hide a new one's failures.
+type fault int
+
+const (
+	failing fault = iota
+	slow
+	faults
+)
+
+func (f fault) String() string { return [faults]string{"failed", "slow"}[f] }
+
+// leastBad is the share of bad answers that says nothing: a connection that breaks, a server
+// that is slow for a moment.
+var leastBad = [faults]float64{failing: 0.005, slow: 0.01}
+
 // usual is what the old version's answers on one route are like.
 type usual struct {
-	bad    mean // share of the answers
-	newest mean // the same of a few
-	took   mean // logarithm of Took, of those not bad
+	bad    [faults]mean // share of the answers
+	newest [faults]mean // the same of a few
+	took   mean         // logarithm of Took, of those that did not fail
 }
 
-func (u *usual) slow(s Sample) bool {
-	return s.Took > 0 && u.took.n > 0 && math.Log(s.Took)-u.took.value > math.Log(slowFrom)
+// faultsOf tells in which ways an answer is bad.
+func (u *usual) faultsOf(s Sample) (out [faults]bool) {
+	out[failing] = s.Failed
+	out[slow] = s.Took > 0 && u.took.n > 0 && math.Log(s.Took)-u.took.value > math.Log(slowFrom)
+	return out
 }
 
 func (u *usual) add(s Sample) {
-	bad := 0.0
-	if s.Failed || u.slow(s) {
-		bad = 1
+	for f, bad := range u.faultsOf(s) {
+		x := 0.0
+		if bad {
+			x = 1
+		}
+		u.bad[f].add(x, steady)
+		u.newest[f].add(x, recent)
 	}
-	u.bad.add(bad, steady)
-	u.newest.add(bad, recent)
-	if s.Took > 0 && bad == 0 {
+	if s.Took > 0 && !s.Failed {
 		u.took.add(math.Log(s.Took), recent)
 	}
 }
 
 // expected is the share of bad answers that a sound version may well show on the route.
-func (u *usual) expected() float64 {
-	n, share := max(1, u.bad.n), u.bad.value
-	return min(1, max(share+2*math.Sqrt(share*(1-share)/n), u.newest.value)+leastBad)
+func (u *usual) expected(f fault) float64 {
+	n, share := max(1, u.bad[f].n), u.bad[f].value
+	return min(1, max(share+2*math.Sqrt(share*(1-share)/n), u.newest[f].value)+leastBad[f])
 }
 
-// leastBad is the share of bad answers that says nothing: a connection that breaks, a
-// server that is slow for a moment.
-const leastBad = 0.01
-
 // seen is an answer of the new version as it was judged when it came.
 type seen struct {
 	route    string
 	server   string
-	bad      bool
-	expected float64 // chance that a sound version's answer is bad there
+	bad      [faults]bool
+	expected [faults]float64 // chance that a sound version's answer is bad there
 }
 
+func (s seen) isBad() bool { return s.bad[failing] || s.bad[slow] }
+
 // samples holds what is known of both versions.
 type samples struct {
 	usual map[string]*usual // by route
@@ -99,19 +118,21 @@
 		return false
 	}
 	// Before the old version has answered there is nothing to compare a time with.
-	bad := one.Failed || u.slow(one)
-	got := seen{route: one.Route, server: one.Server, bad: bad, expected: u.expected()}
+	got := seen{route: one.Route, server: one.Server, bad: u.faultsOf(one)}
+	for f := range faults {
+		got.expected[f] = u.expected(f)
+	}
 	s.n++
-	if bad {
+	if got.isBad() {
 		s.bad++
 	}
 	if len(s.list) < kept {
 		s.list = append(s.list, got)
-		return bad
+		return got.isBad()
 	}
 	s.list[s.next] = got
 	s.next = (s.next + 1) % kept
-	return bad
+	return got.isBad()
 }
 
 // newest calls f for the newest answers of the new version, newest first, until it returns
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -294,12 +294,12 @@
 		Answers: t.samples.n, Bad: t.samples.bad, Routes: map[string]RouteStanding{},
 	}
 	for route, u := range t.samples.usual {
-		r.Routes[route] = RouteStanding{Tried: t.tries[route], Usual: u.bad.value}
+		r.Routes[route] = RouteStanding{Tried: t.tries[route], Usual: u.bad[failing].value}
 	}
 	t.samples.newest(func(s seen) bool {
 		one := r.Routes[s.route]
 		one.Answers++
-		if s.bad {
+		if s.isBad() {
 			one.Bad++
 		}
 		r.Routes[s.route] = one
@@ -325,7 +325,7 @@
 	Tried   int
 	Answers int     // newest, as far as they are kept
 	Bad     int     // of them
-	Usual   float64 // share of the old version's answers that are bad
+	Usual   float64 // share of the old version's answers that are failures
 }
 
 // Wish is what an operator wants of a trial.
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -24,7 +24,7 @@
 
 // spans are the numbers of newest answers that are judged. A version that turns bad after
 // a while shows in the short ones, one of which few answers are bad in the long ones.
-var spans = [...]int{16, 32, 64, 128, 256, kept}
+var spans = [...]int{16, 32, 64, 128, 256, 512, kept}
 
 // counts is what one span of answers of the new version holds.
 type counts struct {
@@ -35,10 +35,10 @@
 	byServer map[string]*counts
 }
 
-func (c *counts) add(s seen) {
+func (c *counts) add(s seen, f fault) {
 	c.n++
-	c.expected += s.expected
-	if s.bad {
+	c.expected += s.expected[f]
+	if s.bad[f] {
 		c.bad++
 	}
 }
@@ -94,6 +94,7 @@
 
 // finding is the span of answers that looks worst.
 type finding struct {
+	fault  fault
 	route  string // empty: all routes
 	counts counts
 	chance float64
@@ -104,13 +105,23 @@
 	if f.route != "" {
 		where = "route " + f.route
 	}
-	return fmt.Sprintf("%s: %d of %d bad where %.1f are usual, chance %.1g", where, f.counts.bad, f.counts.n, f.counts.expected, f.chance)
+	return fmt.Sprintf("%s: %d of %d %s where %.1f are usual, chance %.1g", where, f.counts.bad, f.counts.n, f.fault, f.counts.expected, f.chance)
 }
 
 // worst finds the span of answers, of one route or all, that is least like a sound version.
 // servers is how many servers of the version there are.
 func (s *samples) worst(servers int) finding {
 	out := finding{chance: 1}
+	for f := range faults {
+		if worst := s.worstOf(f, servers); worst.chance < out.chance {
+			out = worst
+		}
+	}
+	return out
+}
+
+func (s *samples) worstOf(f fault, servers int) finding {
+	out := finding{fault: f, chance: 1}
 	byRoute := map[string]*counts{}
 	total := 0
 	judge := func(route string, c *counts) {
@@ -121,7 +132,7 @@
 			}
 		}
 		if chance := rest.chance(); rest.bad >= leastBadAnswers && chance < out.chance {
-			out = finding{route: route, counts: rest, chance: chance}
+			out = finding{fault: f, route: route, counts: rest, chance: chance}
 		}
 	}
 	s.newest(func(one seen) bool {
@@ -134,8 +145,8 @@
 			if c.byServer[one.server] == nil {
 				c.byServer[one.server] = &counts{}
 			}
-			c.add(one)
-			c.byServer[one.server].add(one)
+			c.add(one, f)
+			c.byServer[one.server].add(one, f)
 		}
 		total++
 		for _, span := range spans {
