--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -223,6 +223,13 @@
 		gauge("scheduler_waiting", int64(s.Waiting()))
 		gauge("scheduler_running", int64(s.Running()))
 		gauge("requests_in_quarantine", int64(s.Quarantined()))
+		for _, one := range s.Rollouts() {
+			of := "rollout." + one.Order.Service + "." + one.Order.To
+			gauge(of+".requests_to_service", int64(one.Reached))
+			gauge(of+".requests_tried", int64(one.Tried))
+			gauge(of+".answers", int64(one.Answers))
+			gauge(of+".answers_bad", int64(one.Bad))
+		}
 	})
 	metrics.WriteOnce(n.metrics, w)
 }
