--- a/internal/experiment/rollout.go
+++ b/internal/experiment/rollout.go
@@ -202,7 +202,7 @@
 	}
 	d.list(now)
 	o := rollout.Order{Service: service, To: "v2", Lasts: d.r.Lasts, Row: 1}
-	d.at(now+200*time.Millisecond, func(now time.Duration) { d.s.SetOrder(now, o) })
+	d.at(now+200*time.Millisecond, func(time.Duration) { d.s.SetOrder(o) })
 	d.at(now+250*time.Millisecond, func(now time.Duration) { d.s.StartTrial(now, o, 250*time.Millisecond, false) })
 }
 
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -73,7 +73,7 @@
 		return
 	}
 	r.orders[o.Service] = o
-	r.loop.Do(func(now sched.Time, s *sched.Scheduler) { s.SetOrder(now, o) })
+	r.loop.Do(func(_ sched.Time, s *sched.Scheduler) { s.SetOrder(o) })
 	r.wakeUp()
 }
 
@@ -281,7 +281,7 @@
 	for _, row := range rows {
 		if service, ok := rollout.WishOf(row.Key); ok {
 			wish := rollout.Wish(row.Value)
-			r.loop.Do(func(now sched.Time, s *sched.Scheduler) { s.Hold(now, service, wish) })
+			r.loop.Do(func(_ sched.Time, s *sched.Scheduler) { s.Hold(service, wish) })
 		}
 	}
 }
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -72,7 +72,6 @@
 	turn    turn
 	tries   map[string]int // by route
 	why     string
-	decided Time
 }
 
 // turn is the server that is tried now.
@@ -97,10 +96,10 @@
 func (t *Trial) Phase() Phase { return t.life.State() }
 
 // Skip moves the service at once: it runs the version that is ordered.
-func (t *Trial) Skip(now Time) { t.fire(now, evMove, "the service runs it already") }
+func (t *Trial) Skip() { t.fire(evMove, "the service runs it already") }
 
 // Replace ends the trial: a newer order has come.
-func (t *Trial) Replace(now Time) { t.fire(now, evReplaced, "replaced by a newer order") }
+func (t *Trial) Replace() { t.fire(evReplaced, "replaced by a newer order") }
 
 // MayTake reports whether one more request may be tried, whosever turn it is.
 func (t *Trial) MayTake() bool { return t.Phase() == Trying && t.credit() >= 1 }
@@ -122,17 +121,17 @@
 // Deadline is when the order wants the service moved.
 func (t *Trial) Deadline() Time { return t.begun + t.Order.Lasts }
 
-func (t *Trial) fire(now Time, e chart.Event, why string) bool {
+func (t *Trial) fire(e chart.Event, why string) bool {
 	before := t.life.State()
 	if t.life.Fire(e) != nil || t.life.State() == before {
 		return false // the chart knows no such step from here
 	}
-	t.why, t.decided = why, now
+	t.why = why
 	return true
 }
 
 // Reached notes that a request was sent to a server of the service.
-func (t *Trial) Reached(now Time, toNew bool) {
+func (t *Trial) Reached(toNew bool) {
 	t.reached++
 	if toNew {
 		t.tried++
@@ -228,7 +227,7 @@
 	if worst.chance >= t.doubt(now) {
 		return false
 	}
-	return t.fire(now, evBad, worst.String())
+	return t.fire(evBad, worst.String())
 }
 
 // doubt is the chance at which the version is taken back.
@@ -247,12 +246,12 @@
 	}
 	worst := t.samples.worst(servers)
 	if worst.chance < t.doubt(now) {
-		return t.fire(now, evBad, worst.String())
+		return t.fire(evBad, worst.String())
 	}
 	if worst.chance < unsure {
-		return now >= t.Deadline()+t.Order.Lasts/2 && t.fire(now, evBad, "still unsure; "+worst.String())
+		return now >= t.Deadline()+t.Order.Lasts/2 && t.fire(evBad, "still unsure; "+worst.String())
 	}
-	return t.fire(now, evMove, fmt.Sprintf("%d of %d answers bad, %.0f of %.0f requests tried", t.samples.bad, t.samples.n, t.tried, t.reached))
+	return t.fire(evMove, fmt.Sprintf("%d of %d answers bad, %.0f of %.0f requests tried", t.samples.bad, t.samples.n, t.tried, t.reached))
 }
 
 // mayMove reports whether what the new version would get from now to the deadline keeps
@@ -283,8 +282,8 @@
 
 // Empty tells that no old server runs anything that would be lost with it, and reports
 // whether that completes the roll-out.
-func (t *Trial) Empty(now Time) bool {
-	return t.Phase() == Moving && t.fire(now, evEmpty, t.why)
+func (t *Trial) Empty() bool {
+	return t.Phase() == Moving && t.fire(evEmpty, t.why)
 }
 
 // Standing tells how the trial stands.
@@ -339,15 +338,15 @@
 )
 
 // Obey does what an operator wants, and reports whether that changed anything.
-func (t *Trial) Obey(now Time, w Wish) bool {
+func (t *Trial) Obey(w Wish) bool {
 	const why = "by an operator's word"
 	switch w {
 	case WishPause:
-		return t.fire(now, evPause, why)
+		return t.fire(evPause, why)
 	case WishResume:
-		return t.fire(now, evResume, why)
+		return t.fire(evResume, why)
 	case WishTakeBack:
-		return t.fire(now, evBad, why)
+		return t.fire(evBad, why)
 	}
 	return false
 }
--- a/internal/rollout/trial_test.go
+++ b/internal/rollout/trial_test.go
@@ -35,10 +35,10 @@
 	for range n {
 		if t.Turn(now, free) != "" {
 			t.Tried("r")
-			t.Reached(now, true)
+			t.Reached(true)
 			continue
 		}
-		t.Reached(now, false)
+		t.Reached(false)
 	}
 }
 
@@ -118,22 +118,22 @@
 		Expect(t.Phase()).To(Equal(Moving))
 		left := float64((order.Lasts-moved)/(100*time.Millisecond)) * perStep
 		Expect(t.tried + left).To(BeNumerically("<=", bounds.Share*(t.reached+left)+bounds.Slack))
-		Expect(t.Empty(moved)).To(BeTrue())
+		Expect(t.Empty()).To(BeTrue())
 		Expect(t.State()).To(Equal(Completed))
 	})
 
 	It("is held and ended by operators", func() {
-		Expect(t.Obey(0, WishPause)).To(BeTrue())
-		Expect(t.Obey(0, WishPause)).To(BeFalse(), "told twice")
+		Expect(t.Obey(WishPause)).To(BeTrue())
+		Expect(t.Obey(WishPause)).To(BeFalse(), "told twice")
 		Expect(t.Turn(0, []Candidate{{Server: "a", Slots: 4}})).To(BeEmpty())
-		Expect(t.Obey(0, WishResume)).To(BeTrue())
-		Expect(t.Obey(0, WishTakeBack)).To(BeTrue())
+		Expect(t.Obey(WishResume)).To(BeTrue())
+		Expect(t.Obey(WishTakeBack)).To(BeTrue())
 		Expect(t.State()).To(Equal(RolledBack))
-		Expect(t.Obey(0, WishResume)).To(BeFalse(), "it is over")
+		Expect(t.Obey(WishResume)).To(BeFalse(), "it is over")
 	})
 
 	It("ends when a newer order replaces it", func() {
-		t.Replace(0)
+		t.Replace()
 		Expect(t.Phase()).To(Equal(Superseded))
 		Expect(t.Pass(order.Lasts, 3)).To(BeFalse())
 	})
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -171,7 +171,7 @@
 	req := w.Request
 	placed := srv.start(now, svc, &req)
 	if v := svc.versions; v.trial != nil {
-		v.trial.Reached(now, srv.Version == v.order.To)
+		v.trial.Reached(srv.Version == v.order.To)
 	}
 	placed.class, placed.counted = w.class, true
 	s.runs[w.Key] = placed
--- a/internal/sched/rollout.go
+++ b/internal/sched/rollout.go
@@ -41,13 +41,13 @@
 
 // SetOrder takes an operator's order to move a service to a version. Until StartTrial or
 // SettleOrder tells how far it got, servers of that version get nothing.
-func (s *Scheduler) SetOrder(now Time, o rollout.Order) {
+func (s *Scheduler) SetOrder(o rollout.Order) {
 	v := s.versionsOf(o.Service)
 	if v.order != nil && v.order.Row >= o.Row {
 		return
 	}
 	if v.trial != nil {
-		v.trial.Replace(now)
+		v.trial.Replace()
 	}
 	v.order, v.standing, v.trial = &o, unread, nil
 	delete(v.back, o.To)
@@ -66,7 +66,7 @@
 	v.trial = rollout.NewTrial(now, o, ago, s.bounds, resumed)
 	v.standing = trying
 	if v.current[o.To] {
-		v.trial.Skip(now)
+		v.trial.Skip()
 		v.standing = moving
 	}
 	s.regroup()
@@ -117,12 +117,12 @@
 }
 
 // Hold has an operator pause a trial, end the pause or take the version back.
-func (s *Scheduler) Hold(now Time, service string, wish rollout.Wish) {
+func (s *Scheduler) Hold(service string, wish rollout.Wish) {
 	v := s.versions[service]
 	if v == nil || v.trial == nil {
 		return
 	}
-	if v.trial.Obey(now, wish) {
+	if v.trial.Obey(wish) {
 		s.rolloutStepped(v)
 	}
 }
@@ -318,7 +318,7 @@
 		if svc == nil {
 			continue
 		}
-		if v.trial.Pass(now, s.ordered(v)) || s.oldIsEmpty(v) && v.trial.Empty(now) {
+		if v.trial.Pass(now, s.ordered(v)) || s.oldIsEmpty(v) && v.trial.Empty() {
 			s.rolloutStepped(v)
 		}
 	}
