--- a/test/platform/rollout_test.go
+++ b/test/platform/rollout_test.go
@@ -168,6 +168,25 @@
 		close(stop)
 	})
 
+	// Story: the store goes away while a bad version is tried. The verdict can't be written;
+	// the version must get nothing more all the same, and operators learn of it later.
+	It("takes a bad version back while the store is away", func() {
+		s := newRolloutSite(siteOptions{hosts: 3, engines: 1, apps: 3})
+		stop := make(chan struct{})
+		s.load(stop)
+		time.Sleep(time.Second)
+		s.order("v2", 3, standin.Fault{FailEvery: 2})
+		Eventually(s.state).WithTimeout(3 * time.Second).Should(Equal("running v2"))
+		s.store.SetDown(true)
+		time.Sleep(4 * time.Second)
+		judged := runsOn(s.news)
+		time.Sleep(time.Second)
+		Expect(runsOn(s.news)).To(Equal(judged))
+		s.store.SetDown(false)
+		Eventually(s.state).WithTimeout(8 * time.Second).Should(Equal("rolled_back v2"))
+		close(stop)
+	})
+
 	// Story: servers of a version that no order names register, as they do a moment before
 	// their order is read. They get nothing while the old ones are there.
 	It("leaves servers of a version alone that nobody has ordered", func() {
