--- a/internal/rollout/samples.go
+++ b/internal/rollout/samples.go
@@ -14,10 +14,10 @@
 }
 
 const (
-	// slowFrom is how many times the usual an answer takes that counts as bad. Engines of
-	// one service differ threefold in speed, so twice the middle is nothing unusual, and a
-	// server that is tried has all its slots taken.
-	slowFrom = 3
+	// slowFrom is how many times the usual an answer takes that counts as slow. Lower, it is
+	// common among servers that differ threefold in speed; higher, a version three times
+	// slower on fast servers is moved to.
+	slowFrom = 2.2
 	// kept is how many answers of the new version a verdict looks back on.
 	kept = 1024
 	// steady and recent are how many answers of the old version tell what is usual: enough
