A roll-out does not wait for a route that hardly any request takes

Found in reading: tries are kept even between routes, and a route with a request a minute held up all others, so that a roll-out was neither moved nor taken back. Only routes with a twentieth of the answers or more are waited for. Spec: red without it (7 tries, then none).

--- a/internal/rollout/samples.go
+++ b/internal/rollout/samples.go
@@ -53,9 +53,10 @@
 
 // usual is what the old version's answers on one route are like.
 type usual struct {
-	bad    [faults]mean // share of the answers
-	newest [faults]mean // the same of a few
-	took   mean         // logarithm of Took, of those that did not fail
+	answers float64
+	bad     [faults]mean // share of the answers
+	newest  [faults]mean // the same of a few
+	took    mean         // logarithm of Took, of those that did not fail
 }
 
 // faultsOf tells in which ways an answer is bad.
@@ -98,10 +99,12 @@
 // samples holds what is known of both versions.
 type samples struct {
 	usual map[string]*usual // by route
-	list  []seen            // of the new version, a ring once it is full
-	next  int
-	n     int // of the new version in all
-	bad   int
+	// usualAnswers is how many answers of the old version there were in all.
+	usualAnswers float64
+	list         []seen // of the new version, a ring once it is full
+	next         int
+	n            int // of the new version in all
+	bad          int
 }
 
 func newSamples() samples { return samples{usual: map[string]*usual{}} }
@@ -114,6 +117,8 @@
 		s.usual[one.Route] = u
 	}
 	if !one.New {
+		s.usualAnswers++
+		u.answers++
 		u.add(one)
 		return false
 	}
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -52,6 +52,8 @@
 	// routeLead is how many more tries a route may have than another one, beyond half as
 	// many again: a version may be bad on a route that few requests take.
 	routeLead = 6
+	// routeShare is the part of the answers from which a route is waited for.
+	routeShare = 0.05
 	// settle is left between the end of the old servers' work and the deadline, for the
 	// word to reach the store.
 	settle = 400 * time.Millisecond
@@ -201,9 +203,15 @@
 
 // Wants reports whether a request of a route may be tried now: no route runs far ahead of
 // the others.
+//
+// Guard: some routes get a request now and then. Were they waited for, the others would have
+// no tries, and a roll-out would neither be moved nor taken back.
 func (t *Trial) Wants(route string) bool {
 	least := -1
-	for r := range t.samples.usual {
+	for r, u := range t.samples.usual {
+		if u.answers < routeShare*t.samples.usualAnswers {
+			continue
+		}
 		if n := t.tries[r]; least < 0 || n < least {
 			least = n
 		}
--- a/internal/rollout/trial_test.go
+++ b/internal/rollout/trial_test.go
@@ -122,6 +122,30 @@
 		Expect(t.State()).To(Equal(Completed))
 	})
 
+	// Story: a route gets a request a minute. The roll-out waited for its tries, and was neither
+	// moved nor taken back.
+	It("does not wait for a route that hardly any request takes", func() {
+		t.answers(0, false, 300, 0, 3)
+		t.Learn(0, Sample{Route: "rare", Server: "old", Took: 1}, 3)
+		for range 100 {
+			Expect(t.Wants("r")).To(BeTrue())
+			t.Tried("r")
+		}
+	})
+
+	It("keeps a route that many take from running ahead of another one", func() {
+		t.answers(0, false, 300, 0, 3)
+		for range 60 {
+			t.Learn(0, Sample{Route: "other", Server: "old", Took: 1}, 3)
+		}
+		for range routeLead + 1 {
+			Expect(t.Wants("r")).To(BeTrue())
+			t.Tried("r")
+		}
+		Expect(t.Wants("r")).To(BeFalse())
+		Expect(t.Wants("other")).To(BeTrue())
+	})
+
 	It("is held and ended by operators", func() {
 		Expect(t.Obey(WishPause)).To(BeTrue())
 		Expect(t.Obey(WishPause)).To(BeFalse(), "told twice")
