--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,8 +130,8 @@
 }
 
 // gcPercent is how much garbage may gather, as a part of what lives. Memory is
-// dear on these hosts and processors are idle: a process peaks at 26 MB instead of
-// 32 with 100, on the heaviest day of six hosts, and takes a tenth more time.
+// dear on these hosts and processors are idle, so the collector runs twice as often as
+// it would.
 const gcPercent = 50
 
 func limitMemory(bytes int64) {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -246,8 +246,7 @@
 //
 // Guard: the caller of a stream leaves without a word when it has waited too
 // long for its first event. One that is told to come back before that has
-// another try, and time to outlast a burst; on the heaviest days a fifth of the
-// long streams left so while they waited.
+// another try, and time to outlast a burst.
 func (s *Scheduler) overdue(now Time, svc *service, w *waiting) bool {
 	if s.standing(now, &w.Request) == quarantine.Quarantined {
 		s.refuseQuarantined(now, w)
