Logs tell how old the list of servers was, who placed, and which entry counts as lapsed

Now: event server_missing (616) with the store's supposed silence and whose word it is; placed=home|self and list=AGE on each request's line; the reader's name on store_up; gauges servers_missing and servers_list_age_ms. No decision changes.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -41,6 +41,18 @@
 	ID      uint64
 	Server  string
 	Address string
+	// Alone: this host gave it, not a home.
+	Alone bool
+	// ListAge is how old this host's list of servers was when it got the place.
+	ListAge time.Duration
+}
+
+// ServerList is what this host knows of backend servers.
+type ServerList interface {
+	// Leaving reports whether this host knows that a server leaves.
+	Leaving(server string) bool
+	// Age is how long ago the store, or a reader of it, told of servers last.
+	Age() time.Duration
 }
 
 // Refused is the error of an ask that gets no place. Nothing ran.
@@ -99,8 +111,7 @@
 	zone   string
 	loop   *Loop
 	events *event.Recorder
-	// leaving reports whether this host knows that a server leaves.
-	leaving func(server string) bool
+	servers ServerList
 
 	mu      sync.Mutex
 	next    uint64
@@ -114,9 +125,9 @@
 
 // NewClient makes the asking side. Its DeliverLocal must get the loop's
 // decisions.
-func NewClient(self ident.Incarnation, zone string, loop *Loop, leaving func(server string) bool, events *event.Recorder) *Client {
+func NewClient(self ident.Incarnation, zone string, loop *Loop, servers ServerList, events *event.Recorder) *Client {
 	return &Client{
-		self: self, zone: zone, loop: loop, events: events, leaving: leaving, pending: map[uint64]*pending{},
+		self: self, zone: zone, loop: loop, events: events, servers: servers, pending: map[uint64]*pending{},
 		charges: map[string]int{},
 	}
 }
@@ -137,7 +148,7 @@
 			if d.Reason != 0 {
 				return Place{}, &Refused{d}
 			}
-			return Place{ID: id, Server: d.Server, Address: d.Address}, nil
+			return Place{ID: id, Server: d.Server, Address: d.Address, Alone: c.alone(p), ListAge: c.servers.Age()}, nil
 		case <-ctx.Done():
 			c.withdraw(id)
 			return Place{}, failure.Wrap(failure.Withdrawn, context.Cause(ctx), "while waiting for a place")
@@ -145,6 +156,13 @@
 	}
 }
 
+// alone reports whether the loop of this host decided on p.
+func (c *Client) alone(p *pending) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return p.via == nil
+}
+
 // send passes an ask to the home, or to the loop here. The caller holds mu.
 func (c *Client) send(id uint64, p *pending) {
 	now := time.Now()
@@ -286,7 +304,7 @@
 	// Guard: a home that is cut off from the store goes on placing at servers
 	// that have left since. This host may know better; giving the place back
 	// so tells the home, and the request asks again.
-	if c.leaving(d.Server) {
+	if c.servers.Leaving(d.Server) {
 		c.giveBack(d.ID, via, sched.Gone)
 		c.send(d.ID, p)
 		return
--- a/internal/dispatch/client_test.go
+++ b/internal/dispatch/client_test.go
@@ -27,7 +27,7 @@
 	events := event.NewRecorder("h", "i", 64, log.NewNopLogger())
 	var c *Client
 	loop := NewLoop(sched.DefaultPolicy(), events, func(out []sched.Decision) { c.DeliverLocal(out) })
-	c = NewClient(self, "z", loop, leaving, events)
+	c = NewClient(self, "z", loop, listed(leaving), events)
 	loop.Do(func(now sched.Time, s *sched.Scheduler) {
 		s.SetServices(now, []sched.Service{{Name: "svc"}})
 		var list []sched.Server
@@ -49,6 +49,13 @@
 
 func never(string) bool { return false }
 
+// listed is a list of servers that is always fresh, told by who leaves.
+type listed func(server string) bool
+
+func (l listed) Leaving(server string) bool { return l(server) }
+
+func (l listed) Age() time.Duration { return 0 }
+
 var _ = Describe("asking for a place", func() {
 	It("gets one, and the next waits until it is finished", func() {
 		c, _ := hostOf(never, "a")
--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -19,7 +19,7 @@
 
 // followerWith makes a follower that has run for age and knows others that
 // live and others that fell silent. It returns the share that it sets.
-func followerWith(age time.Duration, listed, live, silent int, set func(f *Follower)) sched.Share {
+func followerWith(age time.Duration, hosts, live, silent int, set func(f *Follower)) sched.Share {
 	events := event.NewRecorder("h", "i", 64, log.NewNopLogger())
 	members := member.NewTable(&wire.Member{Incarnation: self, Host: "h"}, time.Minute, events)
 	for i := range live + silent {
@@ -30,8 +30,8 @@
 		members.Learn(w)
 	}
 	var got sched.Share
-	c := NewClient(ident.Incarnation(self), "z", NewLoop(sched.DefaultPolicy(), events, func([]sched.Decision) {}), never, events)
-	f := NewFollower(c, members, nil, NewHome(c.loop, func() []uint64 { return nil }), events, func() int { return listed }, func(s sched.Share) { got = s })
+	c := NewClient(ident.Incarnation(self), "z", NewLoop(sched.DefaultPolicy(), events, func([]sched.Decision) {}), listed(never), events)
+	f := NewFollower(c, members, nil, NewHome(c.loop, func() []uint64 { return nil }), events, func() int { return hosts }, func(s sched.Share) { got = s })
 	f.followers = func() int { return live }
 	f.started = time.Now().Add(-age)
 	set(f)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -109,7 +109,7 @@
 	tried  []string      // servers not to be asked again
 	repeat bool          // the next send comes on top of an earlier one
 	erred  string        // the server whose failure is kept
-	server string        // of the newest place
+	place  dispatch.Place // the newest one
 	kept   *answer       // a server's failure, for want of anything better
 	waited time.Duration // for places
 	held   string        // what was held against the request as it was refused, for the log
@@ -135,7 +135,7 @@
 			x.giveUp(ctx, err)
 			return
 		}
-		x.server = place.Server
+		x.place = place
 		if x.try(ctx, place) == final {
 			return
 		}
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -115,7 +115,7 @@
 
 // note writes the line that explains the request's end.
 func (x *exchange) note(code event.Code, detail string) {
-	f := event.Fields{Request: x.head.ID, Service: x.service, Server: x.server, Detail: detail}
+	f := event.Fields{Request: x.head.ID, Service: x.service, Server: x.place.Server, Detail: detail}
 	if x.route != nil {
 		f.Detail += " route=" + x.route.Name + " aim=" + milliseconds(x.route.Aim)
 	}
@@ -124,6 +124,9 @@
 	}
 	f.Detail += " waited=" + milliseconds(x.waited) + " first=" + milliseconds(x.first) + " after=" + milliseconds(time.Since(x.arrived)) +
 		" sends=" + strconv.Itoa(x.sends) + " runs=" + strconv.Itoa(x.runs)
+	if x.place.Server != "" {
+		f.Detail += " " + placedBy(x.place)
+	}
 	if x.head.HasTokens {
 		f.Detail += " prompt=" + strconv.Itoa(x.head.PromptTokens) + " output=" + strconv.Itoa(x.head.OutputTokens) + " hint=" + strconv.Itoa(x.head.OutputHint)
 	}
@@ -139,4 +142,13 @@
 	x.h.Events.Record(code, f)
 }
 
+// placedBy tells who placed the newest run, and how old this host's list of servers was.
+func placedBy(p dispatch.Place) string {
+	by := "home"
+	if p.Alone {
+		by = "self"
+	}
+	return "placed=" + by + " list=" + milliseconds(p.ListAge)
+}
+
 func milliseconds(d time.Duration) string { return d.Round(time.Millisecond).String() }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -99,6 +99,7 @@
 	RolloutStep       Code = 613
 	RolloutWritten    Code = 614
 	RolloutRefused    Code = 615
+	ServerMissing     Code = 616
 
 	StoreDown      Code = 701
 	StoreUp        Code = 702
@@ -181,6 +182,7 @@
 	ServerErrored:  {"server_errored", Info, "A backend server answered with a failure of its own."},
 	ServerLost:     {"server_lost", Info, "A backend server gave no whole answer; the request may have run."},
 	ServersChanged: {"servers_changed", Info, "The list of backend servers changed; detail tells how."},
+	ServerMissing:  {"server_missing", Info, "A server's entry is gone and counts as lapsed while the store was away: the server is used for a while still. Detail gives for how long, and how long the store was silent; peer, if any, whose word it is."},
 	ServerEnded:    {"server_ended", Warn, "A backend server ended while it had a request: it broke the answer off and refuses connections; detail names the request's fingerprint."},
 
 	RolloutOrdered: {"rollout_ordered", Info, "This host carries out an order to move a service to a version; detail names it and its deadline."},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,7 @@
 	})
 	n.home = dispatch.NewHome(n.loop, func() []uint64 { return dispatch.NextHomes(n.members) })
 	n.servers = newServers(n.plat.DecodeServer, n.events, n.applyServers)
-	n.client = dispatch.NewClient(n.inc, n.set.AvailabilityZone, n.loop, n.servers.leaving, n.events)
+	n.client = dispatch.NewClient(n.inc, n.set.AvailabilityZone, n.loop, n.servers, n.events)
 	n.follower = dispatch.NewFollower(n.client, n.members, n.peers, n.home, n.events, n.listedHosts, n.setShare)
 	n.entry = entry.NewHandler(entry.Sources{
 		Routes: &n.routes, Places: n.client, Pool: n.pool, Dialect: n.plat.Dialect,
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -204,9 +204,11 @@
 	if t := n.routes.Get(); t != nil {
 		gauge("config_version", t.Version)
 	}
-	ready, draining := n.servers.count()
+	ready, draining, missing := n.servers.count()
 	gauge("servers_ready", int64(ready))
 	gauge("servers_draining", int64(draining))
+	gauge("servers_missing", int64(missing))
+	gauge("servers_list_age_ms", n.servers.Age().Milliseconds())
 	live := 0
 	for _, m := range n.members.All() {
 		if m.State == member.Alive {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -41,6 +41,7 @@
 	unusable map[string]string       // by name, why its entry names no server
 	gone     map[string]time.Time    // by incarnation, since when
 	returned time.Time               // when the store came back last
+	heard    time.Time               // when the store or a reader of it told of servers last
 }
 
 func newServers(decode func(string, []byte) (sched.Server, error), events *event.Recorder, apply func([]sched.Server)) *servers {
@@ -56,6 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.heard = now
 	if u.Gap > storeGap {
 		s.returned = now
 	}
@@ -66,13 +68,13 @@
 	listed := s.read(u.Rows)
 	for name, row := range listed {
 		if row.deleted {
-			s.remove(name, now)
+			s.remove(name, now, u)
 			continue
 		}
 		s.add(name, row)
 	}
 	if u.Whole {
-		s.removeUnlisted(listed, now)
+		s.removeUnlisted(listed, now, u)
 	}
 	s.sweep(now)
 	if !maps.Equal(before, s.known) {
@@ -158,10 +160,10 @@
 	return "ready at " + srv.Address + " version " + srv.Version
 }
 
-func (s *servers) removeUnlisted(listed map[string]serverRow, now time.Time) {
+func (s *servers) removeUnlisted(listed map[string]serverRow, now time.Time, u store.Update) {
 	for name := range s.known {
 		if _, ok := listed[name]; !ok {
-			s.remove(name, now)
+			s.remove(name, now, u)
 		}
 	}
 	maps.DeleteFunc(s.unusable, func(name, _ string) bool {
@@ -175,14 +177,19 @@
 // Guard: while the store was away, heartbeats could not renew the entries of
 // servers that live. Dropping all of them at its return would stop all work;
 // they come back within seconds, and one that does not is gone.
-func (s *servers) remove(name string, now time.Time) {
+func (s *servers) remove(name string, now time.Time, u store.Update) {
 	delete(s.unusable, name)
-	if _, ok := s.known[name]; !ok {
+	srv, ok := s.known[name]
+	if !ok {
 		return
 	}
-	if now.Sub(s.returned) < lapseGrace {
+	if since := now.Sub(s.returned); since < lapseGrace {
 		if _, ok := s.missing[name]; !ok {
 			s.missing[name] = now
+			s.events.Record(event.ServerMissing, event.Fields{
+				Server: srv.ID, Service: srv.Service, Peer: u.Reader,
+				Detail: "used for " + (lapseGrace - since).Round(time.Millisecond).String() + " more; gap=" + u.Gap.Round(time.Millisecond).String(),
+			})
 		}
 		return
 	}
@@ -229,8 +236,9 @@
 	s.apply(list)
 }
 
-// count returns how many servers are ready, and how many drain.
-func (s *servers) count() (ready, draining int) {
+// count returns how many servers are ready, how many drain, and how many of them have no
+// entry any more.
+func (s *servers) count() (ready, draining, missing int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, srv := range s.known {
@@ -240,7 +248,14 @@
 			ready++
 		}
 	}
-	return ready, draining
+	return ready, draining, len(s.missing)
+}
+
+// Age implements dispatch.ServerList.
+func (s *servers) Age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.heard)
 }
 
 // incarnation finds a listed server. The caller holds mu.
@@ -261,9 +276,9 @@
 	return ok && srv.Address == address
 }
 
-// leaving reports whether an incarnation is known to leave or to be gone. One
-// that is not known here may be new.
-func (s *servers) leaving(id string) bool {
+// Leaving implements dispatch.ServerList: an incarnation is known to leave or to be gone.
+// One that is not known here may be new.
+func (s *servers) Leaving(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, gone := s.gone[id]; gone {
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -101,11 +101,11 @@
 	// held against the new one for ever.
 	It("take a server that starts again under its name for a new one", func() {
 		s.take(store.Update{Rows: []store.Row{row("a", "1 draining")}})
-		Expect(s.leaving("a@1")).To(BeTrue())
+		Expect(s.Leaving("a@1")).To(BeTrue())
 		s.take(store.Update{Rows: []store.Row{row("a", "2 ready")}})
 		Expect(ids()).To(ConsistOf("a@2", "b@1"))
-		Expect(s.leaving("a@1")).To(BeTrue(), "places on their way to the one before are given back")
-		Expect(s.leaving("a@2")).To(BeFalse())
+		Expect(s.Leaving("a@1")).To(BeTrue(), "places on their way to the one before are given back")
+		Expect(s.Leaving("a@2")).To(BeFalse())
 		Expect(s.has("a@1", "a")).To(BeFalse(), "its connections are closed")
 		Expect(s.has("a@2", "a")).To(BeTrue())
 	})
@@ -130,7 +130,7 @@
 		Expect(ids()).To(ConsistOf("b@1"))
 		s.take(store.Update{Rows: []store.Row{row("a", "1 ready")}})
 		Expect(ids()).To(ConsistOf("a@1", "b@1"))
-		Expect(s.leaving("a@1")).To(BeFalse())
+		Expect(s.Leaving("a@1")).To(BeFalse())
 	})
 
 	It("are logged once for each change, not each time that the table is read", func() {
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -69,6 +69,7 @@
 	newest   int64                // version seen; a relay may be behind
 	known    time.Time            // when the store last answered, this host or its reader
 	gap      time.Duration        // before the newest answer
+	teller   string               // the reader that gave it, empty: the store
 	returned time.Time            // end of the newest outage that a relay told of
 	// following is set while the newest answer is a relay's, so that a call is open
 	// there nearly all the time and known is older than what is known.
@@ -84,9 +85,12 @@
 	return &Relayed{direct: direct, readers: readers, lost: lost, pauses: map[string]time.Time{}, known: time.Now()}
 }
 
-// Gap implements Gaps.
+// Gap implements Origin.
 func (r *Relayed) Gap() time.Duration { return r.gap }
 
+// Reader implements Origin.
+func (r *Relayed) Reader() string { return r.teller }
+
 // Snapshot implements Tables.
 //
 // Guard: a relay may be behind what this host has read from the store. Its table would
@@ -119,7 +123,7 @@
 	rows, version, err := read()
 	if err == nil || failure.Is(err, failure.HistoryLost) {
 		now := time.Now()
-		r.gap, r.known, r.following = now.Sub(r.known), now, false
+		r.gap, r.known, r.following, r.teller = now.Sub(r.known), now, false, ""
 	}
 	return rows, version, err
 }
@@ -192,7 +196,7 @@
 		return nil, 0, err
 	}
 	r.gap = r.newGap(reply, now)
-	r.known, r.following = now, true
+	r.known, r.following, r.teller = now, true, name
 	return rows, reply.Version, nil
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -31,11 +31,13 @@
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error)
 }
 
-// Gaps is implemented by Tables that know how long the store was silent better than
-// from their own calls.
-type Gaps interface {
+// Origin is implemented by Tables that read through other hosts, and so know more of the
+// newest answer than its caller.
+type Origin interface {
 	// Gap is how long the store had given no answer before the newest one.
 	Gap() time.Duration
+	// Reader is the host whose relay gave the newest answer, empty: the store itself did.
+	Reader() string
 }
 
 // Writer changes rows of the system's own tables.
@@ -107,7 +109,8 @@
 	Version int64 // of the table as it is with this update
 	// Gap is how long the store had given no answer before this one, not even
 	// that nothing changed.
-	Gap time.Duration
+	Gap    time.Duration
+	Reader string // the host that told it, empty: the store itself
 }
 
 // Run follows the table until ctx ends.
@@ -116,17 +119,17 @@
 	down, known := false, false
 	newest := time.Now()
 	for ctx.Err() == nil {
-		err := w.follow(ctx, func() (gap time.Duration) {
+		err := w.follow(ctx, func(u Update) {
 			retry, known = retryFirst, true
-			gap, newest = time.Since(newest), time.Now()
-			if known, ok := w.Tables.(Gaps); ok {
-				gap = known.Gap()
+			u.Gap, newest = time.Since(newest), time.Now()
+			if origin, ok := w.Tables.(Origin); ok {
+				u.Gap, u.Reader = origin.Gap(), origin.Reader()
 			}
 			if down {
 				down = false
-				w.Events.Record(event.StoreUp, event.Fields{Detail: "table " + w.Table + " after " + gap.String()})
+				w.Events.Record(event.StoreUp, event.Fields{Peer: u.Reader, Detail: "table " + w.Table + " after " + u.Gap.String()})
 			}
-			return gap
+			w.Apply(u)
 		})
 		if failure.Is(err, failure.HistoryLost) || ctx.Err() != nil {
 			continue // read anew at once: changes were missed
@@ -161,19 +164,19 @@
 
 // follow reads the table and its changes until a call fails, or the table is
 // due to be read anew.
-func (w *Watcher) follow(ctx context.Context, answered func() time.Duration) error {
+func (w *Watcher) follow(ctx context.Context, answered func(Update)) error {
 	rows, version, err := w.Tables.Snapshot(ctx, w.Table)
 	if err != nil {
 		return err
 	}
-	w.Apply(Update{Rows: rows, Whole: true, Version: version, Gap: answered()})
+	answered(Update{Rows: rows, Whole: true, Version: version})
 	for read := time.Now(); time.Since(read) < w.reread(); {
 		rows, version, err = w.Tables.Changes(ctx, w.Table, version, changeWait)
 		if err != nil {
 			return err
 		}
 		// Without rows it still tells that the store answers.
-		w.Apply(Update{Rows: rows, Version: version, Gap: answered()})
+		answered(Update{Rows: rows, Version: version})
 		if len(rows) == 0 {
 			continue
 		}
