--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -107,10 +107,10 @@
 // Client asks for places on behalf of this host. mu guards next, pending, link, whole
 // and charges.
 type Client struct {
-	self   ident.Incarnation
-	zone   string
-	loop   *Loop
-	events *event.Recorder
+	self    ident.Incarnation
+	zone    string
+	loop    *Loop
+	events  *event.Recorder
 	servers ServerList
 
 	mu      sync.Mutex
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,16 +104,16 @@
 	body        []byte
 	fingerprint quarantine.Fingerprint // not known until the request is admitted
 
-	sends  int           // to servers, whether they ran it or not
-	runs   int           // of sends, those that may have run it
-	tried  []string      // servers not to be asked again
-	repeat bool          // the next send comes on top of an earlier one
-	erred  string        // the server whose failure is kept
+	sends  int            // to servers, whether they ran it or not
+	runs   int            // of sends, those that may have run it
+	tried  []string       // servers not to be asked again
+	repeat bool           // the next send comes on top of an earlier one
+	erred  string         // the server whose failure is kept
 	place  dispatch.Place // the newest one
-	kept   *answer       // a server's failure, for want of anything better
-	waited time.Duration // for places
-	held   string        // what was held against the request as it was refused, for the log
-	first  time.Duration // from the newest send to its first event or whole answer
+	kept   *answer        // a server's failure, for want of anything better
+	waited time.Duration  // for places
+	held   string         // what was held against the request as it was refused, for the log
+	first  time.Duration  // from the newest send to its first event or whole answer
 	stream stream
 }
 
--- /dev/null
+++ b/internal/node/propagation_test.go
@@ -0,0 +1,476 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	kitlog "github.com/go-kit/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/peer"
+	"github.com/gentianflow/gentianflow/internal/sched"
+	"github.com/gentianflow/gentianflow/internal/store"
+)
+
+// These specs run the duties that follow the table of servers for whole fleets, in virtual
+// time: hosts that read the store, relays, and each host's list of servers.
+
+// drainBound is how long after the store has acknowledged that a server leaves it may still
+// be sent work, by the size of the fleet.
+func drainBound(hosts int) time.Duration {
+	switch {
+	case hosts < 50:
+		return 2 * time.Second
+	case hosts < 150:
+		return 3 * time.Second
+	}
+	return 4 * time.Second
+}
+
+// absence is how the store treats a host.
+type absence int
+
+const (
+	present absence = iota
+	silent          // no answer comes
+	refused         // an error comes at once
+)
+
+func (a absence) String() string { return [...]string{"present", "silent", "refused"}[a] }
+
+// storeTable is a table of the platform's store. mu guards all fields; changed is closed and
+// made anew with each change.
+type storeTable struct {
+	mu      sync.Mutex
+	rows    map[string]store.Row
+	history []store.Row
+	version int64
+	changed chan struct{}
+}
+
+func (t *storeTable) write(rows ...store.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range rows {
+		t.version++
+		r.Version = t.version
+		t.rows[r.Key] = r
+		if r.Deleted {
+			delete(t.rows, r.Key)
+		}
+		t.history = append(t.history, r)
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+func (t *storeTable) whole() ([]store.Row, int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []store.Row
+	for _, r := range t.rows {
+		rows = append(rows, r)
+	}
+	return rows, t.version
+}
+
+func (t *storeTable) since(after int64) ([]store.Row, int64, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []store.Row
+	for _, r := range t.history {
+		if r.Version > after {
+			rows = append(rows, r)
+		}
+	}
+	return rows, t.version, t.changed
+}
+
+// The bounds of the store's client.
+const (
+	storeAnswer = 4 * time.Millisecond
+	storeCall   = 1500 * time.Millisecond
+	storeMargin = 800 * time.Millisecond
+)
+
+// Snapshot and Changes make a fleetHost the store's client of that host.
+
+func (h *fleetHost) Snapshot(ctx context.Context, _ string) ([]store.Row, int64, error) {
+	if err := h.answer(ctx, time.Now().Add(storeCall)); err != nil {
+		return nil, 0, err
+	}
+	rows, version := h.fleet.table.whole()
+	return rows, version, nil
+}
+
+func (h *fleetHost) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]store.Row, int64, error) {
+	limit := time.Now().Add(wait + storeMargin)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for waits := true; ; {
+		if err := h.answer(ctx, limit); err != nil {
+			return nil, 0, err
+		}
+		rows, version, changed := h.fleet.table.since(after)
+		if len(rows) > 0 || !waits {
+			return rows, version, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waits = false
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// answer takes the time of an answer, or until limit when none comes.
+func (h *fleetHost) answer(ctx context.Context, limit time.Time) error {
+	time.Sleep(storeAnswer)
+	switch h.absence() {
+	case silent:
+		select {
+		case <-time.After(time.Until(limit)):
+		case <-ctx.Done():
+		}
+		return failure.New(failure.StoreDown, "no answer")
+	case refused:
+		return failure.New(failure.StoreDown, "turned away")
+	}
+	return nil
+}
+
+// fleetHost is the part of an entry host that follows the table of servers. mu guards away
+// and used.
+type fleetHost struct {
+	fleet   *testFleet
+	index   int // in the ranking
+	relays  *store.Relays
+	servers *servers
+
+	mu   sync.Mutex
+	away absence
+	used map[string]time.Time // by server, when it was last to be used; zero: it is now
+}
+
+func (h *fleetHost) absence() absence {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.away
+}
+
+func (h *fleetHost) setAbsence(a absence) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.away = a
+}
+
+// apply notes which servers the scheduler of this host would use.
+func (h *fleetHost) apply(list []sched.Server) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	usable := map[string]bool{}
+	for _, srv := range list {
+		usable[srv.ID] = !srv.Draining
+	}
+	for id, last := range h.used {
+		if last.IsZero() && !usable[id] {
+			h.used[id] = now
+		}
+	}
+	for id, use := range usable {
+		if use {
+			h.used[id] = time.Time{}
+		}
+	}
+}
+
+// lateness is how long after a moment a server was still to be used.
+func (h *fleetHost) lateness(server string, after time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	last, known := h.used[server]
+	switch {
+	case !known:
+		return 0
+	case last.IsZero():
+		return time.Since(after)
+	}
+	return last.Sub(after)
+}
+
+// uses counts the servers that the host would use now.
+func (h *fleetHost) uses() (n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, last := range h.used {
+		if last.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// testReaders is how many hosts of the ranking read the store for all, testStandIns how many
+// behind them do while none of these has news.
+const (
+	testReaders  = 5
+	testStandIns = 10
+)
+
+// Before, Order, Open and Hosts make a fleetHost the store.Readers of that host.
+
+func (h *fleetHost) Before() (names []string, reads bool) {
+	for i := range min(testReaders, len(h.fleet.hosts)) {
+		if i == h.index {
+			return names[:min(1, len(names))], true
+		}
+		names = append(names, fmt.Sprint(i))
+	}
+	return names, false
+}
+
+func (h *fleetHost) Order() (names []string, self int) {
+	self = -1
+	for i := range min(testReaders+testStandIns, len(h.fleet.hosts)) {
+		if i == h.index {
+			self = i
+		}
+		names = append(names, fmt.Sprint(i))
+	}
+	return names, self
+}
+
+func (h *fleetHost) Hosts() int { return len(h.fleet.hosts) }
+
+func (h *fleetHost) Open(_ context.Context, name string) (*peer.Stream, error) {
+	i := slices.IndexFunc(h.fleet.hosts, func(o *fleetHost) bool { return fmt.Sprint(o.index) == name })
+	to := h.fleet.hosts[i]
+	a, b := net.Pipe()
+	h.fleet.keep(a, b)
+	h.fleet.duties.Go(func() {
+		to.relays.Serve(h.fleet.ctx, &peer.Stream{Conn: b, R: bufio.NewReader(b)}, func() bool {
+			_, reads := to.Before()
+			return reads
+		})
+	})
+	return &peer.Stream{Conn: a, R: bufio.NewReader(a)}, nil
+}
+
+// testFleet is a fleet that follows one table. mu guards streams.
+type testFleet struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	duties sync.WaitGroup
+	table  *storeTable
+	hosts  []*fleetHost
+	seed   *rand.Rand
+
+	mu      sync.Mutex
+	streams []net.Conn
+}
+
+// keep notes the ends of a stream, which stop closes.
+func (f *testFleet) keep(ends ...net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.streams = append(f.streams, ends...)
+}
+
+// stop ends all duties; a synctest bubble ends with its last goroutine.
+func (f *testFleet) stop() {
+	f.cancel()
+	f.mu.Lock()
+	for _, c := range f.streams {
+		_ = c.Close() // a pipe's end never fails to
+	}
+	f.mu.Unlock()
+	f.duties.Wait()
+}
+
+// startFleet starts a fleet that knows some servers. It runs within a synctest bubble.
+func startFleet(g Gomega, hosts, servers int, seed uint64) *testFleet {
+	f := &testFleet{
+		table: &storeTable{rows: map[string]store.Row{}, changed: make(chan struct{})},
+		seed:  rand.New(rand.NewPCG(seed, uint64(hosts))),
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	for i := range servers {
+		f.table.write(ready(server(i)))
+	}
+	events := event.NewRecorder("h", "i", 16, kitlog.NewNopLogger())
+	for i := range hosts {
+		h := &fleetHost{fleet: f, index: i, relays: store.NewRelays(), used: map[string]time.Time{}}
+		h.servers = newServers(decodeState, events, h.apply)
+		f.hosts = append(f.hosts, h)
+	}
+	for _, h := range f.hosts {
+		w := newWatcher(h, h, h.relays, "servers", events, h.servers.take)
+		f.duties.Go(func() { w.Run(f.ctx) })
+		f.duties.Go(h.sweep)
+	}
+	time.Sleep(5 * time.Second)
+	for _, h := range f.hosts {
+		g.Expect(h.uses()).To(Equal(servers))
+	}
+	return f
+}
+
+func (h *fleetHost) sweep() {
+	for h.fleet.ctx.Err() == nil {
+		time.Sleep(sweepPeriod)
+		h.servers.tick()
+	}
+}
+
+func server(i int) string { return fmt.Sprint("s", i) }
+
+func ready(name string) store.Row { return store.Row{Key: name, Value: []byte("ready")} }
+
+func draining(name string) store.Row { return store.Row{Key: name, Value: []byte("draining")} }
+
+func gone(name string) store.Row { return store.Row{Key: name, Deleted: true} }
+
+func decodeState(name string, value []byte) (sched.Server, error) {
+	return sched.Server{ID: name, Address: name, Draining: string(value) == "draining"}, nil
+}
+
+// fleetSizes are the sizes at which the specs run, from the smallest site to the largest
+// planned one.
+var fleetSizes = []int{6, 60, 195, 390}
+
+// lateSpan is the longest that hosts went on using servers that had left, after the store had
+// acknowledged it, by how these servers left.
+type lateSpan struct{ draining, gone time.Duration }
+
+func (l *lateSpan) add(server int, late time.Duration) {
+	if server%2 == 0 {
+		l.draining = max(l.draining, late)
+		return
+	}
+	l.gone = max(l.gone, late)
+}
+
+// Guards against servers that get work long after they have left: the store turns all its
+// readers and a third of the others away while it serves the rest, and servers leave, by
+// saying so or by taking their entry away, meanwhile and after its return.
+func TestServersThatLeaveWhileTheReadersAreTurnedAway(t *testing.T) {
+	for _, how := range []absence{silent, refused} {
+		for _, hosts := range fleetSizes {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%d hosts %v seed %d", hosts, how, seed), func(t *testing.T) {
+					var home, inTouch lateSpan
+					synctest.Test(t, func(t *testing.T) { home, inTouch = leaveWhileTurnedAway(NewWithT(t), hosts, how, seed) })
+					notLate(t, "hosts in touch, entry taken away", inTouch.gone, hosts)
+					notLate(t, "hosts in touch, draining", inTouch.draining, hosts)
+					notLate(t, "home, entry taken away", home.gone, hosts)
+					notLate(t, "home, draining", home.draining, hosts)
+				})
+			}
+		}
+	}
+}
+
+func notLate(t *testing.T, what string, late time.Duration, hosts int) {
+	t.Run(what, func(t *testing.T) {
+		NewWithT(t).Expect(late).To(BeNumerically("<", drainBound(hosts)), late.String())
+	})
+}
+
+// leaveWhileTurnedAway returns how late the home was, whose list decides for all hosts, and
+// how late those whom the store answered all along.
+func leaveWhileTurnedAway(g Gomega, hosts int, how absence, seed uint64) (home, inTouch lateSpan) {
+	const (
+		away  = 9 * time.Second
+		after = 4 * time.Second
+		every = 250 * time.Millisecond
+	)
+	leaving := int((away + after) / every)
+	f := startFleet(g, hosts, leaving+20, seed)
+	defer f.stop()
+	for i, h := range f.hosts {
+		if i < testReaders || i != testReaders && f.seed.IntN(3) == 0 {
+			h.setAbsence(how)
+		}
+	}
+	cut := slices.Clone(f.hosts)
+	cut = slices.DeleteFunc(cut, func(h *fleetHost) bool { return h.absence() == present })
+	begun := time.Now()
+	left := make([]time.Time, leaving)
+	for i := range leaving {
+		time.Sleep(time.Until(begun.Add(time.Duration(i)*every + time.Duration(f.seed.Int64N(int64(every))))))
+		if time.Since(begun) > away {
+			for _, h := range cut {
+				h.setAbsence(present)
+			}
+		}
+		if i%2 == 0 {
+			f.table.write(draining(server(i)))
+		} else {
+			f.table.write(gone(server(i)))
+		}
+		left[i] = time.Now()
+	}
+	time.Sleep(10 * time.Second)
+	for i, at := range left {
+		home.add(i, f.hosts[0].lateness(server(i), at))
+		for _, h := range f.hosts {
+			if !slices.Contains(cut, h) {
+				inTouch.add(i, h.lateness(server(i), at))
+			}
+		}
+	}
+	return home, inTouch
+}
+
+// Guards against a fleet without servers: the store is away for all, entries of servers that
+// live lapse meanwhile, and are back within two seconds of its return.
+func TestServersWhoseEntriesLapseInAnOutage(t *testing.T) {
+	for _, how := range []absence{silent, refused} {
+		for _, hosts := range fleetSizes {
+			t.Run(fmt.Sprintf("%d hosts %v", hosts, how), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { lapseInAnOutage(NewWithT(t), hosts, how) })
+			})
+		}
+	}
+}
+
+func lapseInAnOutage(g Gomega, hosts int, how absence) {
+	const servers = 40
+	f := startFleet(g, hosts, servers, 1)
+	defer f.stop()
+	for _, h := range f.hosts {
+		h.setAbsence(how)
+	}
+	time.Sleep(4500 * time.Millisecond)
+	for i := range servers {
+		f.table.write(gone(server(i)))
+	}
+	for _, h := range f.hosts {
+		h.setAbsence(present)
+	}
+	returned := time.Now()
+	for i := range servers {
+		time.Sleep(time.Until(returned.Add(time.Duration(i) * 1900 * time.Millisecond / servers)))
+		f.table.write(ready(server(i)))
+		for _, h := range f.hosts {
+			g.Expect(h.uses()).To(Equal(servers), "host %d of %d, %v after the return", h.index, hosts, time.Since(returned))
+		}
+	}
+	time.Sleep(5 * time.Second)
+	for _, h := range f.hosts {
+		g.Expect(h.uses()).To(Equal(servers))
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -80,11 +80,24 @@
 
 // watch follows a table, through those that read the store for all or as one of them.
 func (n *Node) watch(ctx context.Context, table string, apply func(store.Update)) {
-	relay := n.relays.Table(table)
-	w := &store.Watcher{
-		Tables: store.NewRelayed(n.plat.Tables, tableReaders{n}, relay.Failed), Table: table, Events: n.events, Failed: relay.Failed,
+	w := newWatcher(n.plat.Tables, tableReaders{n}, n.relays, table, n.events, apply)
+	n.duties.Go(func() {
+		select {
+		case <-n.joined:
+			w.Run(ctx)
+		case <-ctx.Done():
+		}
+	})
+}
+
+// newWatcher makes the watcher of a table that is read through the hosts that read the store
+// for all, and told on by the relay of this host.
+func newWatcher(direct store.Tables, readers store.Readers, relays *store.Relays, table string, events *event.Recorder, apply func(store.Update)) *store.Watcher {
+	relay := relays.Table(table)
+	return &store.Watcher{
+		Tables: store.NewRelayed(direct, readers, relay.Failed), Table: table, Events: events, Failed: relay.Failed,
 		Reread: func() time.Duration {
-			if n.reads() {
+			if _, reads := readers.Before(); reads {
 				return store.RereadStore
 			}
 			return store.RereadRelay
@@ -94,13 +107,6 @@
 			apply(u)
 		},
 	}
-	n.duties.Go(func() {
-		select {
-		case <-n.joined:
-			w.Run(ctx)
-		case <-ctx.Done():
-		}
-	})
 }
 
 // tableReaders are the hosts that read the store, as the tables' readers see them.
