A removed entry does not count as lapsed because this host had not asked, or a reader was cut off

What callers saw: requests sent to servers four seconds and more after the store had acknowledged that they leave (DRAIN; in time answered here, since the server still ran).

Cause: entries of servers that lapse while the store is away are kept for 2.2 s after its return. The absence was counted as the time since the last answer. A host that takes turns in reading asks each 2.6 to 3.9 s at 195 hosts, more than the 2.5 s from which an outage counts: each of its reads was a return of the store, and began the 2.2 s anew. And a reader that the store had turned away for 9 s told all hosts of an outage of 9 s, also those that the store had answered all the while.

Ruled out: old rows from the store, and hosts that had just started.

Now: without a call that failed, or a reader that was lost, there was no silence. And what a reader tells of an outage does not hold against an answer of the store, or of another reader, within it.

Lapses in outages of 3, 4.5 and 9 s are kept as before, at all sizes. The two new specs fail on the code before.

--- a/internal/node/propagation_test.go
+++ b/internal/node/propagation_test.go
@@ -440,21 +440,23 @@
 func TestServersWhoseEntriesLapseInAnOutage(t *testing.T) {
 	for _, how := range []absence{silent, refused} {
 		for _, hosts := range fleetSizes {
-			t.Run(fmt.Sprintf("%d hosts %v", hosts, how), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { lapseInAnOutage(NewWithT(t), hosts, how) })
-			})
+			for _, away := range []time.Duration{3 * time.Second, 4500 * time.Millisecond, 9 * time.Second} {
+				t.Run(fmt.Sprintf("%d hosts %v for %v", hosts, how, away), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { lapseInAnOutage(NewWithT(t), hosts, how, away) })
+				})
+			}
 		}
 	}
 }
 
-func lapseInAnOutage(g Gomega, hosts int, how absence) {
+func lapseInAnOutage(g Gomega, hosts int, how absence, away time.Duration) {
 	const servers = 40
 	f := startFleet(g, hosts, servers, 1)
 	defer f.stop()
 	for _, h := range f.hosts {
 		h.setAbsence(how)
 	}
-	time.Sleep(4500 * time.Millisecond)
+	time.Sleep(away)
 	for i := range servers {
 		f.table.write(gone(server(i)))
 	}
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -387,6 +387,36 @@
 		Expect(r.Gap()).To(BeZero())
 	})
 
+	// Guards against servers that are used after their entry is gone: a host that asks the
+	// store now and then counted the time between two answers as the store's absence.
+	It("does not take the time in which it asked nothing for a silent store", func() {
+		r := store.NewRelayed(direct{1}, &fakeHome{}, nil)
+		for range 2 {
+			_, _, err := r.Snapshot(ctx, "t")
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(50 * time.Millisecond)
+		}
+		Expect(r.Gap()).To(BeZero())
+	})
+
+	// Guards against the same: a reader that was cut off for seconds told all hosts that
+	// the store had been away, also those that the store had answered meanwhile.
+	It("does not take the absence of a reader for that of a store that answered meanwhile", func() {
+		relays := store.NewRelays()
+		home := &fakeHome{relays: relays, serves: yes, name: "h"}
+		r := store.NewRelayed(direct{6}, home, nil)
+		_, _, err := r.Snapshot(ctx, "t") // the reader has no news
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Reader()).To(BeEmpty())
+		time.Sleep(400 * time.Millisecond) // until the reader is asked again
+		relays.Table("t").Apply(whole(5, "x"))
+		relays.Table("t").Apply(store.Update{Version: 7, Rows: []store.Row{{Key: "x", Version: 7}}, Gap: 9 * time.Second})
+		_, _, err = r.Changes(ctx, "t", 6, time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Reader()).To(Equal("h"))
+		Expect(r.Gap()).To(BeZero())
+	})
+
 	// A call that waits for changes at the home is open for seconds. When the home ends
 	// then, the store was not silent for that time.
 	It("does not take a quiet relay for a silent store", func() {
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -68,6 +68,8 @@
 	turns    int                  // that it waits from one own read to the next
 	newest   int64                // version seen; a relay may be behind
 	known    time.Time            // when the store last answered, this host or its reader
+	answered time.Time            // newest moment of which teller's word shows that the store answered
+	missed   bool                 // a call to the store has failed since, or the reader followed was lost
 	gap      time.Duration        // before the newest answer
 	teller   string               // the reader that gave it, empty: the store
 	returned time.Time            // end of the newest outage that a relay told of
@@ -121,13 +123,28 @@
 		return nil, 0, errNotDue
 	}
 	rows, version, err := read()
-	if err == nil || failure.Is(err, failure.HistoryLost) {
-		now := time.Now()
-		r.gap, r.known, r.following, r.teller = now.Sub(r.known), now, false, ""
+	if err != nil && !failure.Is(err, failure.HistoryLost) {
+		r.missed = true
+		return rows, version, err
+	}
+	now := time.Now()
+	r.gap = 0
+	if r.missed {
+		r.gap = now.Sub(r.known)
 	}
+	r.hear(now, "")
 	return rows, version, err
 }
 
+// hear notes an answer of the store, or of a reader, whose own word of the store may be older.
+func (r *Relayed) hear(now time.Time, reader string) {
+	r.known, r.answered, r.missed = now, now, false
+	r.following, r.teller = reader != "", reader
+	if r.following {
+		r.answered = now.Add(-staleAfter)
+	}
+}
+
 // mayRead reports whether this host may read the store: a reader at once, another one
 // at a moment drawn so that all of them together keep to ownReadSpread.
 func (r *Relayed) mayRead(now time.Time) bool {
@@ -178,7 +195,7 @@
 		if noticed := now.Add(-relayNotice); noticed.After(r.known) {
 			r.known = noticed
 		}
-		r.following = false
+		r.following, r.missed = false, true
 		r.lost()
 	}
 	if err != nil {
@@ -195,13 +212,14 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	r.gap = r.newGap(reply, now)
-	r.known, r.following, r.teller = now, true, name
+	r.gap = r.newGap(name, reply, now)
+	r.hear(now, name)
 	return rows, reply.Version, nil
 }
 
-// newGap is the outage that a reply tells of, if it ended since the newest answer.
-func (r *Relayed) newGap(reply *wire.TableReply, now time.Time) time.Duration {
+// newGap is the outage that a reader tells of, if it ended since the newest answer. A store
+// that has answered this host or another reader meanwhile was away for that one only.
+func (r *Relayed) newGap(reader string, reply *wire.TableReply, now time.Time) time.Duration {
 	if reply.GapMs == 0 {
 		return 0
 	}
@@ -210,7 +228,15 @@
 		return 0 // told before, within what a message takes and clocks round
 	}
 	r.returned = ended
-	return time.Duration(reply.GapMs) * time.Millisecond
+	gap := time.Duration(reply.GapMs) * time.Millisecond
+	begun := ended.Add(-gap)
+	if r.teller == reader || r.answered.Before(begun.Add(outageFrom)) {
+		return gap
+	}
+	if !r.missed {
+		return 0
+	}
+	return ended.Sub(r.answered)
 }
 
 func (r *Relayed) exchange(ctx context.Context, name string, call *wire.TableCall, timeout time.Duration) (*wire.TableReply, error) {
