A dial to a host that stands still ends with the time of whoever dials

A host whose process stands still is connected to by its kernel; the greeting then had a second of its own, whatever was left to the caller (0.3 s for a reader of the store, 0.25 s for a home), and all others who wanted a session there stood behind that dial without a bound. Two watchers and the follower of one host held each other up for seconds.

Now the greeting ends with the caller's time, and so does the wait for another's dial.

--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -90,10 +90,10 @@
 	duties   sync.WaitGroup
 }
 
-// slot is the place of the session to one address. dial is held while one is
-// dialed, so that many streams that are opened at once share it.
+// slot is the place of the session to one address. dial holds one token, which is taken
+// while one is dialed, so that many streams that are opened at once share it.
 type slot struct {
-	dial sync.Mutex
+	dial chan struct{}
 	live *session
 }
 
@@ -125,7 +125,7 @@
 }
 
 func (m *Manager) accept(conn *sessionConn) {
-	remote, err := m.greet(conn)
+	remote, err := m.greet(context.Background(), conn)
 	if err != nil {
 		// A connection that ends before its Hello only asked whether this
 		// port refuses.
@@ -182,8 +182,12 @@
 // greet exchanges Hello messages and checks the other end's version and
 // fleet. Each end speaks first, so both learn the other's version and name it
 // in their logs when they refuse.
-func (m *Manager) greet(conn net.Conn) (Identity, error) {
-	_ = conn.SetDeadline(time.Now().Add(helloTimeout))
+func (m *Manager) greet(ctx context.Context, conn net.Conn) (Identity, error) {
+	until := time.Now().Add(helloTimeout)
+	if own, ok := ctx.Deadline(); ok && own.Before(until) {
+		until = own
+	}
+	_ = conn.SetDeadline(until)
 	defer func() { _ = conn.SetDeadline(time.Time{}) }()
 	mine := &wire.Hello{Version: wire.Version, Incarnation: uint64(m.self.Incarnation), Host: m.self.Host, Fleet: m.self.Fleet}
 	if err := wire.Write(conn, mine); err != nil {
@@ -249,12 +253,16 @@
 	m.mu.Lock()
 	place := m.sessions[to.Address]
 	if place == nil {
-		place = &slot{}
+		place = &slot{dial: make(chan struct{}, 1)}
 		m.sessions[to.Address] = place
 	}
 	m.mu.Unlock()
-	place.dial.Lock()
-	defer place.dial.Unlock()
+	select {
+	case place.dial <- struct{}{}:
+		defer func() { <-place.dial }()
+	case <-ctx.Done():
+		return nil, failure.Wrap(failure.PeerSilent, ctx.Err(), "wait for the session to %s", to.Address)
+	}
 	m.mu.Lock()
 	s := place.live
 	m.mu.Unlock()
@@ -309,7 +317,7 @@
 		return nil, failure.Wrap(failure.PeerSilent, err, "dial %s", to.Address)
 	}
 	conn := newSessionConn(dialed, m.traffic)
-	remote, err := m.greet(conn)
+	remote, err := m.greet(ctx, conn)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -150,6 +150,28 @@
 		}
 	})
 
+	// Guards against a host that stands still and holds up whoever dials it: its kernel
+	// accepts, nothing is said, and the caller waited past the end of its own time.
+	It("is not awaited beyond the time of whoever dials", func() {
+		m, _, _ := hostAt(1)
+		still, err := net.Listen("tcp", "127.0.0.1:0") // accepts in its backlog and says nothing
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(still.Close)
+		late := make(chan time.Duration, 3)
+		for _, own := range []time.Duration{150 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond} {
+			go func() {
+				begun := time.Now()
+				ctx, cancel := context.WithTimeout(context.Background(), own)
+				defer cancel()
+				_, _ = m.OpenStream(ctx, Target{Address: still.Addr().String()}, wire.StreamKind_STREAM_TABLES, "")
+				late <- time.Since(begun) - own
+			}()
+		}
+		for range 3 {
+			Eventually(late).WithTimeout(5 * time.Second).Should(Receive(BeNumerically("<", 300*time.Millisecond)))
+		}
+	})
+
 	// Something between two hosts has forgotten their connection: it stays open and
 	// carries nothing. The host that accepted it sends no probes, and would keep what
 	// the other one has waiting there for ever.
@@ -189,7 +211,7 @@
 		Expect(l.Close()).To(Succeed())
 		go m.accept(newSessionConn(&slowToClose{Conn: near, takes: closes}, &Traffic{}))
 		opener := NewManager(Identity{Incarnation: 2, Host: "far", Fleet: "f"}, "none", func(*Stream) {}, nobody{}, event.NewRecorder("h", "i", 64, log.NewNopLogger()), &Traffic{})
-		_, err = opener.greet(far)
+		_, err = opener.greet(context.Background(), far)
 		Expect(err).NotTo(HaveOccurred())
 		mux, err := yamux.Client(far, muxConfig())
 		Expect(err).NotTo(HaveOccurred())
