--- a/internal/node/propagation_test.go
+++ b/internal/node/propagation_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,8 +23,8 @@
 	"github.com/gentianflow/gentianflow/internal/store"
 )
 
-// These specs run the duties that follow the table of servers for whole fleets, in virtual
-// time: hosts that read the store, relays, and each host's list of servers.
+// These specs run the duties that follow the tables of servers and of the operator for whole
+// fleets, in virtual time: hosts that read the store, relays, and what each host knows.
 
 // drainBound is how long after the store has acknowledged that a server leaves it may still
 // be sent work, by the size of the fleet.
@@ -58,6 +59,10 @@
 	changed chan struct{}
 }
 
+func newStoreTable() *storeTable {
+	return &storeTable{rows: map[string]store.Row{}, changed: make(chan struct{})}
+}
+
 func (t *storeTable) write(rows ...store.Row) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -105,15 +110,15 @@
 
 // Snapshot and Changes make a fleetHost the store's client of that host.
 
-func (h *fleetHost) Snapshot(ctx context.Context, _ string) ([]store.Row, int64, error) {
+func (h *fleetHost) Snapshot(ctx context.Context, table string) ([]store.Row, int64, error) {
 	if err := h.answer(ctx, time.Now().Add(storeCall)); err != nil {
 		return nil, 0, err
 	}
-	rows, version := h.fleet.table.whole()
+	rows, version := h.fleet.tables[table].whole()
 	return rows, version, nil
 }
 
-func (h *fleetHost) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]store.Row, int64, error) {
+func (h *fleetHost) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Row, int64, error) {
 	limit := time.Now().Add(wait + storeMargin)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -121,7 +126,7 @@
 		if err := h.answer(ctx, limit); err != nil {
 			return nil, 0, err
 		}
-		rows, version, changed := h.fleet.table.since(after)
+		rows, version, changed := h.fleet.tables[table].since(after)
 		if len(rows) > 0 || !waits {
 			return rows, version, nil
 		}
@@ -151,8 +156,8 @@
 	return nil
 }
 
-// fleetHost is the part of an entry host that follows the table of servers. mu guards away
-// and used.
+// fleetHost is the part of an entry host that follows the tables. mu guards away, used and
+// configs.
 type fleetHost struct {
 	fleet   *testFleet
 	index   int // in the ranking
@@ -162,6 +167,8 @@
 	mu   sync.Mutex
 	away absence
 	used map[string]time.Time // by server, when it was last to be used; zero: it is now
+	// configs tells by version of the configuration when the host had it, or a newer one.
+	configs []time.Time
 }
 
 func (h *fleetHost) absence() absence {
@@ -197,6 +204,28 @@
 	}
 }
 
+// applyConfig notes which configuration the host has.
+func (h *fleetHost) applyConfig(u store.Update) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range u.Rows {
+		version, err := strconv.Atoi(string(r.Value))
+		for err == nil && len(h.configs) <= version {
+			h.configs = append(h.configs, time.Now())
+		}
+	}
+}
+
+// lacked is how long after a moment the host had an older configuration than a version.
+func (h *fleetHost) lacked(version int, after time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.configs) <= version {
+		return time.Since(after)
+	}
+	return h.configs[version].Sub(after)
+}
+
 // lateness is how long after a moment a server was still to be used.
 func (h *fleetHost) lateness(server string, after time.Time) time.Duration {
 	h.mu.Lock()
@@ -257,12 +286,18 @@
 	return &peer.Stream{Conn: a, R: bufio.NewReader(a)}, nil
 }
 
-// testFleet is a fleet that follows one table. mu guards streams.
+// The tables that a testFleet follows.
+const (
+	serverTable   = "servers"
+	operatorTable = "op"
+)
+
+// testFleet is a fleet that follows the tables. mu guards streams.
 type testFleet struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	duties sync.WaitGroup
-	table  *storeTable
+	tables map[string]*storeTable
 	hosts  []*fleetHost
 	seed   *rand.Rand
 
@@ -291,13 +326,14 @@
 // startFleet starts a fleet that knows some servers. It runs within a synctest bubble.
 func startFleet(g Gomega, hosts, servers int, seed uint64) *testFleet {
 	f := &testFleet{
-		table: &storeTable{rows: map[string]store.Row{}, changed: make(chan struct{})},
-		seed:  rand.New(rand.NewPCG(seed, uint64(hosts))),
+		tables: map[string]*storeTable{serverTable: newStoreTable(), operatorTable: newStoreTable()},
+		seed:   rand.New(rand.NewPCG(seed, uint64(hosts))),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	for i := range servers {
-		f.table.write(ready(server(i)))
+		f.tables[serverTable].write(ready(server(i)))
 	}
+	f.configure(0)
 	events := event.NewRecorder("h", "i", 16, kitlog.NewNopLogger())
 	for i := range hosts {
 		h := &fleetHost{fleet: f, index: i, relays: store.NewRelays(), used: map[string]time.Time{}}
@@ -305,8 +341,10 @@
 		f.hosts = append(f.hosts, h)
 	}
 	for _, h := range f.hosts {
-		w := newWatcher(h, h, h.relays, "servers", events, h.servers.take)
-		f.duties.Go(func() { w.Run(f.ctx) })
+		for table, apply := range map[string]func(store.Update){serverTable: h.servers.take, operatorTable: h.applyConfig} {
+			w := newWatcher(h, h, h.relays, table, events, apply)
+			f.duties.Go(func() { w.Run(f.ctx) })
+		}
 		f.duties.Go(h.sweep)
 	}
 	time.Sleep(5 * time.Second)
@@ -323,6 +361,20 @@
 	}
 }
 
+// configure writes a version of the configuration.
+func (f *testFleet) configure(version int) {
+	f.tables[operatorTable].write(store.Row{Key: "config", Value: fmt.Append(nil, version)})
+}
+
+// leave lets a server leave, by saying so or by taking its entry away.
+func (f *testFleet) leave(i int) {
+	row := gone(server(i))
+	if i%2 == 0 {
+		row = draining(server(i))
+	}
+	f.tables[serverTable].write(row)
+}
+
 func server(i int) string { return fmt.Sprint("s", i) }
 
 func ready(name string) store.Row { return store.Row{Key: name, Value: []byte("ready")} }
@@ -340,15 +392,27 @@
 var fleetSizes = []int{6, 60, 195, 390}
 
 // lateSpan is the longest that hosts went on using servers that had left, after the store had
-// acknowledged it, by how these servers left.
-type lateSpan struct{ draining, gone time.Duration }
+// acknowledged it, by how these servers left; and lacked a configuration.
+type lateSpan struct{ draining, gone, config time.Duration }
 
-func (l *lateSpan) add(server int, late time.Duration) {
-	if server%2 == 0 {
+// add takes what a host did after the i-th server left and the configuration changed.
+func (l *lateSpan) add(h *fleetHost, i int, at time.Time) {
+	late := h.lateness(server(i), at)
+	if i%2 == 0 {
 		l.draining = max(l.draining, late)
-		return
+	} else {
+		l.gone = max(l.gone, late)
+	}
+	l.config = max(l.config, h.lacked(i+1, at))
+}
+
+func (l lateSpan) check(t *testing.T, who string, hosts int) {
+	for what, late := range map[string]time.Duration{"entry taken away": l.gone, "draining": l.draining, "configuration": l.config} {
+		t.Run(who+", "+what, func(t *testing.T) {
+			t.Log(late)
+			NewWithT(t).Expect(late).To(BeNumerically("<", drainBound(hosts)))
+		})
 	}
-	l.gone = max(l.gone, late)
 }
 
 // Guards against servers that get work long after they have left: the store turns all its
@@ -361,23 +425,14 @@
 				t.Run(fmt.Sprintf("%d hosts %v seed %d", hosts, how, seed), func(t *testing.T) {
 					var home, inTouch lateSpan
 					synctest.Test(t, func(t *testing.T) { home, inTouch = leaveWhileTurnedAway(NewWithT(t), hosts, how, seed) })
-					notLate(t, "hosts in touch, entry taken away", inTouch.gone, hosts)
-					notLate(t, "hosts in touch, draining", inTouch.draining, hosts)
-					notLate(t, "home, entry taken away", home.gone, hosts)
-					notLate(t, "home, draining", home.draining, hosts)
+					inTouch.check(t, "hosts in touch", hosts)
+					home.check(t, "home", hosts)
 				})
 			}
 		}
 	}
 }
 
-func notLate(t *testing.T, what string, late time.Duration, hosts int) {
-	t.Run(what, func(t *testing.T) {
-		t.Log(late)
-		NewWithT(t).Expect(late).To(BeNumerically("<", drainBound(hosts)))
-	})
-}
-
 // leaveWhileTurnedAway returns how late the home was, whose list decides for all hosts, and
 // how late those whom the store answered all along.
 func leaveWhileTurnedAway(g Gomega, hosts int, how absence, seed uint64) (home, inTouch lateSpan) {
@@ -405,19 +460,16 @@
 				h.setAbsence(present)
 			}
 		}
-		if i%2 == 0 {
-			f.table.write(draining(server(i)))
-		} else {
-			f.table.write(gone(server(i)))
-		}
+		f.leave(i)
+		f.configure(i + 1)
 		left[i] = time.Now()
 	}
 	time.Sleep(10 * time.Second)
 	for i, at := range left {
-		home.add(i, f.hosts[0].lateness(server(i), at))
+		home.add(f.hosts[0], i, at)
 		for _, h := range f.hosts {
 			if !slices.Contains(cut, h) {
-				inTouch.add(i, h.lateness(server(i), at))
+				inTouch.add(h, i, at)
 			}
 		}
 	}
@@ -447,7 +499,7 @@
 	}
 	time.Sleep(away)
 	for i := range servers {
-		f.table.write(gone(server(i)))
+		f.tables[serverTable].write(gone(server(i)))
 	}
 	for _, h := range f.hosts {
 		h.setAbsence(present)
@@ -455,7 +507,7 @@
 	returned := time.Now()
 	for i := range servers {
 		time.Sleep(time.Until(returned.Add(time.Duration(i) * 1900 * time.Millisecond / servers)))
-		f.table.write(ready(server(i)))
+		f.tables[serverTable].write(ready(server(i)))
 		for _, h := range f.hosts {
 			g.Expect(h.uses()).To(Equal(servers), "host %d of %d, %v after the return", h.index, hosts, time.Since(returned))
 		}
