--- a/internal/node/propagation_test.go
+++ b/internal/node/propagation_test.go
@@ -45,9 +45,12 @@
 	present absence = iota
 	silent          // no answer comes
 	refused         // an error comes at once
+	frozen          // the host itself stands still
 )
 
-func (a absence) String() string { return [...]string{"present", "silent", "refused"}[a] }
+func (a absence) String() string {
+	return [...]string{"present", "silent", "refused", "frozen"}[a]
+}
 
 // storeTable is a table of the platform's store. mu guards all fields; changed is closed and
 // made anew with each change.
@@ -152,10 +155,33 @@
 		return failure.New(failure.StoreDown, "no answer")
 	case refused:
 		return failure.New(failure.StoreDown, "turned away")
+	case frozen:
+		h.thaw()
+		return failure.New(failure.StoreDown, "no answer in time")
 	}
 	return nil
 }
 
+// thaw waits until the host goes on.
+func (h *fleetHost) thaw() {
+	for h.absence() == frozen && h.fleet.ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// freeze lets the host stand still. Others notice on their sessions.
+func (h *fleetHost) freeze() {
+	h.setAbsence(frozen)
+	time.AfterFunc(sessionSilence, func() {
+		if h.absence() == frozen {
+			h.fleet.breakStreams(h)
+		}
+	})
+}
+
+// sessionSilence is how long sessions take to notice a host that stands still.
+const sessionSilence = peer.ProbePeriod + peer.ProbeDeadline
+
 // fleetHost is the part of an entry host that follows the tables. mu guards away, used and
 // configs.
 type fleetHost struct {
@@ -274,13 +300,20 @@
 
 func (h *fleetHost) Hosts() int { return len(h.fleet.hosts) }
 
-func (h *fleetHost) Open(_ context.Context, name string) (*peer.Stream, error) {
+func (h *fleetHost) Open(ctx context.Context, name string) (*peer.Stream, error) {
 	i := slices.IndexFunc(h.fleet.hosts, func(o *fleetHost) bool { return fmt.Sprint(o.index) == name })
 	to := h.fleet.hosts[i]
+	if to.absence() == frozen {
+		<-ctx.Done() // its kernel accepts, and nothing is said
+		return nil, failure.Wrap(failure.PeerSilent, ctx.Err(), "greet host %s", name)
+	}
 	a, b := net.Pipe()
-	h.fleet.keep(a, b)
+	h.fleet.keep(to, a, b)
 	h.fleet.duties.Go(func() {
-		role := func() store.Role { return to.Order().Role() }
+		role := func() store.Role {
+			to.thaw()
+			return to.Order().Role()
+		}
 		to.relays.Serve(h.fleet.ctx, &peer.Stream{Conn: b, R: bufio.NewReader(b)}, role)
 	})
 	return &peer.Stream{Conn: a, R: bufio.NewReader(a)}, nil
@@ -302,32 +335,41 @@
 	seed   *rand.Rand
 
 	mu      sync.Mutex
-	streams []net.Conn
+	streams map[*fleetHost][]net.Conn // by the host that they were opened to
 }
 
-// keep notes the ends of a stream, which stop closes.
-func (f *testFleet) keep(ends ...net.Conn) {
+// keep notes the ends of a stream to a host.
+func (f *testFleet) keep(to *fleetHost, ends ...net.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.streams = append(f.streams, ends...)
+	f.streams[to] = append(f.streams[to], ends...)
+}
+
+// breakStreams ends the streams to a host.
+func (f *testFleet) breakStreams(to *fleetHost) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.streams[to] {
+		_ = c.Close() // a pipe's end never fails to
+	}
+	delete(f.streams, to)
 }
 
 // stop ends all duties; a synctest bubble ends with its last goroutine.
 func (f *testFleet) stop() {
 	f.cancel()
-	f.mu.Lock()
-	for _, c := range f.streams {
-		_ = c.Close() // a pipe's end never fails to
+	for _, h := range f.hosts {
+		f.breakStreams(h)
 	}
-	f.mu.Unlock()
 	f.duties.Wait()
 }
 
 // startFleet starts a fleet that knows some servers. It runs within a synctest bubble.
 func startFleet(g Gomega, hosts, servers int, seed uint64) *testFleet {
 	f := &testFleet{
-		tables: map[string]*storeTable{serverTable: newStoreTable(), operatorTable: newStoreTable()},
-		seed:   rand.New(rand.NewPCG(seed, uint64(hosts))),
+		tables:  map[string]*storeTable{serverTable: newStoreTable(), operatorTable: newStoreTable()},
+		streams: map[*fleetHost][]net.Conn{},
+		seed:    rand.New(rand.NewPCG(seed, uint64(hosts))),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	for i := range servers {
@@ -424,7 +466,18 @@
 			for seed := range uint64(3) {
 				t.Run(fmt.Sprintf("%d hosts %v seed %d", hosts, how, seed), func(t *testing.T) {
 					var home, inTouch lateSpan
-					synctest.Test(t, func(t *testing.T) { home, inTouch = leaveWhileTurnedAway(NewWithT(t), hosts, how, seed) })
+					synctest.Test(t, func(t *testing.T) {
+						f := startFleet(NewWithT(t), hosts, leavers+20, seed)
+						defer f.stop()
+						var cut []*fleetHost
+						for i, h := range f.hosts {
+							if i < testReaders || i != testReaders && f.seed.IntN(3) == 0 {
+								h.setAbsence(how)
+								cut = append(cut, h)
+							}
+						}
+						home, inTouch = f.leaveWithout(cut, 9*time.Second)
+					})
 					inTouch.check(t, "hosts in touch", hosts)
 					home.check(t, "home", hosts)
 				})
@@ -433,30 +486,42 @@
 	}
 }
 
-// leaveWhileTurnedAway returns how late the home was, whose list decides for all hosts, and
-// how late those whom the store answered all along.
-func leaveWhileTurnedAway(g Gomega, hosts int, how absence, seed uint64) (home, inTouch lateSpan) {
-	const (
-		away  = 9 * time.Second
-		after = 4 * time.Second
-		every = 250 * time.Millisecond
-	)
-	leaving := int((away + after) / every)
-	f := startFleet(g, hosts, leaving+20, seed)
-	defer f.stop()
-	for i, h := range f.hosts {
-		if i < testReaders || i != testReaders && f.seed.IntN(3) == 0 {
-			h.setAbsence(how)
+// Guards against the same while the home stands still, alone and with the next readers: hosts
+// wait for their word, and dial them in vain.
+func TestServersThatLeaveWhileReadersStandStill(t *testing.T) {
+	for _, hosts := range fleetSizes {
+		for still := 1; still <= 3; still++ {
+			t.Run(fmt.Sprintf("%d hosts %d still", hosts, still), func(t *testing.T) {
+				var inTouch lateSpan
+				synctest.Test(t, func(t *testing.T) {
+					f := startFleet(NewWithT(t), hosts, leavers+20, uint64(still))
+					defer f.stop()
+					for _, h := range f.hosts[:still] {
+						h.freeze()
+					}
+					_, inTouch = f.leaveWithout(f.hosts[:still], 4*time.Second)
+				})
+				inTouch.check(t, "hosts in touch", hosts)
+			})
 		}
 	}
-	cut := slices.Clone(f.hosts)
-	cut = slices.DeleteFunc(cut, func(h *fleetHost) bool { return h.absence() == present })
+}
+
+// Of leavers, one leaves each leaveEvery.
+const (
+	leavers    = 52
+	leaveEvery = 250 * time.Millisecond
+)
+
+// leaveWithout lets servers leave while hosts are away, and after their return. It returns how
+// late the home was, whose list decides for all hosts, and how late those in touch all along.
+func (f *testFleet) leaveWithout(away []*fleetHost, span time.Duration) (home, inTouch lateSpan) {
 	begun := time.Now()
-	left := make([]time.Time, leaving)
-	for i := range leaving {
-		time.Sleep(time.Until(begun.Add(time.Duration(i)*every + time.Duration(f.seed.Int64N(int64(every))))))
-		if time.Since(begun) > away {
-			for _, h := range cut {
+	left := make([]time.Time, leavers)
+	for i := range leavers {
+		time.Sleep(time.Until(begun.Add(time.Duration(i)*leaveEvery + time.Duration(f.seed.Int64N(int64(leaveEvery))))))
+		if time.Since(begun) > span {
+			for _, h := range away {
 				h.setAbsence(present)
 			}
 		}
@@ -468,7 +533,7 @@
 	for i, at := range left {
 		home.add(f.hosts[0], i, at)
 		for _, h := range f.hosts {
-			if !slices.Contains(cut, h) {
+			if !slices.Contains(away, h) {
 				inTouch.add(h, i, at)
 			}
 		}
