Only the reader that is followed counts as lost when it has no news

A host that followed a stand-in asked the home first with each call; its word that it had no news counted as the loss of the stand-in, and sent those away who waited at this host's own relay.

--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -33,20 +33,17 @@
 	// relayNotice is how long a host that reads the store may take to notice that it
 	// does not answer, and others to notice that this host is gone.
 	relayNotice = 1500 * time.Millisecond
-	// ownReadSpread is the time between two calls to the store of the hosts that are no
-	// readers, all of them together, while no reader has news for them: 125 a second, and
-	// from the second turn on two thirds of it. A store that is away would otherwise
-	// get calls from all hosts at once, hundreds a second, and each is paid. With 195
-	// hosts the last one has read it 1.6 s after the first, and what the operator changed
-	// is in force within 4 s although the readers took 1.5 s to notice; each reads again
-	// within 3.2 s.
+	// ownReadSpread is the time between two calls to the store of the hosts that are neither
+	// readers nor stand-ins, all of them together, while none of these has news: 125 a
+	// second, and from the second turn on two thirds of it. A store that is away would
+	// otherwise get calls from all hosts at once, and each is paid.
 	ownReadSpread = 8 * time.Millisecond
 	mostTurns     = 2
 	// turnLook is how often a host looks whether its turn has come.
 	turnLook = 300 * time.Millisecond
 )
 
-// Order is who reads the store for all: a few readers, the home first, and behind them
+// Order names who reads the store for all: a few readers, the home first, and behind them
 // stand-ins, which read it while no reader has news.
 type Order struct {
 	Names   []string // readers, then stand-ins
@@ -103,11 +100,10 @@
 // store itself when none of them has news. It belongs to one Watcher, whose goroutine
 // alone uses it.
 //
-// Guard: the store may turn the home away and serve others, or be away for all. With
-// every host reading for itself meanwhile, 195 hosts made 18,000 calls on a day; so the
-// other readers read it then, behind them the stand-ins, and all others take turns only
-// when none of these has news. A host that takes turns knows the store as of seconds ago,
-// and so does a home that the store turns away: it asks the others as well.
+// Guard: the store may turn the home away and serve others, or be away for all, and each call
+// is paid. So the other readers read it then, behind them the stand-ins, and all others take
+// turns only when none of these has news. A host that takes turns knows the store as of seconds
+// ago, and so would a home that the store turns away: it asks the others as well.
 type Relayed struct {
 	direct   Tables
 	readers  Readers
@@ -286,34 +282,46 @@
 // ask makes one call to a reader.
 func (r *Relayed) ask(ctx context.Context, name string, call *wire.TableCall, timeout time.Duration) ([]Row, int64, error) {
 	reply, err := r.exchange(ctx, name, call, timeout)
-	now := time.Now()
-	if (err != nil || reply.Failure != "") && r.following {
-		// It had news of the store until it noticed, or until it was gone.
-		if noticed := now.Add(-relayNotice); noticed.After(r.known) {
-			r.known = noticed
-		}
-		r.following, r.missed = false, true
-		r.lost()
+	if err == nil {
+		err = failureOf(reply)
+	}
+	if !hasNews(err) && r.following && r.teller == name {
+		r.lose()
 	}
 	if err != nil {
 		return nil, 0, err
 	}
-	switch reply.Failure {
-	case "":
-	case string(failure.HistoryLost):
-		return nil, 0, failure.New(failure.HistoryLost, "the relay has dropped the history asked for")
-	default:
-		return nil, 0, errStale
-	}
 	rows, err := unpack(reply)
 	if err != nil {
 		return nil, 0, err
 	}
+	now := time.Now()
 	r.gap = r.newGap(name, reply, now)
 	r.hear(now, name)
 	return rows, reply.Version, nil
 }
 
+// failureOf is the failure that a reply tells of.
+func failureOf(reply *wire.TableReply) error {
+	switch reply.Failure {
+	case "":
+		return nil
+	case string(failure.HistoryLost):
+		return failure.New(failure.HistoryLost, "the relay has dropped the history asked for")
+	}
+	return errStale
+}
+
+// lose notes that the reader that was followed has no news any more. It had some until it
+// noticed, or until it was gone.
+func (r *Relayed) lose() {
+	if noticed := time.Now().Add(-relayNotice); noticed.After(r.known) {
+		r.known = noticed
+	}
+	r.following, r.missed = false, true
+	r.lost()
+}
+
 // newGap is the outage that a reader tells of, if it ended since the newest answer. A store
 // that has answered this host or another reader meanwhile was away for that one only.
 func (r *Relayed) newGap(reader string, reply *wire.TableReply, now time.Time) time.Duration {
