Spec with real programs: servers that leave while the store turns the home and five others away

Eight hosts, each with its own way to the store; six of them, the readers, hear nothing or are reset for 4.5 s; servers leave meanwhile and after the return. Each host in touch has to drop them within the 2 s of the settings, and no request that it sent may run there later.

--- a/test/platform/site_test.go
+++ b/test/platform/site_test.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -56,6 +57,8 @@
 	name    string
 	ip      string
 	session *gexec.Session
+	store   string      // address at which it reaches the store, empty: the site's
+	cores   float64     // of its processor, 0: as most have
 	held    atomic.Bool // by a fault of the soak
 }
 
@@ -81,8 +84,6 @@
 	proxies []*proxy // the store's first
 	address string   // of the store, as hosts know it
 
-	largeFirst bool
-
 	mu      sync.Mutex // guards hosts and servers while they change, sent and replies
 	sent    []standin.Call
 	replies []standin.Reply
@@ -95,13 +96,14 @@
 	engine               standin.ServerSpec // defaults where zero
 	proxied              bool               // servers and store behind proxies
 	largeFirst           bool               // the first host is larger, and so the home
+	large                int                // so many of the first hosts are larger: the home and readers of the store
+	ownStores            bool               // each host reaches the store through a proxy of its own
 }
 
 // newSite starts everything and waits until each host is ready and knows all.
 func newSite(o siteOptions) *site {
 	s := &site{
 		store: standin.NewStore(), config: standin.NewConfig(), caller: standin.NewCaller(), dir: GinkgoT().TempDir(),
-		largeFirst: o.largeFirst,
 		// Each site has addresses of its own within the loopback range.
 		subnet: fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), rand.IntN(250)),
 	}
@@ -134,6 +136,12 @@
 	}
 	for i := range o.hosts {
 		s.hosts = append(s.hosts, &host{name: fmt.Sprintf("front-%d", i), ip: s.subnet + fmt.Sprint(i+1)})
+		if i < o.large || i == 0 && o.largeFirst {
+			s.hosts[i].cores = 0.8
+		}
+		if o.ownStores {
+			s.hosts[i].store = s.proxy(s.address)
+		}
 		s.start(s.hosts[i])
 	}
 	for _, h := range s.hosts {
@@ -164,10 +172,7 @@
 // start writes the host's settings file and starts its process.
 func (s *site) start(h *host) {
 	path := filepath.Join(s.dir, h.name+".conf")
-	set := standin.HostSettings{Name: h.name, IP: h.ip, Zone: s.zone(len(h.name)), Store: s.address}
-	if s.largeFirst && h == s.hosts[0] {
-		set.Cores = 0.8
-	}
+	set := standin.HostSettings{Name: h.name, IP: h.ip, Zone: s.zone(len(h.name)), Store: cmp.Or(h.store, s.address), Cores: h.cores}
 	for i := range min(3, len(s.hosts)) {
 		set.Seeds = append(set.Seeds, s.hosts[i].ip)
 	}
