--- a/internal/dispatch/ranking.go
+++ b/internal/dispatch/ranking.go
@@ -27,14 +27,14 @@
 // ReadersOf lists the hosts that read the store for all, the home first.
 func ReadersOf(members *member.Table) []member.Member { return members.First(homeOf, readers) }
 
-// standIns is how many hosts behind the readers read the store for the others while no
+// standbys is how many hosts behind the readers read the store for the others while no
 // reader has news. The members of both that a store turns away learn from the others.
-const standIns = 10
+const standbys = 10
 
-// StoreOrder lists the readers of the store and the stand-ins behind them, and how many of
+// StoreOrder lists the readers of the store and the standbys behind them, and how many of
 // them read it now.
 func StoreOrder(members *member.Table) (list []member.Member, reading int) {
-	list = members.First(homeOf, readers+standIns)
+	list = members.First(homeOf, readers+standbys)
 	return list, min(readers, len(list))
 }
 
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -137,18 +137,18 @@
 	return n
 }
 
-// testReaders is how many hosts of the ranking read the store for all, testStandIns how many
+// testReaders is how many hosts of the ranking read the store for all, testStandbys how many
 // behind them do while none of these has news.
 const (
 	testReaders  = 5
-	testStandIns = 10
+	testStandbys = 10
 )
 
 // Order, Open and Hosts make a fleetHost the store.Readers of that host.
 
 func (h *fleetHost) Order() store.Order {
 	o := store.Order{Readers: min(testReaders, len(h.fleet.hosts)), Self: -1}
-	for i := range min(testReaders+testStandIns, len(h.fleet.hosts)) {
+	for i := range min(testReaders+testStandbys, len(h.fleet.hosts)) {
 		if i == h.index {
 			o.Self = i
 		}
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -130,7 +130,7 @@
 	if h.serves() {
 		return store.Reader
 	}
-	return store.Bystander
+	return store.Follower
 }
 
 func (h *fakeHome) Hosts() int { return h.hosts }
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -21,11 +21,11 @@
 	relayMargin = 1500 * time.Millisecond
 	relayDial   = 300 * time.Millisecond
 	// relayPause is how long a reader that had no news, or did not answer, is not asked
-	// again. The pause doubles each time, to noNewsPause or deafPause: hosts of a fleet
+	// again. The pause doubles each time, to noNewsPause or unreachablePause: hosts of a fleet
 	// whose store is away would otherwise ask readers more often than they ask the store.
-	relayPause  = 300 * time.Millisecond
-	noNewsPause = 1 * time.Second
-	deafPause   = 2 * time.Second
+	relayPause       = 300 * time.Millisecond
+	noNewsPause      = 1 * time.Second
+	unreachablePause = 2 * time.Second
 	// ownRest is how long a host that the store did not answer asks others only, ownPause
 	// how long it asks them first: in a call that is not answered it hears nothing.
 	ownRest  = 1 * time.Second
@@ -34,7 +34,7 @@
 	// does not answer, and others to notice that this host is gone.
 	relayNotice = 1500 * time.Millisecond
 	// ownReadSpread is the time between two calls to the store of the hosts that are neither
-	// readers nor stand-ins, all of them together, while none of these has news: 125 a
+	// readers nor standbys, all of them together, while none of these has news: 125 a
 	// second, and from the second turn on two thirds of it. A store that is away would
 	// otherwise get calls from all hosts at once, and each is paid.
 	ownReadSpread = 8 * time.Millisecond
@@ -43,65 +43,12 @@
 	turnLook = 300 * time.Millisecond
 )
 
-// Order names who reads the store for all: a few readers, the home first, and behind them
-// stand-ins, which read it while no reader has news.
-type Order struct {
-	Names   []string // readers, then stand-ins
-	Readers int      // how many of Names are readers
-	Self    int      // place of this host in Names, -1: it has none
-}
-
-// around splits the others into those that this host asks before it reads the store, and
-// those that it asks when the store does not answer it. Readers ask the home alone before
-// they read, all at once: the store may turn several of them away together, and each takes
-// seconds to notice.
-func (o Order) around() (before, after []string) {
-	switch {
-	case o.Self < 0:
-		return o.Names, nil
-	case o.Self < o.Readers:
-		first := min(1, o.Self)
-		return o.Names[:first], slices.Concat(o.Names[first:o.Self], o.Names[o.Self+1:])
-	}
-	return o.Names[:o.Self], o.Names[o.Self+1:]
-}
-
-// Role is what a host does for others that follow a table.
-type Role int
-
-// The roles, by how soon a host reads the store.
-const (
-	Bystander Role = iota // reads it for itself, if at all
-	StandIn               // reads it while no reader has news
-	Reader                // reads it
-)
-
-// Role tells the role of this host.
-func (o Order) Role() Role {
-	switch {
-	case o.Self < 0:
-		return Bystander
-	case o.Self < o.Readers:
-		return Reader
-	}
-	return StandIn
-}
-
-// Readers are the hosts that read the store for all others.
-type Readers interface {
-	Order() Order
-	// Open opens a stream to a reader.
-	Open(ctx context.Context, name string) (*peer.Stream, error)
-	// Hosts is how many hosts there are, as far as this one knows.
-	Hosts() int
-}
-
 // Relayed reads a table through the hosts that read the store for all, and from the
 // store itself when none of them has news. It belongs to one Watcher, whose goroutine
 // alone uses it.
 //
 // Guard: the store may turn the home away and serve others, or be away for all, and each call
-// is paid. So the other readers read it then, behind them the stand-ins, and all others take
+// is paid. So the other readers read it then, behind them the standbys, and all others take
 // turns only when none of these has news. A host that takes turns knows the store as of seconds
 // ago, and so would a home that the store turns away: it asks the others as well.
 type Relayed struct {
@@ -207,11 +154,11 @@
 	}
 }
 
-// mayRead reports whether this host may read the store: a reader or stand-in unless the store
+// mayRead reports whether this host may read the store: a reader or standby unless the store
 // has just not answered it, another one at a moment drawn so that all of them together keep
 // to ownReadSpread.
 func (r *Relayed) mayRead(now time.Time, role Role) bool {
-	if role != Bystander {
+	if role != Follower {
 		return now.Sub(r.failed) >= r.rest()
 	}
 	turn := time.Duration(r.readers.Hosts()) * ownReadSpread
@@ -270,7 +217,7 @@
 
 // next is the pause after a further call; answers tells whether the reader answered it.
 func (p pause) next(answers bool) pause {
-	most := deafPause
+	most := unreachablePause
 	if answers {
 		most = noNewsPause
 	}
--- a/internal/store/relays.go
+++ b/internal/store/relays.go
@@ -53,7 +53,7 @@
 			return
 		}
 		reply := &wire.TableReply{Failure: string(failure.StoreDown)}
-		if role := role(); role != Bystander {
+		if role := role(); role != Follower {
 			reply = s.answer(ctx, call, role)
 		}
 		_ = st.SetWriteDeadline(time.Now().Add(relayMargin)) // fails only on a closed stream, as Write then does
