Readers that the membership suspects are not dialed for news of the store

Found by new specs: outages of any part of a fleet, one after the other, drawn from a seed. Where the home and the next readers of a small site stand still together, the others notice after 1.5 s and then dial them one after the other, 0.3 s each, before they read the store themselves: servers that left as it began are used for 2.1 s, and with real programs for more than the 2 s allowed.

The membership suspects such hosts by then. A stream that is open is not touched.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -28,9 +28,26 @@
 	}
 }
 
-// freeze lets the host stand still. Others notice on their sessions.
-func (h *fleetHost) freeze() {
-	h.setAbsence(frozen)
+// suspected reports whether the membership suspects a host that stands still. In large fleets
+// word of that comes too late to count on.
+func (h *fleetHost) suspected() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.fleet.hosts) < 50 && time.Since(h.struck) > suspicionTime
+}
+
+// suspicionTime is how long the members of a small fleet take to suspect one: a round of
+// probes, a direct and an indirect answer awaited, and a round to tell it.
+const suspicionTime = 1300 * time.Millisecond
+
+// strike makes the host absent. Others notice one that stands still on their sessions.
+func (h *fleetHost) strike(kind absence) {
+	h.mu.Lock()
+	h.away, h.struck = kind, time.Now()
+	h.mu.Unlock()
+	if kind != frozen {
+		return
+	}
 	time.AfterFunc(sessionSilence, func() {
 		if h.absence() == frozen {
 			h.fleet.breakStreams(h)
@@ -41,17 +58,18 @@
 // sessionSilence is how long sessions take to notice a host that stands still.
 const sessionSilence = peer.ProbePeriod + peer.ProbeDeadline
 
-// fleetHost is the part of an entry host that follows the tables. mu guards away, used and
-// configs.
+// fleetHost is the part of an entry host that follows the tables. mu guards away, struck, used
+// and configs.
 type fleetHost struct {
 	fleet   *testFleet
 	index   int // in the ranking
 	relays  *store.Relays
 	servers *servers
 
-	mu   sync.Mutex
-	away absence
-	used map[string]time.Time // by server, when it was last to be used; zero: it is now
+	mu     sync.Mutex
+	away   absence
+	struck time.Time            // when it became so by strike
+	used   map[string]time.Time // by server, when it was last to be used; zero: it is now
 	// configs tells by version of the configuration when the host had it, or a newer one.
 	configs []time.Time
 }
@@ -163,6 +181,9 @@
 	i := slices.IndexFunc(h.fleet.hosts, func(o *fleetHost) bool { return fmt.Sprint(o.index) == name })
 	to := h.fleet.hosts[i]
 	if to.absence() == frozen {
+		if to.suspected() {
+			return nil, failure.New(failure.PeerSilent, "host %s leaves probes unanswered", name)
+		}
 		<-ctx.Done() // its kernel accepts, and nothing is said
 		return nil, failure.Wrap(failure.PeerSilent, ctx.Err(), "greet host %s", name)
 	}
--- a/internal/node/propagation_test.go
+++ b/internal/node/propagation_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,7 +95,7 @@
 					f := startFleet(NewWithT(t), hosts, leavers+20, uint64(still))
 					defer f.stop()
 					for _, h := range f.hosts[:still] {
-						h.freeze()
+						h.strike(frozen)
 					}
 					_, inTouch = f.leaveWithout(f.hosts[:still], 4*time.Second)
 				})
@@ -137,6 +139,85 @@
 	return home, inTouch
 }
 
+// Guards against the same in outages of any part of the fleet, one after the other: a third to
+// a half of the hosts hear nothing of the store or are refused, or some readers stand still.
+// PROPAGATION_SEEDS is how many seeds are played; without it one, and those that failed once.
+func TestServersThatLeaveInRandomOutages(t *testing.T) {
+	seeds := []uint64{0, 1, 4, 12, 14, 18}
+	if n, err := strconv.Atoi(os.Getenv("PROPAGATION_SEEDS")); err == nil {
+		seeds = nil
+		for seed := range uint64(n) {
+			seeds = append(seeds, seed)
+		}
+	}
+	for _, hosts := range []int{6, 60} {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprintf("%d hosts seed %d", hosts, seed), func(t *testing.T) {
+				var late lateSpan
+				synctest.Test(t, func(t *testing.T) { late = leaveInRandomOutages(NewWithT(t), hosts, seed) })
+				late.check(t, "hosts in touch", hosts)
+			})
+		}
+	}
+}
+
+// leaveInRandomOutages returns how late hosts were that were in touch from an outage before
+// until the bound.
+func leaveInRandomOutages(g Gomega, hosts int, seed uint64) (late lateSpan) {
+	const (
+		outages = 4
+		rest    = 4 * time.Second // longer than any bound of these sizes
+	)
+	f := startFleet(g, hosts, leavers+20, seed)
+	defer f.stop()
+	next := 0
+	for range outages {
+		kind := absence(1 + f.seed.IntN(3))
+		away := f.draw(kind)
+		for _, h := range away {
+			h.strike(kind)
+		}
+		span := time.Duration(3+f.seed.IntN(7)) * time.Second
+		left := map[int]time.Time{}
+		for begun := time.Now(); time.Since(begun) < span+rest; {
+			if time.Since(begun) > span {
+				for _, h := range away {
+					h.setAbsence(present)
+				}
+			}
+			if time.Since(begun) < span+rest-drainBound(hosts) && next < leavers {
+				f.leave(next)
+				f.configure(next + 1)
+				left[next] = time.Now()
+				next++
+			}
+			time.Sleep(time.Duration(300+f.seed.IntN(900)) * time.Millisecond)
+		}
+		for i, at := range left {
+			for _, h := range f.hosts {
+				if !slices.Contains(away, h) {
+					late.add(h, i, at)
+				}
+			}
+		}
+	}
+	return late
+}
+
+// draw picks the hosts that an outage strikes: some readers that stand still, or a part of all.
+func (f *testFleet) draw(kind absence) (away []*fleetHost) {
+	if kind == frozen {
+		return f.hosts[:1+f.seed.IntN(3)]
+	}
+	share := 1/3.0 + f.seed.Float64()/6
+	for _, h := range f.hosts {
+		if f.seed.Float64() < share {
+			away = append(away, h)
+		}
+	}
+	return away
+}
+
 // Guards against a fleet without servers: the store is away for all, entries of servers that
 // live lapse meanwhile, and are back within two seconds of its return.
 func TestServersWhoseEntriesLapseInAnOutage(t *testing.T) {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -130,10 +130,15 @@
 func (t tableReaders) Open(ctx context.Context, name string) (*peer.Stream, error) {
 	list, _ := dispatch.StoreOrder(t.n.members)
 	for _, m := range list {
-		if m.Incarnation.String() == name {
-			to := peer.Target{Address: m.ControlAddress, Incarnation: m.Incarnation}
-			return t.n.peers.OpenStream(ctx, to, wire.StreamKind_STREAM_TABLES, "")
+		if m.Incarnation.String() != name {
+			continue
 		}
+		// A dial to a host that stands still takes all of its time.
+		if m.State == member.Suspect {
+			return nil, failure.New(failure.PeerSilent, "%s leaves probes unanswered", m.Host)
+		}
+		to := peer.Target{Address: m.ControlAddress, Incarnation: m.Incarnation}
+		return t.n.peers.OpenStream(ctx, to, wire.StreamKind_STREAM_TABLES, "")
 	}
 	return nil, failure.New(failure.PeerSilent, "%s reads the store no more", name)
 }
--- a/test/platform/leave_test.go
+++ b/test/platform/leave_test.go
@@ -4,6 +4,7 @@
 	"regexp"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -106,3 +107,32 @@
 		Entry("when it resets connections", reset),
 	)
 })
+
+var _ = Describe("servers that leave while the home and the next readers stand still", func() {
+	// Guards against servers that get work after their time: the others wait for the word of
+	// hosts that stand still, and dial one after the other in vain.
+	It("are dropped in time by the hosts that go on", func() {
+		const hosts, still, engines = 6, 3, 1
+		s := newSite(siteOptions{hosts: hosts, engines: engines, apps: 4, large: still})
+		time.Sleep(3 * time.Second) // hosts that have just started learn who reads for whom
+		for _, h := range s.hosts[:still] {
+			h.session.Signal(syscall.SIGSTOP)
+		}
+		for _, h := range s.hosts[:still] {
+			Eventually(h.stopped).Should(BeTrue())
+		}
+		leaving := s.servers[engines]
+		var drops sync.WaitGroup
+		for _, h := range s.hosts[still:] {
+			drops.Go(func() {
+				defer GinkgoRecover()
+				h.drops(leaving)
+			})
+		}
+		leaving.Drain()
+		drops.Wait()
+		for _, h := range s.hosts[:still] {
+			h.session.Signal(syscall.SIGCONT)
+		}
+	})
+})
