--- a/internal/dispatch/ranking.go
+++ b/internal/dispatch/ranking.go
@@ -28,12 +28,12 @@
 func ReadersOf(members *member.Table) []member.Member { return members.First(homeOf, readers) }
 
 // standbys is how many hosts behind the readers read the store for the others while no
-// reader has news. The members of both that a store turns away learn from the others.
+// reader has news.
 const standbys = 10
 
 // StoreOrder lists the readers of the store and the standbys behind them, and how many of
-// them read it now.
-func StoreOrder(members *member.Table) (list []member.Member, reading int) {
+// them are readers.
+func StoreOrder(members *member.Table) (list []member.Member, first int) {
 	list = members.First(homeOf, readers+standbys)
 	return list, min(readers, len(list))
 }
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -19,11 +19,12 @@
 	// loses its sessions. Each end costs the home two messages for each host and table.
 	relayWait   = 5 * time.Second
 	relayMargin = 1500 * time.Millisecond
-	heldFrom    = 2 * firstWait
 	relayDial   = 300 * time.Millisecond
+	// heldFrom is from when a call that was not answered counts as held by a reader with
+	// news: one without lets it wait for firstWait at most.
+	heldFrom = 2 * firstWait
 	// relayPause is how long a reader that had no news, or did not answer, is not asked
-	// again. The pause doubles each time, to noNewsPause or unreachablePause: hosts of a fleet
-	// whose store is away would otherwise ask readers more often than they ask the store.
+	// again. It doubles each time, up to noNewsPause or unreachablePause.
 	relayPause       = 300 * time.Millisecond
 	noNewsPause      = 1 * time.Second
 	unreachablePause = 2 * time.Second
@@ -234,7 +235,7 @@
 	if err == nil {
 		err = failureOf(reply)
 	}
-	held := time.Since(begun) > heldFrom // only a reader that has news lets a call wait
+	held := time.Since(begun) > heldFrom
 	if !hasNews(err) && (held || r.following && r.teller == name) {
 		r.lose()
 	}
