Sight of the limits that servers name: event server_limit, limit= on each request's line, a gauge

The adapter reads Server-Limit; nothing is decided by it yet. A limit that makes no sense (negative, NaN, infinite, no number) counts as not said; of several the least counts.

--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/gentianflow/gentianflow/internal/notice"
 	"github.com/gentianflow/gentianflow/internal/sched"
 )
 
@@ -38,6 +39,7 @@
 	ID     string // of the request that it answers, empty when not said
 	NotRun bool   // the server states that it did not run the request
 	Sealed bool   // it bears the server's own signature
+	Notice notice.Notice
 }
 
 // Dialect reads and writes the header fields of the platform.
@@ -47,7 +49,8 @@
 	ReadRequest(h http.Header) Head
 	// WriteRequest turns a caller's header into one for a backend server.
 	WriteRequest(caller http.Header, s ServerHead) http.Header
-	// ReadAnswer reads a backend server's header.
+	// ReadAnswer reads a backend server's header. What cannot be read of its notice counts as
+	// not said.
 	ReadAnswer(h http.Header) Answer
 	// WriteAnswer names the request in the header of an answer of our own.
 	WriteAnswer(h http.Header, id string)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/gentianflow/gentianflow/internal/dispatch"
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/notice"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/routing"
 	"github.com/gentianflow/gentianflow/internal/sched"
@@ -55,6 +56,7 @@
 	Dialect Dialect
 	Events  *event.Recorder
 	Meter   *Meter
+	Notices *notice.Table
 }
 
 // Handler serves callers.
@@ -110,6 +112,7 @@
 	repeat bool           // the next send comes on top of an earlier one
 	erred  string         // the server whose failure is kept
 	place  dispatch.Place // the newest one
+	notice string         // what its server had said when the request was sent there, for the log
 	kept   *answer        // a server's failure, for want of anything better
 	waited time.Duration  // for places
 	held   string         // what was held against the request as it was refused, for the log
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -125,7 +125,7 @@
 	f.Detail += " waited=" + milliseconds(x.waited) + " first=" + milliseconds(x.first) + " after=" + milliseconds(time.Since(x.arrived)) +
 		" sends=" + strconv.Itoa(x.sends) + " runs=" + strconv.Itoa(x.runs)
 	if x.place.Server != "" {
-		f.Detail += " " + placedBy(x.place)
+		f.Detail += " " + placedBy(x.place) + x.notice
 	}
 	if x.head.HasTokens {
 		f.Detail += " prompt=" + strconv.Itoa(x.head.PromptTokens) + " output=" + strconv.Itoa(x.head.OutputTokens) + " hint=" + strconv.Itoa(x.head.OutputHint)
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -130,6 +130,7 @@
 func (t *attempt) run(ctx context.Context) verdict {
 	x := t.x
 	t.sent = time.Now()
+	x.notice = describe(t.sent, x.h.Notices.Of(t.place.Server))
 	sent, err := t.conn.Send(x.request(t.place, t.sent), x.deadline)
 	if !sent && err != nil && !t.conn.Reused() {
 		t.conn.Close()
@@ -178,6 +179,9 @@
 func (t *attempt) answered(ctx context.Context, resp *http.Response) verdict {
 	x := t.x
 	said := x.h.Dialect.ReadAnswer(resp.Header)
+	if resp.StatusCode != http.StatusMisdirectedRequest { // another server's
+		x.hear(t.place.Server, said.Notice)
+	}
 	if said.NotRun {
 		return t.notRun(resp)
 	}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -276,6 +276,14 @@
 	return ok && srv.Address == address
 }
 
+// lists reports whether an incarnation is listed.
+func (s *servers) lists(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.incarnation(id)
+	return ok
+}
+
 // Leaving implements dispatch.ServerList: an incarnation is known to leave or to be gone.
 // One that is not known here may be new.
 func (s *servers) Leaving(id string) bool {
--- /dev/null
+++ b/internal/notice/table.go
@@ -0,0 +1,65 @@
+package notice
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// Standing is what a server says of itself, and since when that is known.
+type Standing struct {
+	Notice
+	Heard time.Time // in the newest answer that says so
+}
+
+// Age is how long ago the server said so last.
+func (s Standing) Age(now time.Time) time.Duration { return now.Sub(s.Heard) }
+
+// Table is what servers have said to this host. Those that have said nothing are not in it.
+// mu guards all fields.
+type Table struct {
+	mu      sync.Mutex
+	servers map[string]Standing
+}
+
+// NewTable makes an empty table.
+func NewTable() *Table { return &Table{servers: map[string]Standing{}} }
+
+// Hear takes what an answer says and returns what the server had said before.
+func (t *Table) Hear(now time.Time, server string, n Notice) (before Notice, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.servers[server]
+	if !ok && n == (Notice{}) {
+		return known.Notice, false
+	}
+	t.servers[server] = Standing{Notice: n, Heard: now}
+	return known.Notice, known.Notice != n
+}
+
+// Of returns what a server has said last.
+func (t *Table) Of(server string) Standing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.servers[server]
+}
+
+// Limited counts the servers that name a limit.
+func (t *Table) Limited() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.servers {
+		if s.Limit.Named {
+			n++
+		}
+	}
+	return n
+}
+
+// Retain forgets the servers that listed does not report.
+func (t *Table) Retain(listed func(server string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.servers, func(server string, _ Standing) bool { return !listed(server) })
+}
--- /dev/null
+++ b/internal/notice/table_test.go
@@ -0,0 +1,46 @@
+package notice_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/internal/notice"
+)
+
+func TestNotice(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "notice")
+}
+
+func limit(n float64) notice.Notice {
+	return notice.Notice{Limit: notice.Limit{Named: true, PerSecond: n}}
+}
+
+var _ = Describe("what servers say of themselves", func() {
+	now := time.Now()
+
+	It("holds until a newer answer says otherwise", func() {
+		t := notice.NewTable()
+		_, changed := t.Hear(now, "a", limit(2))
+		Expect(changed).To(BeTrue())
+		_, changed = t.Hear(now.Add(time.Second), "a", limit(2))
+		Expect(changed).To(BeFalse())
+		Expect(t.Of("a").Age(now.Add(3 * time.Second))).To(Equal(2 * time.Second))
+		before, changed := t.Hear(now.Add(2*time.Second), "a", notice.Notice{})
+		Expect(changed).To(BeTrue())
+		Expect(before).To(Equal(limit(2)))
+		Expect(t.Limited()).To(BeZero())
+	})
+
+	It("keeps nothing of servers that say nothing, or are listed no more", func() {
+		t := notice.NewTable()
+		_, changed := t.Hear(now, "a", notice.Notice{})
+		Expect(changed).To(BeFalse())
+		t.Hear(now, "b", limit(1))
+		t.Retain(func(server string) bool { return server != "b" })
+		Expect(t.Of("b")).To(BeZero())
+	})
+})
