LIMIT: the limit that a server names holds for all hosts together

Callers saw nothing; servers in need got what they always got: 17 requests in 4 s of a server that had named one a second, 11 allowed.

Cause: an answer's Server-Limit was dropped at the adapter, so whoever placed (the home for 47 of 48 runs) went by free places only.

Mend: the host that gets an answer keeps what it says, has its own loop heed it and tells the home what is new; one that begins to follow a home tells all it has heard, with its age, before it asks. A pacer for each limited server spaces the places by the limit, times the scheduler's share of the limits. A run that others placed in the last 4 s counts when it is adopted. Nobody waits for a limited server while another one would do.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -9,6 +9,7 @@
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/notice"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/wire"
@@ -112,6 +113,7 @@
 	loop    *Loop
 	events  *event.Recorder
 	servers ServerList
+	notices *notice.Table // what servers said to this host
 
 	mu      sync.Mutex
 	next    uint64
@@ -127,7 +129,7 @@
 // decisions.
 func NewClient(self ident.Incarnation, zone string, loop *Loop, servers ServerList, events *event.Recorder) *Client {
 	return &Client{
-		self: self, zone: zone, loop: loop, events: events, servers: servers, pending: map[uint64]*pending{},
+		self: self, zone: zone, loop: loop, events: events, servers: servers, notices: notice.NewTable(), pending: map[uint64]*pending{},
 		charges: map[string]int{},
 	}
 }
--- a/internal/dispatch/moving.go
+++ b/internal/dispatch/moving.go
@@ -19,6 +19,7 @@
 	}
 	c.link = l
 	c.tellSuspects(l)
+	c.tellNotices(l, c.notices.All(time.Now()))
 	c.move(func(via *homeLink) bool { return via != l })
 }
 
--- /dev/null
+++ b/internal/dispatch/notices.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/notice"
+	"github.com/gentianflow/gentianflow/internal/sched"
+	"github.com/gentianflow/gentianflow/internal/wire"
+)
+
+// How word of servers travels: the host that gets an answer keeps what it says of its server,
+// has its own loop heed it, and tells the home what is new. A host that begins to follow a
+// home tells all that it has heard, with its age, before it asks for anything: a new home
+// knows what any host knows that may send, and the newest word counts.
+
+// Hear takes what an answer to this host says of its server.
+func (c *Client) Hear(server string, n notice.Notice) (change notice.Change, changed bool) {
+	now := time.Now()
+	before, changed := c.notices.Hear(now, server, n)
+	change = notice.Change{Server: server, Before: before, After: n}
+	if !changed {
+		return change, false
+	}
+	records := []notice.Record{{Server: server, Notice: n}}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.local(func(at sched.Time, s *sched.Scheduler) []sched.Decision {
+		s.LearnNotices(at, records)
+		return nil
+	})
+	if c.link != nil {
+		c.tellNotices(c.link, records)
+	}
+	return change, true
+}
+
+// Heard returns what a server has said last to this host.
+func (c *Client) Heard(server string) notice.Standing { return c.notices.Of(server) }
+
+// tellNotices passes word of servers on to a home. The link is cut when it cannot: what this
+// host has heard binds whoever places for it.
+func (c *Client) tellNotices(l *homeLink, records []notice.Record) {
+	if len(records) > 0 && !l.push(&wire.ToHome{Notices: encodeNotices(records)}) {
+		l.stream.Abort()
+	}
+}
+
+// learnNotices takes word of servers from another host, on the goroutine of the loop.
+func (l *Loop) learnNotices(now sched.Time, s *sched.Scheduler, records []notice.Record) {
+	for _, c := range s.LearnNotices(now, records) {
+		l.events.Record(event.ServerLimit, event.Fields{Server: c.Server, Detail: c.String() + " as another host heard"})
+	}
+}
+
+// KeepNotices forgets what servers have said that listed does not report.
+func (c *Client) KeepNotices(listed func(server string) bool) { c.notices.Retain(listed) }
+
+// Limited counts the servers that name a limit to this host.
+func (c *Client) Limited() int { return c.notices.Limited() }
+
+func encodeNotices(records []notice.Record) []*wire.Notice {
+	out := make([]*wire.Notice, 0, len(records))
+	for _, r := range records {
+		out = append(out, &wire.Notice{
+			Server: r.Server, AgeMs: millis(r.Age), Limited: r.Limit.Named, Limit: r.Limit.PerSecond,
+		})
+	}
+	return out
+}
+
+func decodeNotices(list []*wire.Notice) []notice.Record {
+	out := make([]notice.Record, 0, len(list))
+	for _, m := range list {
+		out = append(out, notice.Record{
+			Server: m.Server, Age: fromMillis(m.AgeMs),
+			Notice: notice.Notice{Limit: notice.Limit{Named: m.Limited, PerSecond: m.Limit}},
+		})
+	}
+	return out
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,9 @@
 	Finish(id uint64, result sched.Result, first, pace time.Duration)
 	Blame(server string)
 	OnRevoke(id uint64, f func(*dispatch.Refused))
+	// Hear takes what an answer says of its server, Heard returns what one said last.
+	Hear(server string, n notice.Notice) (change notice.Change, changed bool)
+	Heard(server string) notice.Standing
 }
 
 const (
@@ -56,7 +59,6 @@
 	Dialect Dialect
 	Events  *event.Recorder
 	Meter   *Meter
-	Notices *notice.Table
 }
 
 // Handler serves callers.
--- a/internal/entry/notice.go
+++ b/internal/entry/notice.go
@@ -9,13 +9,13 @@
 
 // hear takes what an answer says of its server.
 func (x *exchange) hear(server string, n notice.Notice) {
-	before, changed := x.h.Notices.Hear(time.Now(), server, n)
+	change, changed := x.h.Places.Hear(server, n)
 	if !changed {
 		return
 	}
 	x.h.Events.Record(event.ServerLimit, event.Fields{
 		Request: x.head.ID, Service: x.service, Server: server,
-		Detail: "limit=" + n.Limit.String() + " was=" + before.Limit.String(),
+		Detail: change.String(),
 	})
 }
 
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -130,7 +130,7 @@
 func (t *attempt) run(ctx context.Context) verdict {
 	x := t.x
 	t.sent = time.Now()
-	x.notice = describe(t.sent, x.h.Notices.Of(t.place.Server))
+	x.notice = describe(t.sent, x.h.Places.Heard(t.place.Server))
 	sent, err := t.conn.Send(x.request(t.place, t.sent), x.deadline)
 	if !sent && err != nil && !t.conn.Reused() {
 		t.conn.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,7 +21,6 @@
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/ident"
 	"github.com/gentianflow/gentianflow/internal/member"
-	"github.com/gentianflow/gentianflow/internal/notice"
 	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/rollout"
@@ -97,7 +96,6 @@
 	follower *dispatch.Follower
 	pool     *upstream.Pool
 	relays   *store.Relays
-	notices  *notice.Table
 	entry    *entry.Handler
 	traffic  peer.Traffic
 
@@ -119,7 +117,7 @@
 func New(set Settings, plat Platform, logger log.Logger) (*Node, error) {
 	n := &Node{
 		set: set, plat: plat, inc: ident.NewIncarnation(), metrics: metrics.NewRegistry(),
-		pool: upstream.NewPool(), relays: store.NewRelays(), notices: notice.NewTable(), joined: make(chan struct{}),
+		pool: upstream.NewPool(), relays: store.NewRelays(), joined: make(chan struct{}),
 	}
 	n.events = event.NewRecorder(set.Host, n.inc.String(), timelineEvents, logger)
 	limitMemory(set.MemoryBytes)
@@ -189,7 +187,7 @@
 	n.follower = dispatch.NewFollower(n.client, n.members, n.peers, n.home, n.events, n.listedHosts, n.setShare)
 	n.entry = entry.NewHandler(entry.Sources{
 		Routes: &n.routes, Places: n.client, Pool: n.pool, Dialect: n.plat.Dialect,
-		Events: n.events, Meter: entry.NewMeter(n.metrics), Notices: n.notices,
+		Events: n.events, Meter: entry.NewMeter(n.metrics),
 	})
 }
 
@@ -301,7 +299,7 @@
 	n.loop.Do(func(now sched.Time, s *sched.Scheduler) { s.SetServers(now, list) })
 	go func() {
 		n.pool.Retain(func(s upstream.Server) bool { return n.servers.has(s.ID, s.Address) })
-		n.notices.Retain(n.servers.lists)
+		n.client.KeepNotices(n.servers.lists)
 	}()
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -220,7 +220,7 @@
 	gauge("servers_ready", int64(ready))
 	gauge("servers_draining", int64(draining))
 	gauge("servers_missing", int64(missing))
-	gauge("servers_limited", int64(n.notices.Limited()))
+	gauge("servers_limited", int64(n.client.Limited()))
 	gauge("servers_list_age_ms", n.servers.Age().Milliseconds())
 	live := 0
 	for _, m := range n.members.All() {
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -1,7 +1,10 @@
 // Package notice keeps what backend servers say of themselves in their answers.
 package notice
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
 
 // Notice is what one answer says of its server.
 type Notice struct {
@@ -21,3 +24,21 @@
 	}
 	return strconv.FormatFloat(l.PerSecond, 'g', 4, 64) + "/s"
 }
+
+// Record is what a server said, and how long ago.
+type Record struct {
+	Server string
+	Notice
+	Age time.Duration
+}
+
+// Change is what a server says, and what it said before.
+type Change struct {
+	Server        string
+	Before, After Notice
+}
+
+// String tells the change, for logs.
+func (c Change) String() string {
+	return "limit=" + c.After.Limit.String() + " was=" + c.Before.Limit.String()
+}
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -44,6 +44,17 @@
 	return t.servers[server]
 }
 
+// All lists what servers have said.
+func (t *Table) All(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Record, 0, len(t.servers))
+	for server, s := range t.servers {
+		out = append(out, Record{Server: server, Notice: s.Notice, Age: s.Age(now)})
+	}
+	return out
+}
+
 // Limited counts the servers that name a limit.
 func (t *Table) Limited() int {
 	t.mu.Lock()
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -130,11 +130,11 @@
 }
 
 // fastest returns the usable server that generates fastest, full or not, nil when
-// there is none.
+// there is none. One whose limit it has reached may open in seconds only.
 func (svc *service) fastest(now Time, except ...string) *server {
 	var best *server
 	for _, srv := range svc.servers {
-		if srv.usable(now) && !slices.Contains(except, srv.ID) && (best == nil || srv.tokenTime < best.tokenTime) {
+		if srv.usable(now) && srv.pacer.ready(now) && !slices.Contains(except, srv.ID) && (best == nil || srv.tokenTime < best.tokenTime) {
 			best = srv
 		}
 	}
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -19,6 +19,9 @@
 		svc.retries.rescale(now, factor)
 	}
 	s.share = share
+	for _, srv := range s.servers {
+		s.heed(now, srv)
+	}
 	s.suspects.SetPartial(share.Servers < 1)
 	s.SetAccounts(now, s.quotas)
 }
@@ -78,6 +81,7 @@
 			}
 			s.servers[spec.ID] = newServer(now, spec, svc, s.policy.TimeOut)
 			s.servers[spec.ID].lot = lot(s.owner, spec.ID)
+			s.heed(now, s.servers[spec.ID])
 			continue
 		}
 		have.leaves = have.leaves || spec.Draining
@@ -92,6 +96,7 @@
 			delete(s.servers, id)
 		}
 	}
+	s.forgetNotices(now)
 	s.regroup()
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -84,7 +84,8 @@
 // places is how many requests srv may have at once from this scheduler. A part
 // of a place is met by lot: of many hosts that each have a tenth of a place,
 // about one in ten uses the server. Were each to use one place, 72 hosts that
-// have lost their home would fill a server of 6 places twelve times over.
+// have lost their home would fill a server of 6 places twelve times over. A server that
+// names a limit is shared by that instead.
 func (s *Scheduler) places(svc *service, srv *server) int {
 	slots := float64(srv.Slots)
 	if s.policy.Handovers {
@@ -92,7 +93,7 @@
 	}
 	share := s.policy.Cap * s.share.Servers * slots
 	n := int(share)
-	if srv.lot < share-float64(n) {
+	if srv.lot < share-float64(n) || n == 0 && srv.pacer.limited() {
 		n++
 	}
 	return n
@@ -144,7 +145,9 @@
 	if srv.Zone != r.Zone {
 		c += crossZone
 	}
-	if !srv.kept.has(now, r.Holder) {
+	// A server that names a limit gets too little for connections to be kept, and only its
+	// answers tell that it takes more.
+	if !srv.kept.has(now, r.Holder) && !srv.pacer.limited() {
 		c += s.policy.ConnectCost
 	}
 	if svc.Engine {
@@ -170,6 +173,7 @@
 	lane.given.add(now, svc.work(&w.Request))
 	req := w.Request
 	placed := srv.start(now, svc, &req)
+	srv.pacer.take(now)
 	if v := svc.versions; v.trial != nil {
 		v.trial.Reached(srv.Version == v.order.To)
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -26,6 +26,7 @@
 	copies   map[quarantine.Fingerprint]int    // of runs
 	review   map[quarantine.Fingerprint]string // to be judged again, with their service
 	versions map[string]*versions              // by service
+	notices  map[string]heardNotice            // by server
 	bounds   rollout.Bounds
 	rollouts []rollout.Standing // steps since RolloutNews
 	out      []Decision         // of the running call
@@ -66,7 +67,7 @@
 		services: map[string]*service{}, servers: map[string]*server{},
 		accounts: map[string]*bucket{}, runs: map[Key]*run{},
 		suspects: quarantine.NewTable(), faults: newFaults(), copies: map[quarantine.Fingerprint]int{},
-		review: map[quarantine.Fingerprint]string{}, versions: map[string]*versions{}, bounds: rollout.DefaultBounds(),
+		review: map[quarantine.Fingerprint]string{}, versions: map[string]*versions{}, notices: map[string]heardNotice{}, bounds: rollout.DefaultBounds(),
 	}
 	s.SetLapse(DefaultLapse)
 	return s
@@ -322,6 +323,9 @@
 	}
 	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, MaxPause: a.MaxPause, Account: a.Account, Fingerprint: a.Fingerprint, Repeatable: a.Repeatable}
 	r := srv.start(now, svc, req)
+	if a.Elapsed < countedRun {
+		srv.pacer.take(now)
+	}
 	r.ends = max(now, r.ends-a.Elapsed)
 	r.repaid = true // charged elsewhere
 	s.runs[a.Key] = r
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -50,6 +50,7 @@
 	endedAt     Time
 	leaves      bool              // it was listed as leaving before it ended
 	breaks      []quarantine.Loss // answers that broke off lately
+	pacer       pacer
 }
 
 func newServer(now Time, spec Server, svc *service, timeOut time.Duration) *server {
@@ -72,7 +73,7 @@
 	if s.trials > 0 || s.bench > s.timeOut && s.running > 0 {
 		return false
 	}
-	return s.usable(now) && now >= s.fullUntil && s.running < limit
+	return s.usable(now) && now >= s.fullUntil && s.running < limit && s.pacer.ready(now)
 }
 
 // hasMemory reports whether an engine's memory holds r beside what runs there. One
