--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -16,13 +16,11 @@
 
 // Hear takes what an answer to this host says of its server.
 func (c *Client) Hear(server string, n notice.Notice) (change notice.Change, changed bool) {
-	now := time.Now()
-	before, changed := c.notices.Hear(now, server, n)
-	change = notice.Change{Server: server, Before: before, After: n}
+	change, changed = c.notices.Hear(time.Now(), server, n)
 	if !changed {
 		return change, false
 	}
-	records := []notice.Record{{Server: server, Notice: n}}
+	records := []notice.Record{{Server: server, Notice: change.After}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.local(func(at sched.Time, s *sched.Scheduler) []sched.Decision {
@@ -49,15 +47,18 @@
 // learnNotices takes word of servers from another host, on the goroutine of the loop.
 func (l *Loop) learnNotices(now sched.Time, s *sched.Scheduler, records []notice.Record) {
 	for _, c := range s.LearnNotices(now, records) {
-		l.events.Record(event.ServerLimit, event.Fields{Server: c.Server, Detail: c.String() + " as another host heard"})
+		if limit, changed := c.Limit(); changed {
+			l.events.Record(event.ServerLimit, event.Fields{Server: c.Server, Detail: limit + " as another host heard"})
+		}
 	}
 }
 
 // KeepNotices forgets what servers have said that listed does not report.
 func (c *Client) KeepNotices(listed func(server string) bool) { c.notices.Retain(listed) }
 
-// Limited counts the servers that name a limit to this host.
-func (c *Client) Limited() int { return c.notices.Limited() }
+// CountNotices tells how many servers name a limit to this host, and how many say that they
+// leave.
+func (c *Client) CountNotices() (limited, leaving int) { return c.notices.Count() }
 
 func encodeNotices(records []notice.Record) []*wire.Notice {
 	out := make([]*wire.Notice, 0, len(records))
--- a/internal/entry/notice.go
+++ b/internal/entry/notice.go
@@ -13,16 +13,28 @@
 	if !changed {
 		return
 	}
-	x.h.Events.Record(event.ServerLimit, event.Fields{
-		Request: x.head.ID, Service: x.service, Server: server,
-		Detail: change.String(),
-	})
+	f := event.Fields{Request: x.head.ID, Service: x.service, Server: server}
+	if limit, changed := change.Limit(); changed {
+		f.Detail = limit
+		x.h.Events.Record(event.ServerLimit, f)
+	}
+	if change.Leaves() {
+		f.Detail = "by an answer"
+		x.h.Events.Record(event.ServerLeaves, f)
+	}
 }
 
 // describe tells what a server has said of itself, for the lines of requests.
 func describe(now time.Time, s notice.Standing) string {
-	if s.Notice == (notice.Notice{}) {
-		return ""
+	text := ""
+	if s.Limit.Named {
+		text += " limit=" + s.Limit.String()
+	}
+	if s.Leaving {
+		text += " leaving"
+	}
+	if text != "" {
+		text += " said=" + milliseconds(s.Age(now))
 	}
-	return " limit=" + s.Limit.String() + " said=" + milliseconds(s.Age(now))
+	return text
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -101,6 +101,7 @@
 	RolloutRefused    Code = 615
 	ServerMissing     Code = 616
 	ServerLimit       Code = 617
+	ServerLeaves      Code = 618
 
 	StoreDown      Code = 701
 	StoreUp        Code = 702
@@ -186,6 +187,7 @@
 	ServersChanged: {"servers_changed", Info, "The list of backend servers changed; detail tells how."},
 	ServerMissing:  {"server_missing", Info, "A server's entry is gone and counts as lapsed while the store was away: the server is used for a while still. Detail gives for how long, and how long the store was silent; peer, if any, whose word it is."},
 	ServerLimit:    {"server_limit", Info, "A backend server names another limit of requests a second from all hosts than it did before, or none any more; detail gives both, and whether another host heard it."},
+	ServerLeaves:   {"server_leaves", Info, "A backend server says in an answer that it leaves; detail tells which host heard it."},
 	ServerEnded:    {"server_ended", Warn, "A backend server ended while it had a request: it broke the answer off and refuses connections; detail names the request's fingerprint."},
 
 	RolloutOrdered: {"rollout_ordered", Info, "This host carries out an order to move a service to a version; detail names it and its deadline."},
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -220,7 +220,9 @@
 	gauge("servers_ready", int64(ready))
 	gauge("servers_draining", int64(draining))
 	gauge("servers_missing", int64(missing))
-	gauge("servers_limited", int64(n.client.Limited()))
+	limited, leaving := n.client.CountNotices()
+	gauge("servers_limited", int64(limited))
+	gauge("servers_leaving_by_answer", int64(leaving))
 	gauge("servers_list_age_ms", n.servers.Age().Milliseconds())
 	live := 0
 	for _, m := range n.members.All() {
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -8,7 +8,8 @@
 
 // Notice is what one answer says of its server.
 type Notice struct {
-	Limit Limit
+	Limit   Limit
+	Leaving bool // it takes nothing new
 }
 
 // Limit is how many requests a server takes from all hosts together. The zero value is none.
@@ -38,7 +39,10 @@
 	Before, After Notice
 }
 
-// String tells the change, for logs.
-func (c Change) String() string {
-	return "limit=" + c.After.Limit.String() + " was=" + c.Before.Limit.String()
+// Limit reports whether the limit has changed, and to what, for logs.
+func (c Change) Limit() (text string, changed bool) {
+	return "limit=" + c.After.Limit.String() + " was=" + c.Before.Limit.String(), c.After.Limit != c.Before.Limit
 }
+
+// Leaves reports whether the server says for the first time that it leaves.
+func (c Change) Leaves() bool { return c.After.Leaving && !c.Before.Leaving }
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -25,16 +25,18 @@
 // NewTable makes an empty table.
 func NewTable() *Table { return &Table{servers: map[string]Standing{}} }
 
-// Hear takes what an answer says and returns what the server had said before.
-func (t *Table) Hear(now time.Time, server string, n Notice) (before Notice, changed bool) {
+// Hear takes what an answer says. A server that leaves does not come back: it says so for
+// good.
+func (t *Table) Hear(now time.Time, server string, n Notice) (c Change, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, ok := t.servers[server]
-	if !ok && n == (Notice{}) {
-		return known.Notice, false
+	n.Leaving = n.Leaving || known.Leaving
+	c = Change{Server: server, Before: known.Notice, After: n}
+	if ok || n != (Notice{}) {
+		t.servers[server] = Standing{Notice: n, Heard: now}
 	}
-	t.servers[server] = Standing{Notice: n, Heard: now}
-	return known.Notice, known.Notice != n
+	return c, c.Before != c.After
 }
 
 // Of returns what a server has said last.
@@ -55,17 +57,19 @@
 	return out
 }
 
-// Limited counts the servers that name a limit.
-func (t *Table) Limited() int {
+// Count tells how many servers name a limit, and how many say that they leave.
+func (t *Table) Count() (limited, leaving int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
 	for _, s := range t.servers {
 		if s.Limit.Named {
-			n++
+			limited++
+		}
+		if s.Leaving {
+			leaving++
 		}
 	}
-	return n
+	return limited, leaving
 }
 
 // Retain forgets the servers that listed does not report.
--- a/internal/notice/table_test.go
+++ b/internal/notice/table_test.go
@@ -29,10 +29,20 @@
 		_, changed = t.Hear(now.Add(time.Second), "a", limit(2))
 		Expect(changed).To(BeFalse())
 		Expect(t.Of("a").Age(now.Add(3 * time.Second))).To(Equal(2 * time.Second))
-		before, changed := t.Hear(now.Add(2*time.Second), "a", notice.Notice{})
+		change, changed := t.Hear(now.Add(2*time.Second), "a", notice.Notice{})
 		Expect(changed).To(BeTrue())
-		Expect(before).To(Equal(limit(2)))
-		Expect(t.Limited()).To(BeZero())
+		Expect(change).To(Equal(notice.Change{Server: "a", Before: limit(2)}))
+		limited, _ := t.Count()
+		Expect(limited).To(BeZero())
+	})
+
+	It("holds for good when a server leaves", func() {
+		t := notice.NewTable()
+		change, _ := t.Hear(now, "a", notice.Notice{Leaving: true})
+		Expect(change.Leaves()).To(BeTrue())
+		_, changed := t.Hear(now, "a", notice.Notice{})
+		Expect(changed).To(BeFalse())
+		Expect(t.Of("a").Leaving).To(BeTrue())
 	})
 
 	It("keeps nothing of servers that say nothing, or are listed no more", func() {
