--- a/test/platform/notice_test.go
+++ b/test/platform/notice_test.go
@@ -28,6 +28,7 @@
 type sentCall struct {
 	host  *host
 	reply standin.Reply
+	sent  time.Time
 	at    time.Time // when the head of its answer came
 }
 
@@ -64,7 +65,7 @@
 		sent := time.Now()
 		reply := c.site.send(h, check())
 		c.mu.Lock()
-		c.calls[reply.Attempt] = sentCall{host: h, reply: reply, at: sent.Add(reply.FirstByte)}
+		c.calls[reply.Attempt] = sentCall{host: h, reply: reply, sent: sent, at: sent.Add(reply.FirstByte)}
 		c.mu.Unlock()
 	}
 }
@@ -176,6 +177,53 @@
 	)
 })
 
+// sentAfter counts the requests that reach a server though their callers sent them later than
+// bound after their host had passed on its word.
+func sentAfter(bound time.Duration, arrivals []standin.Arrival, calls map[string]sentCall, told map[*host]time.Time) (late int) {
+	for _, a := range arrivals {
+		call := calls[a.Attempt]
+		if at, ok := told[call.host]; ok && call.sent.Sub(at) > bound {
+			late++
+		}
+	}
+	return late
+}
+
+var _ = Describe("servers that say in their answers that they leave, while the store is away", func() {
+	// Guards against a server that gets work after it has said that it leaves: hosts wait for
+	// the store to tell them, or the host that was told does not keep to it without the home.
+	DescribeTable("get nothing more from hosts that were told, and callers are served by others",
+		func(trouble func(*site)) {
+			const engines = 1
+			s := newSite(siteOptions{hosts: 5, engines: engines, apps: 4, largeFirst: true})
+			time.Sleep(3 * time.Second) // hosts that have just started know no home
+			c := newCallers(s, 40*time.Millisecond)
+			time.Sleep(500 * time.Millisecond)
+			s.store.SetDown(true)
+			trouble(s)
+			leaving := s.servers[engines : engines+2]
+			for _, srv := range leaving {
+				srv.Say(standin.Notice{Leaving: true})
+			}
+			time.Sleep(drainTime + 3*time.Second)
+			s.store.SetDown(false)
+			s.hosts[0].session.Signal(syscall.SIGCONT)
+			calls := c.end()
+			for _, srv := range leaving {
+				hosts := told(calls, srv, "Server-Leaving")
+				Expect(hosts).NotTo(BeEmpty())
+				Expect(sentAfter(drainTime, srv.Arrivals(), calls, hosts)).To(BeZero(), srv.Spec.ID)
+			}
+			s.keepsPromises()
+		},
+		Entry("and the home goes on", func(*site) {}),
+		Entry("and the home stands still", func(s *site) {
+			s.hosts[0].session.Signal(syscall.SIGSTOP)
+			Eventually(s.hosts[0].stopped).Should(BeTrue())
+		}),
+	)
+})
+
 var _ = Describe("the check of limits", func() {
 	It("counts what comes from hosts that were told, in any window", func() {
 		a, b := &host{name: "a"}, &host{name: "b"}
