DRAIN: a server that says it leaves gets nothing more, whoever places and whatever the store tells

Callers were answered, by a server that had said 2.3 s before that it was leaving; had it ended in time, their requests were lost.

Cause: Server-Leaving was dropped at the adapter. That a server leaves was known from the store's list, which stood still for 13 s, or from a 421.

Mend: the word goes the way of the limits: kept by the host that hears it, heeded by its own loop, told to the home, told anew to the next one. It stands for good, however old, also where the list says 'ready'. A host gives a place there back as gone, also when the word came between the place and the send (send_held_back, counter sends_held_back).

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -306,7 +306,7 @@
 	// Guard: a home that is cut off from the store goes on placing at servers
 	// that have left since. This host may know better; giving the place back
 	// so tells the home, and the request asks again.
-	if c.servers.Leaving(d.Server) {
+	if c.leaving(d.Server) {
 		c.giveBack(d.ID, via, sched.Gone)
 		c.send(d.ID, p)
 		return
@@ -318,6 +318,12 @@
 	p.done <- d
 }
 
+// leaving reports whether this host knows that a server leaves: from the list, or from the
+// server itself.
+func (c *Client) leaving(server string) bool {
+	return c.servers.Leaving(server) || c.notices.Of(server).Leaving
+}
+
 func (c *Client) giveBack(id uint64, via *homeLink, why sched.Result) {
 	o := sched.Outcome{Key: sched.Key{Holder: uint64(c.self), ID: id}, Result: why}
 	if via != nil {
--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -50,6 +50,9 @@
 		if limit, changed := c.Limit(); changed {
 			l.events.Record(event.ServerLimit, event.Fields{Server: c.Server, Detail: limit + " as another host heard"})
 		}
+		if c.Leaves() {
+			l.events.Record(event.ServerLeaves, event.Fields{Server: c.Server, Detail: "as another host heard"})
+		}
 	}
 }
 
@@ -64,7 +67,7 @@
 	out := make([]*wire.Notice, 0, len(records))
 	for _, r := range records {
 		out = append(out, &wire.Notice{
-			Server: r.Server, AgeMs: millis(r.Age), Limited: r.Limit.Named, Limit: r.Limit.PerSecond,
+			Server: r.Server, AgeMs: millis(r.Age), Limited: r.Limit.Named, Limit: r.Limit.PerSecond, Leaving: r.Leaving,
 		})
 	}
 	return out
@@ -75,7 +78,7 @@
 	for _, m := range list {
 		out = append(out, notice.Record{
 			Server: m.Server, Age: fromMillis(m.AgeMs),
-			Notice: notice.Notice{Limit: notice.Limit{Named: m.Limited, PerSecond: m.Limit}},
+			Notice: notice.Notice{Limit: notice.Limit{Named: m.Limited, PerSecond: m.Limit}, Leaving: m.Leaving},
 		})
 	}
 	return out
--- a/internal/dispatch/notices_test.go
+++ b/internal/dispatch/notices_test.go
@@ -49,6 +49,21 @@
 		Expect(decodeNotices(l.out.Drain(nil)[0].Notices)).To(ConsistOf(HaveField("Notice", limited(2))))
 	})
 
+	// Guards against a place at a server that has told this host, and not the home, that it leaves.
+	It("has a place at a server that leaves given back", func() {
+		c, _ := hostOf(never, "a")
+		l := &homeLink{out: ring.New[*wire.ToHome](linkOutputs)}
+		c.follow(l)
+		go func() { _, _ = c.Acquire(context.Background(), ask()) }()
+		Eventually(func() int { waiting, _ := c.Pending(); return waiting }).Should(Equal(1))
+		c.Hear("a", notice.Notice{Leaving: true})
+		l.out.Drain(nil)
+		c.deliver([]sched.Decision{{Key: sched.Key{Holder: self, ID: 1}, Server: "a", Address: "a"}}, l)
+		said := l.out.Drain(nil)
+		Expect(said[0].Outcomes[0].Result).To(Equal(uint32(sched.Gone)))
+		Expect(said[1].Asks).To(HaveLen(1))
+	})
+
 	It("binds what a home gives to others", func() {
 		h, loop := homeFor()
 		one := linkTo(h)
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -49,3 +49,8 @@
 func (m *Meter) ServerEnded() {
 	metrics.GetOrRegisterCounter("runs_lost_with_their_server", m.registry).Inc(1)
 }
+
+// HeldBack notes a request that was not sent to the server that it was placed at.
+func (m *Meter) HeldBack() {
+	metrics.GetOrRegisterCounter("sends_held_back", m.registry).Inc(1)
+}
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -88,6 +88,9 @@
 		return t.unreachable(ctx, err)
 	}
 	t.conn = conn
+	if x.h.Places.Heard(place.Server).Leaving {
+		return t.holdBack()
+	}
 	// Guard: a server goes on with a request until its connection closes, so
 	// the connection ends as soon as the caller leaves or time runs out.
 	t.stop = context.AfterFunc(ctx, conn.Close)
@@ -95,6 +98,21 @@
 	return t.run(ctx)
 }
 
+// holdBack gives the place back and asks for another one.
+//
+// Guard: between a place and its use lie a dial and other answers of the same server, one of
+// which may have said meanwhile that it leaves.
+func (t *attempt) holdBack() verdict {
+	x := t.x
+	t.conn.Close()
+	x.h.Places.Finish(t.place.ID, sched.Gone, 0, 0)
+	x.tried = append(x.tried, t.place.Server)
+	x.notice = describe(time.Now(), x.h.Places.Heard(t.place.Server))
+	x.note(event.SendHeldBack, "the server leaves")
+	x.h.Meter.HeldBack()
+	return again
+}
+
 func (t *attempt) server() upstream.Server {
 	return upstream.Server{ID: t.place.Server, Address: t.place.Address}
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -102,6 +102,7 @@
 	ServerMissing     Code = 616
 	ServerLimit       Code = 617
 	ServerLeaves      Code = 618
+	SendHeldBack      Code = 619
 
 	StoreDown      Code = 701
 	StoreUp        Code = 702
@@ -188,6 +189,7 @@
 	ServerMissing:  {"server_missing", Info, "A server's entry is gone and counts as lapsed while the store was away: the server is used for a while still. Detail gives for how long, and how long the store was silent; peer, if any, whose word it is."},
 	ServerLimit:    {"server_limit", Info, "A backend server names another limit of requests a second from all hosts than it did before, or none any more; detail gives both, and whether another host heard it."},
 	ServerLeaves:   {"server_leaves", Info, "A backend server says in an answer that it leaves; detail tells which host heard it."},
+	SendHeldBack:   {"send_held_back", Info, "A request was not sent to the server that it was placed at, and asks again: what the server has said of itself since forbids it, as detail tells."},
 	ServerEnded:    {"server_ended", Warn, "A backend server ended while it had a request: it broke the answer off and refuses connections; detail names the request's fingerprint."},
 
 	RolloutOrdered: {"rollout_ordered", Info, "This host carries out an order to move a service to a version; detail names it and its deadline."},
--- a/internal/sched/notices.go
+++ b/internal/sched/notices.go
@@ -17,19 +17,16 @@
 }
 
 // LearnNotices takes what servers say of themselves, on the word of any host, and returns
-// what is new. Word that is older than what is known changes nothing.
+// what is new.
 func (s *Scheduler) LearnNotices(now Time, records []notice.Record) (changes []notice.Change) {
 	for _, r := range records {
-		at := now - r.Age
-		known, ok := s.notices[r.Server]
-		if ok && at < known.at {
+		known := s.notices[r.Server]
+		said := known.or(heardNotice{r.Notice, now - r.Age})
+		s.notices[r.Server] = said
+		if said.Notice == known.Notice {
 			continue
 		}
-		s.notices[r.Server] = heardNotice{r.Notice, at}
-		if known.Notice == r.Notice {
-			continue
-		}
-		changes = append(changes, notice.Change{Server: r.Server, Before: known.Notice, After: r.Notice})
+		changes = append(changes, notice.Change{Server: r.Server, Before: known.Notice, After: said.Notice})
 		if srv := s.servers[r.Server]; srv != nil {
 			s.heed(now, srv)
 		}
@@ -37,14 +34,28 @@
 	return changes
 }
 
+// or joins two words of one server: the newer one counts, but for that it leaves, which is
+// never out of date.
+func (n heardNotice) or(other heardNotice) heardNotice {
+	newest := n
+	if other.at >= n.at {
+		newest = other
+	}
+	newest.Leaving = n.Leaving || other.Leaving
+	return newest
+}
+
 // heed applies what srv says of itself to its sends.
 func (s *Scheduler) heed(now Time, srv *server) {
-	limit := s.notices[srv.ID].Limit
-	if !limit.Named {
+	said := s.notices[srv.ID]
+	if said.Leaving {
+		srv.Draining, srv.leaves = true, true
+	}
+	if !said.Limit.Named {
 		srv.pacer = pacer{}
 		return
 	}
-	srv.pacer.limit(now, max(limit.PerSecond, leastLimit)*s.share.Limits, srv.lot)
+	srv.pacer.limit(now, max(said.Limit.PerSecond, leastLimit)*s.share.Limits, srv.lot)
 }
 
 // forgetNotices drops what is known of servers that are not listed, after a while.
--- a/internal/sched/notices_test.go
+++ b/internal/sched/notices_test.go
@@ -152,3 +152,35 @@
 		}
 	})
 })
+
+var _ = Describe("a server that says that it leaves", func() {
+	leaves := func(server string, age time.Duration) []notice.Record {
+		return []notice.Record{{Server: server, Age: age, Notice: notice.Notice{Leaving: true}}}
+	}
+
+	// Guards against a server that is used on because the store's list says that it is ready.
+	It("gets nothing more, whatever the list or other answers say", func() {
+		s := oneServer(1, Share{Servers: 1, Limits: 1})
+		s.LearnNotices(0, leaves("a", 0))
+		s.LearnNotices(time.Second, []notice.Record{{Server: "a"}})
+		s.SetServers(time.Second, []Server{{ID: "a", Service: plain, Address: "a", Slots: 8}})
+		out, _ := s.Submit(time.Second, call(1, time.Second))
+		Expect(refused(append(out, s.Tick(2*time.Second)...))).To(Equal(map[uint64]Reason{1: NoServer}))
+	})
+
+	It("gets nothing more although the word is older than another one", func() {
+		s := oneServer(1, Share{Servers: 1, Limits: 1})
+		s.LearnNotices(time.Second, []notice.Record{limitOf("a", 5, 0)})
+		Expect(s.LearnNotices(2*time.Second, leaves("a", 2*time.Second))).To(HaveLen(1))
+		Expect(pressed(s, 2*time.Second, 4*time.Second, 10*ms, nil)).To(BeEmpty())
+		Expect(s.Limited()).To(Equal(1))
+	})
+
+	It("gets nothing when its entry comes after its word", func() {
+		s := oneServer(1, Share{Servers: 1, Limits: 1})
+		s.SetServers(0, nil)
+		s.LearnNotices(0, leaves("a", 0))
+		s.SetServers(time.Second, []Server{{ID: "a", Service: plain, Address: "a", Slots: 8}})
+		Expect(pressed(s, time.Second, 2*time.Second, 10*ms, nil)).To(BeEmpty())
+	})
+})
