--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -20,7 +20,9 @@
 	if !changed {
 		return change, false
 	}
-	records := []notice.Record{{Server: server, Notice: change.After}}
+	after := change.After
+	after.Rest = 0
+	records := []notice.Record{{Server: server, Notice: after}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.local(func(at sched.Time, s *sched.Scheduler) []sched.Decision {
@@ -59,9 +61,8 @@
 // KeepNotices forgets what servers have said that listed does not report.
 func (c *Client) KeepNotices(listed func(server string) bool) { c.notices.Retain(listed) }
 
-// CountNotices tells how many servers name a limit to this host, and how many say that they
-// leave.
-func (c *Client) CountNotices() (limited, leaving int) { return c.notices.Count() }
+// CountNotices counts what servers say of themselves to this host.
+func (c *Client) CountNotices() notice.Counts { return c.notices.Count(time.Now()) }
 
 func encodeNotices(records []notice.Record) []*wire.Notice {
 	out := make([]*wire.Notice, 0, len(records))
--- a/internal/entry/notice.go
+++ b/internal/entry/notice.go
@@ -33,6 +33,9 @@
 	if s.Leaving {
 		text += " leaving"
 	}
+	if rest := s.Rest(now); rest > 0 {
+		text += " rests=" + milliseconds(rest)
+	}
 	if text != "" {
 		text += " said=" + milliseconds(s.Age(now))
 	}
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -197,11 +197,14 @@
 func (t *attempt) answered(ctx context.Context, resp *http.Response) verdict {
 	x := t.x
 	said := x.h.Dialect.ReadAnswer(resp.Header)
+	if !turnsAway(resp.StatusCode) {
+		said.Notice.Rest = 0
+	}
 	if resp.StatusCode != http.StatusMisdirectedRequest { // another server's
 		x.hear(t.place.Server, said.Notice)
 	}
 	if said.NotRun {
-		return t.notRun(resp)
+		return t.notRun(resp, said.Notice.Rest)
 	}
 	if resp.StatusCode < 300 && !said.Sealed {
 		return t.lost(ctx, errNoSeal)
@@ -230,9 +233,14 @@
 	return final
 }
 
+// turnsAway reports whether an answer with this status may ask for rest.
+func turnsAway(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // notRun goes on to another server: this one states that it did not run the
 // request.
-func (t *attempt) notRun(resp *http.Response) verdict {
+func (t *attempt) notRun(resp *http.Response, rest time.Duration) verdict {
 	x := t.x
 	x.runs--
 	result := sched.Rejected
@@ -246,7 +254,7 @@
 	}
 	x.h.Places.Finish(t.place.ID, result, 0, 0)
 	x.tried = append(x.tried, t.place.Server)
-	x.note(event.ServerRejected, "status "+strconv.Itoa(resp.StatusCode))
+	x.note(event.ServerRejected, "status "+strconv.Itoa(resp.StatusCode)+" rest="+milliseconds(rest))
 	if x.sends >= maxSends {
 		x.giveUp(x.r.Context(), &dispatch.Refused{Decision: sched.Decision{Reason: sched.Overload, RetryAfter: rejectedRetry}})
 		return final
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -220,9 +220,10 @@
 	gauge("servers_ready", int64(ready))
 	gauge("servers_draining", int64(draining))
 	gauge("servers_missing", int64(missing))
-	limited, leaving := n.client.CountNotices()
-	gauge("servers_limited", int64(limited))
-	gauge("servers_leaving_by_answer", int64(leaving))
+	said := n.client.CountNotices()
+	gauge("servers_limited", int64(said.Limited))
+	gauge("servers_leaving_by_answer", int64(said.Leaving))
+	gauge("servers_resting", int64(said.Resting))
 	gauge("servers_list_age_ms", n.servers.Age().Milliseconds())
 	live := 0
 	for _, m := range n.members.All() {
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -10,8 +10,14 @@
 type Notice struct {
 	Limit   Limit
 	Leaving bool // it takes nothing new
+	// Rest is for how long it wants nothing more from the host that it turned away with this
+	// answer, 0 when it asks for none.
+	Rest time.Duration
 }
 
+// MaxRest bounds the rest that a server is granted on its word alone.
+const MaxRest = 5 * time.Minute
+
 // Limit is how many requests a server takes from all hosts together. The zero value is none.
 type Limit struct {
 	Named     bool
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -8,10 +8,14 @@
 
 // Standing is what a server says of itself, and since when that is known.
 type Standing struct {
-	Notice
-	Heard time.Time // in the newest answer that says so
+	Notice              // without Rest
+	Heard     time.Time // in the newest answer that says so
+	RestsTill time.Time // zero: it has asked for no rest
 }
 
+// Rest is for how much longer the server wants nothing from this host.
+func (s Standing) Rest(now time.Time) time.Duration { return max(0, s.RestsTill.Sub(now)) }
+
 // Age is how long ago the server said so last.
 func (s Standing) Age(now time.Time) time.Duration { return now.Sub(s.Heard) }
 
@@ -26,16 +30,23 @@
 func NewTable() *Table { return &Table{servers: map[string]Standing{}} }
 
 // Hear takes what an answer says. A server that leaves does not come back: it says so for
-// good.
+// good. A rest is not ended by another one that is shorter, nor by answers to what was sent
+// before.
 func (t *Table) Hear(now time.Time, server string, n Notice) (c Change, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, ok := t.servers[server]
 	n.Leaving = n.Leaving || known.Leaving
 	c = Change{Server: server, Before: known.Notice, After: n}
-	if ok || n != (Notice{}) {
-		t.servers[server] = Standing{Notice: n, Heard: now}
+	if !ok && n == (Notice{}) {
+		return c, false
+	}
+	till := known.RestsTill
+	if rests := now.Add(n.Rest); n.Rest > 0 && rests.After(till) {
+		till = rests
 	}
+	n.Rest = 0
+	t.servers[server] = Standing{Notice: n, Heard: now, RestsTill: till}
 	return c, c.Before != c.After
 }
 
@@ -57,19 +68,25 @@
 	return out
 }
 
-// Count tells how many servers name a limit, and how many say that they leave.
-func (t *Table) Count() (limited, leaving int) {
+// Counts tells how many servers say what of themselves.
+type Counts struct{ Limited, Leaving, Resting int }
+
+// Count counts what servers say of themselves.
+func (t *Table) Count(now time.Time) (c Counts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.servers {
+		if s.Rest(now) > 0 {
+			c.Resting++
+		}
 		if s.Limit.Named {
-			limited++
+			c.Limited++
 		}
 		if s.Leaving {
-			leaving++
+			c.Leaving++
 		}
 	}
-	return limited, leaving
+	return c
 }
 
 // Retain forgets the servers that listed does not report.
--- a/internal/notice/table_test.go
+++ b/internal/notice/table_test.go
@@ -32,8 +32,7 @@
 		change, changed := t.Hear(now.Add(2*time.Second), "a", notice.Notice{})
 		Expect(changed).To(BeTrue())
 		Expect(change).To(Equal(notice.Change{Server: "a", Before: limit(2)}))
-		limited, _ := t.Count()
-		Expect(limited).To(BeZero())
+		Expect(t.Count(now)).To(BeZero())
 	})
 
 	It("holds for good when a server leaves", func() {
@@ -45,6 +44,19 @@
 		Expect(t.Of("a").Leaving).To(BeTrue())
 	})
 
+	It("asks for rest until the latest end that it named", func() {
+		t := notice.NewTable()
+		rest := func(d time.Duration) notice.Notice { return notice.Notice{Rest: d} }
+		t.Hear(now, "a", rest(3*time.Second))
+		t.Hear(now.Add(time.Second), "a", rest(time.Second))
+		t.Hear(now.Add(time.Second), "a", notice.Notice{})
+		Expect(t.Of("a").Rest(now.Add(time.Second))).To(Equal(2 * time.Second))
+		Expect(t.Count(now.Add(time.Second)).Resting).To(Equal(1))
+		t.Hear(now.Add(2*time.Second), "a", rest(3*time.Second))
+		Expect(t.Of("a").Rest(now.Add(4 * time.Second))).To(Equal(time.Second))
+		Expect(t.Of("a").Rest(now.Add(6 * time.Second))).To(BeZero())
+	})
+
 	It("keeps nothing of servers that say nothing, or are listed no more", func() {
 		t := notice.NewTable()
 		_, changed := t.Hear(now, "a", notice.Notice{})
