BUDGET: a host that was asked for rest sends that server nothing until it ends

Callers were turned away by servers that had asked for rest, and a request that three of them turn away is refused; the servers in need got 115 vain sends in 7 s.

Cause: Retry-After of a server's 503 was dropped at the adapter; a rejection closed the server for a fixed 150 ms, for all alike.

Mend: the rest goes the way of limits and leaving, for the host that was asked alone: the scheduler that places for it passes the server over until the latest end that was named, others may still be sent there. A place that was given before the word is given back, by the client and after the dial. A request of a host that all servers have asked for longer than it may wait is refused at once; its caller may be served by another host. A rest is no failure of the server or of its version.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -311,6 +311,12 @@
 		c.send(d.ID, p)
 		return
 	}
+	// The home has been told before it gets the place back.
+	if c.notices.Of(d.Server).Rest(now) > 0 {
+		c.giveBack(d.ID, via, sched.Unused)
+		c.send(d.ID, p)
+		return
+	}
 	p.placed, p.server, p.acked = now, d.Server, true
 	if via == nil {
 		c.charge(p.ask, 1)
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -186,7 +186,7 @@
 		if len(m.Suspects) > 0 {
 			out = append(out, s.LearnSuspects(now, decodeSuspects(m.Suspects))...)
 		}
-		h.loop.learnNotices(now, s, decodeNotices(m.Notices))
+		h.loop.learnNotices(now, s, l.holder, decodeNotices(m.Notices))
 		for _, r := range m.Running {
 			s.Adopt(now, decodeRunning(l.holder, r))
 		}
--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -20,13 +20,11 @@
 	if !changed {
 		return change, false
 	}
-	after := change.After
-	after.Rest = 0
-	records := []notice.Record{{Server: server, Notice: after}}
+	records := []notice.Record{{Server: server, Notice: change.After}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.local(func(at sched.Time, s *sched.Scheduler) []sched.Decision {
-		s.LearnNotices(at, records)
+		s.LearnNotices(at, uint64(c.self), records)
 		return nil
 	})
 	if c.link != nil {
@@ -47,8 +45,8 @@
 }
 
 // learnNotices takes word of servers from another host, on the goroutine of the loop.
-func (l *Loop) learnNotices(now sched.Time, s *sched.Scheduler, records []notice.Record) {
-	for _, c := range s.LearnNotices(now, records) {
+func (l *Loop) learnNotices(now sched.Time, s *sched.Scheduler, holder uint64, records []notice.Record) {
+	for _, c := range s.LearnNotices(now, holder, records) {
 		if limit, changed := c.Limit(); changed {
 			l.events.Record(event.ServerLimit, event.Fields{Server: c.Server, Detail: limit + " as another host heard"})
 		}
@@ -68,7 +66,7 @@
 	out := make([]*wire.Notice, 0, len(records))
 	for _, r := range records {
 		out = append(out, &wire.Notice{
-			Server: r.Server, AgeMs: millis(r.Age), Limited: r.Limit.Named, Limit: r.Limit.PerSecond, Leaving: r.Leaving,
+			Server: r.Server, AgeMs: millis(r.Age), Limited: r.Limit.Named, Limit: r.Limit.PerSecond, Leaving: r.Leaving, RestMs: millis(r.Rest),
 		})
 	}
 	return out
@@ -79,7 +77,7 @@
 	for _, m := range list {
 		out = append(out, notice.Record{
 			Server: m.Server, Age: fromMillis(m.AgeMs),
-			Notice: notice.Notice{Limit: notice.Limit{Named: m.Limited, PerSecond: m.Limit}, Leaving: m.Leaving},
+			Notice: notice.Notice{Limit: notice.Limit{Named: m.Limited, PerSecond: m.Limit}, Leaving: m.Leaving, Rest: fromMillis(m.RestMs)},
 		})
 	}
 	return out
--- a/internal/dispatch/notices_test.go
+++ b/internal/dispatch/notices_test.go
@@ -64,6 +64,24 @@
 		Expect(said[1].Asks).To(HaveLen(1))
 	})
 
+	// Guards against a place at a server that has asked this host for rest, and which the home
+	// gave before it heard of that.
+	It("has a place at a server that wants rest given back, when the home has been told", func() {
+		c, _ := hostOf(never, "a")
+		l := &homeLink{out: ring.New[*wire.ToHome](linkOutputs)}
+		c.follow(l)
+		go func() { _, _ = c.Acquire(context.Background(), ask()) }()
+		Eventually(func() int { waiting, _ := c.Pending(); return waiting }).Should(Equal(1))
+		l.out.Drain(nil)
+		c.Hear("a", notice.Notice{Rest: time.Second})
+		c.deliver([]sched.Decision{{Key: sched.Key{Holder: self, ID: 1}, Server: "a", Address: "a"}}, l)
+		said := l.out.Drain(nil)
+		Expect(said).To(HaveLen(3))
+		Expect(decodeNotices(said[0].Notices)[0].Rest).To(Equal(time.Second))
+		Expect(said[1].Outcomes[0].Result).To(Equal(uint32(sched.Unused)))
+		Expect(said[2].Asks).To(HaveLen(1))
+	})
+
 	It("binds what a home gives to others", func() {
 		h, loop := homeFor()
 		one := linkTo(h)
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -10,6 +10,7 @@
 
 	"github.com/gentianflow/gentianflow/internal/dispatch"
 	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/notice"
 	"github.com/gentianflow/gentianflow/internal/routing"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/upstream"
@@ -88,8 +89,8 @@
 		return t.unreachable(ctx, err)
 	}
 	t.conn = conn
-	if x.h.Places.Heard(place.Server).Leaving {
-		return t.holdBack()
+	if said := x.h.Places.Heard(place.Server); said.Leaving || said.Rest(time.Now()) > 0 {
+		return t.holdBack(said)
 	}
 	// Guard: a server goes on with a request until its connection closes, so
 	// the connection ends as soon as the caller leaves or time runs out.
@@ -101,14 +102,18 @@
 // holdBack gives the place back and asks for another one.
 //
 // Guard: between a place and its use lie a dial and other answers of the same server, one of
-// which may have said meanwhile that it leaves.
-func (t *attempt) holdBack() verdict {
+// which may have said meanwhile that it leaves or wants rest.
+func (t *attempt) holdBack(said notice.Standing) verdict {
 	x := t.x
 	t.conn.Close()
-	x.h.Places.Finish(t.place.ID, sched.Gone, 0, 0)
+	result := sched.Unused
+	if said.Leaving {
+		result = sched.Gone
+	}
+	x.h.Places.Finish(t.place.ID, result, 0, 0)
 	x.tried = append(x.tried, t.place.Server)
-	x.notice = describe(time.Now(), x.h.Places.Heard(t.place.Server))
-	x.note(event.SendHeldBack, "the server leaves")
+	x.notice = describe(time.Now(), said)
+	x.note(event.SendHeldBack, "nothing was sent")
 	x.h.Meter.HeldBack()
 	return again
 }
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -63,7 +63,9 @@
 	defer t.mu.Unlock()
 	out := make([]Record, 0, len(t.servers))
 	for server, s := range t.servers {
-		out = append(out, Record{Server: server, Notice: s.Notice, Age: s.Age(now)})
+		n := s.Notice
+		n.Rest = s.Rest(now)
+		out = append(out, Record{Server: server, Notice: n, Age: s.Age(now)})
 	}
 	return out
 }
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -22,8 +22,8 @@
 // with nothing else to do. That of which even this one is too slow is not asked of
 // any.
 func (s *Scheduler) needs(now Time, svc *service, fastest *server, r *Request) need {
-	if fastest != nil && slices.Contains(r.Avoid, fastest.ID) {
-		fastest = svc.fastest(now, r.Avoid...)
+	if fastest != nil && !fastest.open(now, r) {
+		fastest = svc.fastest(now, r)
 	}
 	if fastest == nil {
 		return need{}
@@ -83,7 +83,7 @@
 }
 
 func (s *Scheduler) offer(now Time, svc *service, free []*server) *offer {
-	o := &offer{usable: svc.fastest(now), free: free}
+	o := &offer{usable: svc.fastest(now, nil), free: free}
 	o.measure(now, svc)
 	return o
 }
@@ -129,12 +129,16 @@
 	return time.Duration(max(1, svc.Stride)) * srv.tokenTime
 }
 
-// fastest returns the usable server that generates fastest, full or not, nil when
-// there is none. One whose limit it has reached may open in seconds only.
-func (svc *service) fastest(now Time, except ...string) *server {
+// fastest returns the usable server that generates fastest, full or not, nil when there is
+// none; of those open to r unless that is nil. One whose limit it has reached may open in
+// seconds only.
+func (svc *service) fastest(now Time, r *Request) *server {
 	var best *server
 	for _, srv := range svc.servers {
-		if srv.usable(now) && srv.pacer.ready(now) && !slices.Contains(except, srv.ID) && (best == nil || srv.tokenTime < best.tokenTime) {
+		if r != nil && !srv.open(now, r) {
+			continue
+		}
+		if srv.usable(now) && srv.pacer.ready(now) && (best == nil || srv.tokenTime < best.tokenTime) {
 			best = srv
 		}
 	}
--- a/internal/sched/notices.go
+++ b/internal/sched/notices.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/notice"
@@ -16,10 +18,12 @@
 	at Time
 }
 
-// LearnNotices takes what servers say of themselves, on the word of any host, and returns
-// what is new.
-func (s *Scheduler) LearnNotices(now Time, records []notice.Record) (changes []notice.Change) {
+// LearnNotices takes what servers say of themselves, on the word of a host, and returns what
+// is new. A rest is asked of that host alone.
+func (s *Scheduler) LearnNotices(now Time, holder uint64, records []notice.Record) (changes []notice.Change) {
 	for _, r := range records {
+		s.rest(now, holder, r)
+		r.Rest = 0
 		known := s.notices[r.Server]
 		said := known.or(heardNotice{r.Notice, now - r.Age})
 		s.notices[r.Server] = said
@@ -45,6 +49,36 @@
 	return newest
 }
 
+// rest keeps requests of a holder from a server for as long as that wants none.
+func (s *Scheduler) rest(now Time, holder uint64, r notice.Record) {
+	srv := s.servers[r.Server]
+	if srv == nil || r.Rest <= 0 {
+		return
+	}
+	if srv.rests == nil {
+		srv.rests = map[uint64]Time{}
+	}
+	maps.DeleteFunc(srv.rests, func(_ uint64, until Time) bool { return now >= until })
+	srv.rests[holder] = max(srv.rests[holder], now+min(r.Rest, notice.MaxRest))
+}
+
+// allRest reports whether each usable server of svc that w may be sent to has asked its holder
+// for rest, for longer than w may wait.
+func (s *Scheduler) allRest(now Time, svc *service, w *waiting) bool {
+	longest := now + time.Duration(float64(w.Deadline-w.Arrived)*s.policy.WaitShare)
+	some := false
+	for _, srv := range svc.servers {
+		if !srv.usable(now) || slices.Contains(w.Avoid, srv.ID) {
+			continue
+		}
+		if srv.rests[w.Holder] <= longest {
+			return false
+		}
+		some = true
+	}
+	return some
+}
+
 // heed applies what srv says of itself to its sends.
 func (s *Scheduler) heed(now Time, srv *server) {
 	said := s.notices[srv.ID]
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -115,7 +115,7 @@
 		return nil
 	}
 	for _, srv := range o.free {
-		if slices.Contains(r.Avoid, srv.ID) || !srv.hasMemory(svc, r) || s.keptApart(srv, r) {
+		if !srv.open(now, r) || !srv.hasMemory(svc, r) || s.keptApart(srv, r) {
 			continue
 		}
 		fits := need.met(now, svc, srv, r)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -125,6 +125,10 @@
 	if !placed && s.hopeless(now, svc, lane, w) && s.unqueue(r.Key) {
 		s.refuse(now, w, Overload, s.returnAfter(now, w))
 	}
+	// Other hosts may be served where this one is not.
+	if !placed && s.allRest(now, svc, w) && s.unqueue(r.Key) {
+		s.refuse(now, w, Overload, s.policy.RetryAfter)
+	}
 	refused := slices.ContainsFunc(s.out, func(d Decision) bool { return d.Key == r.Key })
 	return s.out, !placed && !refused
 }
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -51,6 +51,7 @@
 	leaves      bool              // it was listed as leaving before it ended
 	breaks      []quarantine.Loss // answers that broke off lately
 	pacer       pacer
+	rests       map[uint64]Time // by holder, until when it wants nothing from it
 }
 
 func newServer(now Time, spec Server, svc *service, timeOut time.Duration) *server {
@@ -76,6 +77,12 @@
 	return s.usable(now) && now >= s.fullUntil && s.running < limit && s.pacer.ready(now)
 }
 
+// open reports whether s may be sent r: it was not tried already and has not asked the
+// holder for rest.
+func (s *server) open(now Time, r *Request) bool {
+	return now >= s.rests[r.Holder] && !slices.Contains(r.Avoid, s.ID)
+}
+
 // hasMemory reports whether an engine's memory holds r beside what runs there. One
 // that is larger than the memory is left to an idle engine to reject.
 func (s *server) hasMemory(svc *service, r *Request) bool {
--- a/test/platform/notice_test.go
+++ b/test/platform/notice_test.go
@@ -259,7 +259,7 @@
 		func(trouble func(*site)) {
 			const rest = 3 * time.Second
 			s := newSite(siteOptions{hosts: 3, engines: 4, apps: 1, largeFirst: true, engine: standin.ServerSpec{PerEvent: 10 * time.Millisecond}})
-			time.Sleep(3 * time.Second)                        // hosts that have just started know no home
+			time.Sleep(3 * time.Second)                         // hosts that have just started know no home
 			c := newCallers(s, 16, 10*time.Millisecond, digest) // more than two engines have places for
 			time.Sleep(500 * time.Millisecond)
 			trouble(s)
