--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -86,6 +86,7 @@
 	{"change the configuration", (*soak).configure},
 	{"change quotas and keys", (*soak).accounts},
 	{"make a server misbehave", (*soak).misbehave},
+	{"have a server ask for less", (*soak).askForLess},
 	{"replace a server", (*soak).replace},
 	{"disturb connections", (*soak).disturb},
 	{"disturb connections", (*soak).disturb}, // the commonest trouble
@@ -228,6 +229,16 @@
 	return fmt.Sprintf("%s %+v", srv.Spec.ID, f)
 }
 
+// askForLess has a server name a limit, or turn hosts away and ask for rest.
+func (k *soak) askForLess() string {
+	srv := k.servers[k.rng.IntN(len(k.servers))]
+	notices := []standin.Notice{{Limit: "1"}, {Limit: "5"}, {Rest: "0.5"}, {Rest: "2"}}
+	n := notices[k.rng.IntN(len(notices))]
+	srv.Say(n)
+	k.heal = append(k.heal, func() { srv.Say(standin.Notice{}) })
+	return fmt.Sprintf("%s %+v", srv.Spec.ID, n)
+}
+
 // lingerAfterDrain is how long a leaving server goes on, a little over the
 // platform's drainMs of the stand-in's settings.
 const lingerAfterDrain = 2500 * time.Millisecond
