A host that was started anew is not taken for dead on what others tell of its predecessor

Users would miss a host: nobody lists it, its home and places are not used, until it starts again.

A new incarnation at a known address proved all others there dead, whoever told of it and in whichever order, so the new one was 'proved dead', a word that is final and spreads.

Mend: only the word of a host itself proves that those before it at its address have ended. Of what others tell the later start counts, without proof: Member has its start by its own clock. A clock set back between two starts delays a host until it speaks itself.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -150,6 +150,7 @@
 	self := &wire.Member{
 		Incarnation: uint64(d.inc), Host: d.set.Host, Zone: d.set.AvailabilityZone,
 		CallerAddress: d.set.CallerAddress, ControlAddress: d.set.AdvertiseControl, AdminAddress: d.set.AdminAddress,
+		StartedMs: time.Now().UnixMilli(),
 	}
 	d.members = member.NewTable(self, memberHorizon, d.events)
 	d.gossip = member.NewGossip(d.members, packets, d.set.Fleet, member.DefaultTiming(), d.seedAddresses, d.events)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -71,6 +71,62 @@
 		Expect(state(t, 2)).To(Equal("dead"), "a proved end is final")
 	})
 
+	// Guards against a host that nobody lists any more: another host's older word of its
+	// predecessor at the same address was taken as proof of its own end.
+	Describe("of two incarnations at one address", func() {
+		at := func(inc uint64, started int64) *wire.Member {
+			w := line(inc, 1, wire.MemberState_MEMBER_ALIVE)
+			w.ControlAddress, w.StartedMs = "127.0.0.1:2", started
+			return w
+		}
+
+		It("keeps the one that spoke itself, whatever others tell later", func() {
+			t := newTable()
+			t.Heard(at(3, 2000))
+			t.Learn(at(2, 1000))
+			Expect(state(t, 3)).To(Equal("alive"))
+			Expect(state(t, 2)).To(Equal("unknown"))
+		})
+
+		DescribeTable("believes others in any order and takes it for no proof",
+			func(told ...*wire.Member) {
+				t := newTable()
+				for _, w := range told {
+					t.Learn(w)
+				}
+				Expect(state(t, 3)).To(Equal("alive"))
+				Expect(state(t, 2)).NotTo(Equal("alive"))
+				old, _ := t.Get(2)
+				Expect(old.Proved).To(BeFalse())
+			},
+			Entry("the older first", at(2, 1000), at(3, 2000)),
+			Entry("the newer first", at(3, 2000), at(2, 1000)),
+		)
+
+		// Guards against a clock that was set back between two starts.
+		It("takes the word of the one that speaks before all others'", func() {
+			t := newTable()
+			t.Learn(at(2, 5000))
+			t.Learn(at(3, 1000))
+			Expect(state(t, 2)).To(Equal("alive"))
+			t.Heard(at(3, 1000))
+			Expect(state(t, 3)).To(Equal("alive"))
+			old, _ := t.Get(2)
+			Expect(old.Proved).To(BeTrue())
+			t.Learn(at(2, 5000))
+			Expect(state(t, 3)).To(Equal("alive"))
+		})
+
+		It("comes back when it was counted as dead by what others told", func() {
+			t := newTable()
+			t.Learn(at(2, 1000))
+			t.Learn(at(3, 2000))
+			t.Heard(at(2, 1000)) // the clocks lied
+			Expect(state(t, 2)).To(Equal("alive"))
+			Expect(state(t, 3)).To(Equal("dead"))
+		})
+	})
+
 	It("spreads a proof with the news", func() {
 		t := newTable()
 		t.Heard(line(2, 1, wire.MemberState_MEMBER_ALIVE))
--- a/internal/member/news.go
+++ b/internal/member/news.go
@@ -102,7 +102,8 @@
 	return &wire.Member{
 		Incarnation: w.Incarnation, Host: w.Host, Zone: w.Zone, CallerAddress: w.CallerAddress,
 		ControlAddress: w.ControlAddress, AdminAddress: w.AdminAddress, Beat: w.Beat,
-		ConfigVersion: w.ConfigVersion, Capacity: w.Capacity, State: states[r.machine.State()], Proved: r.proved,
+		ConfigVersion: w.ConfigVersion, Capacity: w.Capacity, StartedMs: w.StartedMs,
+		State: states[r.machine.State()], Proved: r.proved,
 	}
 }
 
@@ -114,7 +115,7 @@
 	return &wire.Member{
 		Incarnation: w.Incarnation, Host: w.Host, Zone: w.Zone, CallerAddress: w.CallerAddress,
 		ControlAddress: w.ControlAddress, AdminAddress: w.AdminAddress, Beat: w.Beat,
-		ConfigVersion: w.ConfigVersion, Capacity: w.Capacity, State: w.State,
+		ConfigVersion: w.ConfigVersion, Capacity: w.Capacity, StartedMs: w.StartedMs, State: w.State,
 	}
 }
 
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -231,6 +231,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.merge(w)
+	if !r.proved {
+		t.replaceOthersAt(w)
+	}
 	r.heard = time.Now()
 	switch {
 	case r.proved:
@@ -270,11 +273,35 @@
 	if known != nil && w.Beat < known.wire.Beat {
 		return
 	}
+	if known == nil && !t.succeeds(w) {
+		return
+	}
 	newer := known == nil || w.Beat > known.wire.Beat
 	r := t.merge(w)
 	t.follow(r, w.State, newer)
 }
 
+// succeeds reports whether w, of which others tell, is not the predecessor of a member at its
+// address; the members that it succeeds count as dead from now on, without proof.
+//
+// Guard: words of two incarnations at one address come in any order. A host that starts is
+// told of itself, its predecessor and others' in lists of different age.
+func (t *Table) succeeds(w *wire.Member) bool {
+	if w.ControlAddress != "" && w.ControlAddress == t.self.ControlAddress {
+		return false // this host's own predecessor
+	}
+	for _, other := range t.members {
+		if other.wire.ControlAddress != w.ControlAddress || other.machine.State() == Dead {
+			continue
+		}
+		if w.StartedMs <= other.wire.StartedMs {
+			return false
+		}
+		t.fire(other, "die")
+	}
+	return true
+}
+
 // follow applies a reported state. An old beat can only make things worse
 // (suspect, dead); only a newer beat, which the member itself raised, makes
 // them better.
@@ -306,8 +333,7 @@
 	}
 }
 
-// merge stores the newest line of a member. A new incarnation at a known
-// control address proves that the old one ended: the port was free to bind.
+// merge stores the newest line of a member.
 func (t *Table) merge(w *wire.Member) *record {
 	inc := ident.Incarnation(w.Incarnation)
 	r := t.members[inc]
@@ -316,7 +342,6 @@
 		t.members[inc] = r
 		t.touch()
 		if w.State != wire.MemberState_MEMBER_DEAD {
-			t.replaceOthersAt(w)
 			t.changed.Notify()
 			t.events.Record(event.MemberJoined, event.Fields{Peer: w.Host, Detail: inc.String()})
 		}
@@ -337,6 +362,9 @@
 	return r
 }
 
+// replaceOthersAt proves that the incarnations before w at its control address have ended:
+// the port was free to bind. Only w itself can tell: what others tell of two incarnations at
+// one address comes in any order.
 func (t *Table) replaceOthersAt(w *wire.Member) {
 	for _, other := range t.members {
 		if other.wire.ControlAddress == w.ControlAddress && other.wire.Incarnation != w.Incarnation {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,7 +158,8 @@
 	self := &wire.Member{
 		Incarnation: uint64(n.inc), Host: n.set.Host, Zone: n.set.AvailabilityZone,
 		CallerAddress: n.set.EntryAddress, ControlAddress: n.peerAddress(),
-		Capacity: uint32(n.set.ProcessorShare * 1000),
+		Capacity:  uint32(n.set.ProcessorShare * 1000),
+		StartedMs: time.Now().UnixMilli(),
 	}
 	n.members = member.NewTable(self, memberHorizon, n.events)
 	n.gossip = member.NewGossip(n.members, packets, fleet, member.DefaultTiming(), n.seedAddresses, n.events)
