A grant is looked at once more when the connection stands (the product's own interface)

A parent's chat is sent to an engine that has been taken out 3.5 s before, and lost with it.

It had been stopped between the look at the grant's expiry and the first byte, while it opened the connection, which each exchange does; and it went on with that.

Mend: the expiry is compared again with the connection open, right before the first byte; a call that may not be sent any more is given back as not dispatched. What is left is the time between that and the system call.

Spec of the transport: fails to compile before; without the check in Write it finds a request at the server.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -18,6 +18,9 @@
 	Path        string
 	ContentType string
 	Body        []byte
+	// Allowed is asked with the connection open, right before the first byte, whether the call
+	// may still be sent; nil: it may. A call that may not fails with NoServer.
+	Allowed func() bool
 }
 
 // Part is one event of a model engine's stream. Index counts them from 0.
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -116,6 +116,20 @@
 		Expect(seen.Load()).To(Equal(int64(2)))
 	})
 
+	// Guards against a holder that was paused while it connected and sends on a grant that has
+	// lapsed.
+	It("that may not be sent any more when the connection stands was not dispatched", func() {
+		address, seen := rawServer(func(int64) string { return "" })
+		make, _ := backend.NewFactory()
+		for _, plain := range []bool{true, false} {
+			late := call
+			late.Allowed = func() bool { return false }
+			_, err := make(address, plain).Send(context.Background(), late, &keep{})
+			Expect(backend.NotDispatched(err)).To(BeTrue())
+		}
+		Expect(seen.Load()).To(BeZero())
+	})
+
 	It("that is refused was provably not dispatched", func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -17,9 +17,15 @@
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
+	allowed func() bool // asked before the first byte, nil: it may be written
 }
 
+var errNotAllowed = failure.New(failure.NoServer, "it may not be sent any more")
+
 func (c *countedConn) Write(b []byte) (int, error) {
+	if c.written.Load() == 0 && c.allowed != nil && !c.allowed() {
+		return 0, errNotAllowed
+	}
 	c.written.Add(int64(len(b)))
 	return c.Conn.Write(b)
 }
@@ -64,6 +70,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*countedConn); ok {
 			conn, before = c, c.written.Load()
+			c.allowed = call.Allowed
 		}
 	}}
 	resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
--- a/internal/holder/dispatch.go
+++ b/internal/holder/dispatch.go
@@ -72,11 +72,14 @@
 	r.record(event.RequestDispatched, "")
 	srv := r.h.src.Backends(b.Address, r.Sub.Plain)
 	l.meter.stream(server, 1)
-	usage, err := srv.Send(ctx, backend.Call{ID: r.Sub.ID, Path: r.Sub.Path, ContentType: r.Sub.ContentType, Body: r.Sub.Body}, &sink{r: r, l: l, server: server})
+	// Guard: the holder may be paused while it connects, and go on after the grant has lapsed.
+	valid := func() bool { return r.h.stamp() <= until }
+	call := backend.Call{ID: r.Sub.ID, Path: r.Sub.Path, ContentType: r.Sub.ContentType, Body: r.Sub.Body, Allowed: valid}
+	usage, err := srv.Send(ctx, call, &sink{r: r, l: l, server: server})
 	if err != nil && backend.NotDispatched(err) {
 		l.meter.stream(server, -1)
 		r.step(evConnectFailed)
-		r.giveBackFrames(l, true)
+		r.giveBackFrames(l, valid())
 		return
 	}
 	r.freeBody()
@@ -99,7 +102,8 @@
 // judged by its silence, or a resend, an eviction or the deadline may have
 // taken the request. The grant's expiry is compared on our own clock, which
 // went on during a pause, and the chart refuses a request that has ended.
-// Both are checked under mu right before the first byte.
+// Both are checked under mu before the connection is opened, the expiry once more before
+// the first byte.
 func (r *Record) begin(until core.Stamp) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
