LIMIT: a home gives out the limits of the hosts that follow it, from the moment they turn away

Same cause, looked for elsewhere: a slow home that most hosts leave went on with the whole of each limit for three seconds, beside the next home with its part: up to twice the limit (property over splits of 2 to 390 hosts, fails with 2.00 of a limit at 1 + 1 hosts before). Slowness excuses no host; with a limit of 10 a second 70 requests in 4 s, 65 allowed.

The part of the limits is that of the live hosts that follow, in tenths, at once: home, next home and hosts alone together stay under 1.4. Quotas keep their three seconds, since each change of a quota costs what its account had saved; a pacer has nothing saved.

--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -133,7 +133,7 @@
 				f.followers = func() int { return 0 }
 				f.lead(false)
 			})
-			Expect(got).To(Equal(sched.Share{Servers: 1, Limits: 1, Sends: 1}))
+			Expect(got).To(Equal(sched.Share{Servers: 1, Limits: 1, Sends: 1.0 / hosts}))
 		})
 		It("is the part of the rest for a home that most have left", func() {
 			Expect(follow(2, false)).To(Equal(sched.Share{Servers: 0.3, Limits: 0.3, Sends: 0.3}))
@@ -170,6 +170,29 @@
 	})
 }
 
+// However a fleet is split, and from the moment of the split, home, next home and hosts alone
+// together let no more requests through than 1.4 times the limit that a server names: with
+// their bursts that is under the one and a half times at which it is overrun.
+func TestPartsOfLimits(t *testing.T) {
+	RegisterTestingT(t)
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(2, 390).Draw(t, "hosts")
+		old := rapid.IntRange(1, hosts-1).Draw(t, "with the old home")
+		next := rapid.IntRange(1, hosts-old).Draw(t, "with the next")
+		sends := func(with int, takesOver bool) float64 {
+			return followerWith(time.Minute, hosts, hosts-1, 0, func(f *Follower) {
+				f.followers = func() int { return with - 1 }
+				f.lead(takesOver)
+			}).Sends
+		}
+		alone := followerWith(time.Minute, hosts, hosts-1, 0, func(f *Follower) { f.alone() }).Sends
+		sum := sends(old, false) + sends(next, true) + float64(hosts-old-next)*alone
+		if sum > 1.4 {
+			t.Fatalf("%d hosts, %d with the old home, %d with the next: %.2f of a limit", hosts, old, next, sum)
+		}
+	})
+}
+
 var _ = Describe("the home that a host follows", func() {
 	It("is the next of the ranking for some seconds after the first was lost", func() {
 		followerWith(time.Minute, 0, 3, 0, func(f *Follower) {
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -56,8 +56,9 @@
 	if all := live + silent; 2*live < all {
 		share.Limits = float64(live) / float64(all)
 	}
-	share.Sends = share.Limits
 	follow := float64(f.followers()+1) / float64(live)
+	// Those that do not follow give out their parts, or another home gives out theirs.
+	share.Sends = share.Limits * followed(follow)
 	if takesOver && follow < mostFollow {
 		f.alone()
 		return
@@ -89,18 +90,22 @@
 // whole while most follow: hosts that fell silent with the home before count as live for
 // some seconds.
 func part(share sched.Share, follow float64) sched.Share {
-	if follow >= nearlyAll {
-		return share
-	}
-	follow = math.Ceil(follow*shareSteps) / shareSteps
+	follow = followed(follow)
 	share.Limits *= follow
-	share.Sends *= follow
 	if follow < mostFollow {
 		share.Servers *= follow
 	}
 	return share
 }
 
+// followed rounds the part of the live hosts that follow a home up to a tenth.
+func followed(follow float64) float64 {
+	if follow >= nearlyAll {
+		return 1
+	}
+	return math.Ceil(follow*shareSteps) / shareSteps
+}
+
 // completeShare is the part of the hosts listed that must be heard of to take a fleet that
 // starts anew for complete: some may have been lost with what stopped it.
 const completeShare = 0.9
