Word of servers is passed on as it stands when it is told

A server that has lifted its limit would get one request a second for as long as nothing else changes, and callers wait or are refused beside it.

Cause, found in reading: two answers heard at once changed the host's table in one order and could reach its loop and the home in the other; later answers say what the table has already and are not told. Mend: what is told is what the table holds at that moment, under the lock that orders the messages. A rest travels rounded up, so that the home does not place a moment before the host would send.

Spec: 'is passed on as it stands then', with the two answers' words passed on in the wrong order.

--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -20,9 +20,18 @@
 	if !changed {
 		return change, false
 	}
-	records := []notice.Record{{Server: server, Notice: change.After}}
+	c.passOn(server)
+	return change, true
+}
+
+// passOn tells this host's own loop and the home what a server has said last.
+//
+// Guard: two answers may be heard at once. Each told as it was heard, the older one could be
+// told last, and stand for as long as nothing else changes.
+func (c *Client) passOn(server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	records := []notice.Record{c.notices.Of(server).Record(server, time.Now())}
 	c.local(func(at sched.Time, s *sched.Scheduler) []sched.Decision {
 		s.LearnNotices(at, uint64(c.self), records)
 		return nil
@@ -30,7 +39,6 @@
 	if c.link != nil {
 		c.tellNotices(c.link, records)
 	}
-	return change, true
 }
 
 // Heard returns what a server has said last to this host.
@@ -66,7 +74,7 @@
 	out := make([]*wire.Notice, 0, len(records))
 	for _, r := range records {
 		out = append(out, &wire.Notice{
-			Server: r.Server, AgeMs: millis(r.Age), Limited: r.Limit.Named, Limit: r.Limit.PerSecond, Leaving: r.Leaving, RestMs: millis(r.Rest),
+			Server: r.Server, AgeMs: millis(r.Age), Limited: r.Limit.Named, Limit: r.Limit.PerSecond, Leaving: r.Leaving, RestMs: millis(r.Rest + time.Millisecond - 1),
 		})
 	}
 	return out
--- a/internal/dispatch/notices_test.go
+++ b/internal/dispatch/notices_test.go
@@ -32,6 +32,18 @@
 		Expect(limitsKnown(loop)).To(BeZero())
 	})
 
+	// Guards against a limit that stands for good: of two answers heard at once the older one's
+	// word is passed on last.
+	It("is passed on as it stands then", func() {
+		c, loop := hostOf(never, "a")
+		for _, said := range []notice.Notice{limited(1), {}} {
+			c.notices.Hear(time.Now(), "a", said)
+		}
+		c.passOn("a") // for the second answer
+		c.passOn("a") // for the first
+		Expect(limitsKnown(loop)).To(BeZero())
+	})
+
 	// Guards against a home that places by the limits that it has heard of itself, or not yet.
 	It("reaches a home before anything is asked of it, and whenever it is new", func() {
 		c, _ := hostOf(never, "a")
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -19,6 +19,13 @@
 // Age is how long ago the server said so last.
 func (s Standing) Age(now time.Time) time.Duration { return now.Sub(s.Heard) }
 
+// Record is the standing as it is told to others.
+func (s Standing) Record(server string, now time.Time) Record {
+	n := s.Notice
+	n.Rest = s.Rest(now)
+	return Record{Server: server, Notice: n, Age: s.Age(now)}
+}
+
 // Table is what servers have said to this host. Those that have said nothing are not in it.
 // mu guards all fields.
 type Table struct {
@@ -63,9 +70,7 @@
 	defer t.mu.Unlock()
 	out := make([]Record, 0, len(t.servers))
 	for server, s := range t.servers {
-		n := s.Notice
-		n.Rest = s.Rest(now)
-		out = append(out, Record{Server: server, Notice: n, Age: s.Age(now)})
+		out = append(out, s.Record(server, now))
 	}
 	return out
 }
