Servers of another version serve when all others have said that they leave

Callers would be refused for want of a server while servers of a newer version stand beside those that leave, until the list tells the same. Found in reading: versions are sorted anew when the list changes, and not when servers say that they leave. Spec red without it (the request is refused).

--- a/internal/sched/notices.go
+++ b/internal/sched/notices.go
@@ -21,6 +21,7 @@
 // LearnNotices takes what servers say of themselves, on the word of a host, and returns what
 // is new. A rest is asked of that host alone.
 func (s *Scheduler) LearnNotices(now Time, holder uint64, records []notice.Record) (changes []notice.Change) {
+	left := false
 	for _, r := range records {
 		s.rest(now, holder, r)
 		r.Rest = 0
@@ -30,11 +31,16 @@
 		if said.Notice == known.Notice {
 			continue
 		}
-		changes = append(changes, notice.Change{Server: r.Server, Before: known.Notice, After: said.Notice})
+		change := notice.Change{Server: r.Server, Before: known.Notice, After: said.Notice}
+		changes = append(changes, change)
 		if srv := s.servers[r.Server]; srv != nil {
 			s.heed(now, srv)
+			left = left || change.Leaves()
 		}
 	}
+	if left {
+		s.regroup() // what is left may be of another version
+	}
 	return changes
 }
 
--- a/internal/sched/notices_test.go
+++ b/internal/sched/notices_test.go
@@ -180,6 +180,17 @@
 		Expect(s.Limited()).To(Equal(1))
 	})
 
+	// Guards against callers who are refused while servers of a newer version are there: the old
+	// ones have said that they leave, and the list does not tell yet.
+	It("makes room for servers of another version when no others are left", func() {
+		s := oneServer(1, Share{Servers: 1, Limits: 1, Sends: 1})
+		s.SetServers(0, []Server{{ID: "a", Service: plain, Address: "a", Version: "v1", Slots: 8}})
+		s.SetServers(0, []Server{{ID: "a", Service: plain, Address: "a", Version: "v1", Slots: 8}, {ID: "b", Service: plain, Address: "b", Version: "v2", Slots: 8}})
+		s.LearnNotices(0, 1, leaves("a", 0))
+		out, _ := s.Submit(0, call(1, 0))
+		Expect(out[0].Server).To(Equal("b"))
+	})
+
 	It("gets nothing when its entry comes after its word", func() {
 		s := oneServer(1, Share{Servers: 1, Limits: 1, Sends: 1})
 		s.SetServers(0, nil)
