The word of a server outlasts a lapse of its entry

Entries may lapse while the store is away and come back. A host that forgot the limit of such a server would send it what it has places for until the next answer. The word is kept for a minute beyond the entry, at hosts and at schedulers alike (30 s there before). Found in reading; spec of the table.

--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -64,8 +64,10 @@
 	}
 }
 
-// KeepNotices forgets what servers have said that listed does not report.
-func (c *Client) KeepNotices(listed func(server string) bool) { c.notices.Retain(listed) }
+// KeepNotices forgets what servers have said that listed has not reported for a while.
+func (c *Client) KeepNotices(listed func(server string) bool) {
+	c.notices.Retain(time.Now(), listed)
+}
 
 // CountNotices counts what servers say of themselves to this host.
 func (c *Client) CountNotices() notice.Counts { return c.notices.Count(time.Now()) }
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -18,6 +18,10 @@
 // MaxRest bounds the rest that a server is granted on its word alone.
 const MaxRest = 5 * time.Minute
 
+// KeptUnlisted is how long the word of a server is kept that is not listed: it may be heard
+// before its entry is, and its entry may lapse for a moment.
+const KeptUnlisted = time.Minute
+
 // Limit is how many requests a server takes from all hosts together. The zero value is none.
 type Limit struct {
 	Named     bool
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -96,9 +96,12 @@
 	return c
 }
 
-// Retain forgets the servers that listed does not report.
-func (t *Table) Retain(listed func(server string) bool) {
+// Retain forgets the servers that have said nothing for KeptUnlisted and that listed does not
+// report.
+func (t *Table) Retain(now time.Time, listed func(server string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.servers, func(server string, _ Standing) bool { return !listed(server) })
+	maps.DeleteFunc(t.servers, func(server string, s Standing) bool {
+		return s.Age(now) > KeptUnlisted && !listed(server)
+	})
 }
--- a/internal/notice/table_test.go
+++ b/internal/notice/table_test.go
@@ -62,7 +62,10 @@
 		_, changed := t.Hear(now, "a", notice.Notice{})
 		Expect(changed).To(BeFalse())
 		t.Hear(now, "b", limit(1))
-		t.Retain(func(server string) bool { return server != "b" })
+		unlisted := func(server string) bool { return server != "b" }
+		t.Retain(now.Add(notice.KeptUnlisted), unlisted)
+		Expect(t.Of("b").Notice).To(Equal(limit(1)), "its entry may come back")
+		t.Retain(now.Add(notice.KeptUnlisted+1), unlisted)
 		Expect(t.Of("b")).To(BeZero())
 	})
 })
--- a/internal/sched/notices.go
+++ b/internal/sched/notices.go
@@ -8,10 +8,6 @@
 	"github.com/gentianflow/gentianflow/internal/notice"
 )
 
-// noticesKept is how long the notice of a server is kept that is not listed: its answers may
-// be known here before its entry is.
-const noticesKept = 30 * time.Second
-
 // heardNotice is what a server says of itself, and when that was heard.
 type heardNotice struct {
 	notice.Notice
@@ -101,7 +97,7 @@
 // forgetNotices drops what is known of servers that are not listed, after a while.
 func (s *Scheduler) forgetNotices(now Time) {
 	for id, n := range s.notices {
-		if s.servers[id] == nil && now-n.at > noticesKept {
+		if s.servers[id] == nil && now-n.at > notice.KeptUnlisted {
 			delete(s.notices, id)
 		}
 	}
