--- a/test/platform/notice_test.go
+++ b/test/platform/notice_test.go
@@ -150,7 +150,7 @@
 			}
 			calls := c.end()
 			for _, srv := range limited {
-				hosts := told(calls, srv, "Server-Limit")
+				hosts := told(calls, srv, standin.LimitField)
 				Expect(hosts).NotTo(BeEmpty())
 				most := mostInWindow(srv.Arrivals(), calls, hosts, named.Add(limitGrace), until.Add(-limitWindow))
 				Expect(most).To(BeNumerically("<=", allowed(limit)), srv.Spec.ID)
@@ -212,7 +212,7 @@
 			s.hosts[0].session.Signal(syscall.SIGCONT)
 			calls := c.end()
 			for _, srv := range leaving {
-				hosts := told(calls, srv, "Server-Leaving")
+				hosts := told(calls, srv, standin.LeavingField)
 				Expect(hosts).NotTo(BeEmpty())
 				Expect(sentAfter(drainTime, srv.Arrivals(), calls, hosts)).To(BeZero(), srv.Spec.ID)
 			}
