sched: a decision looks at a bounded number of servers

Change: services of more than 64 servers have an index by speed class and number of runs. A decision compares at most 64 servers: those with an idle connection of the holder, those that prefilled the prompt's parts last, and a sample of the others, fast and less loaded first. Services of up to 64 servers are compared as a whole, as before. The median of token times is computed again after a sixteenth of the servers have been heard from.

Ruled out: an exact order by cost (cost depends on the request, its holder and the time); a sample alone (a request would then rarely find its holder's idle connection among thousands).

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -247,8 +247,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pushLocal(func(_ sched.Time, s *sched.Scheduler) []sched.Decision {
-		s.ImportLearned(decodePaces(estimates))
+	c.pushLocal(func(now sched.Time, s *sched.Scheduler) []sched.Decision {
+		s.ImportLearned(now, decodePaces(estimates))
 		return nil
 	})
 }
--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -266,7 +266,7 @@
 	It("knows the old home's estimates of server speeds", func() {
 		h, loop := startHome()
 		loop.Do(func(now sched.Time, s *sched.Scheduler) {
-			s.ImportLearned([]sched.Learned{{Server: "a", TokenTime: 11 * time.Millisecond}})
+			s.ImportLearned(0, []sched.Learned{{Server: "a", TokenTime: 11 * time.Millisecond}})
 		})
 		e := openLink(h)
 		e.send(&wire.ToHome{Ping: 1})
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -9,8 +9,13 @@
 // BenchmarkDecision measures submitting, placing and finishing one request, with different numbers
 // of servers and of waiting requests.
 func BenchmarkDecision(b *testing.B) {
-	for _, size := range []struct{ servers, waiting int }{{18, 0}, {18, 200}, {90, 0}, {90, 1000}} {
-		b.Run(fmt.Sprintf("servers=%d/waiting=%d", size.servers, size.waiting), func(b *testing.B) {
+	for _, size := range []struct {
+		servers, waiting int
+		full             float64 // fraction of the slots that are in use
+	}{
+		{18, 0, 1}, {18, 200, 1}, {90, 0, 1}, {90, 1000, 1}, {2890, 0, 1}, {2890, 1000, 1}, {90, 0, 0.5}, {2890, 0, 0.5}, {5780, 0, 0.5},
+	} {
+		b.Run(fmt.Sprintf("servers=%d/waiting=%d/full=%g", size.servers, size.waiting, size.full), func(b *testing.B) {
 			s := newScheduler(size.servers, 6)
 			next := uint64(0)
 			submit := func() {
@@ -19,7 +24,7 @@
 				r.Deadline = time.Hour
 				s.Submit(0, r)
 			}
-			for range size.servers*6 + size.waiting {
+			for range int(float64(size.servers*6)*size.full) + size.waiting {
 				submit()
 			}
 			running := uint64(1)
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -25,7 +25,7 @@
 // not required of any server.
 func (s *Scheduler) requirementsOf(now Time, svc *service, fastest *server, r *Request) requirements {
 	if fastest != nil && !fastest.eligible(now, r) {
-		fastest = svc.fastest(now, r)
+		fastest = s.fastest(now, svc, r)
 	}
 	if fastest == nil {
 		return requirements{}
@@ -84,7 +84,7 @@
 }
 
 func (s *Scheduler) candidates(now Time, svc *service, free []*server) *candidates {
-	c := &candidates{fastestUsable: svc.fastest(now, nil), free: free}
+	c := &candidates{fastestUsable: s.fastest(now, svc, nil), free: free}
 	c.update(now, svc)
 	return c
 }
@@ -133,11 +133,17 @@
 
 // fastest returns the usable server with the shortest token time, whether it has room or not,
 // or nil when there is none; if r is not nil, of the servers that are open to r. Servers at
-// their rate limit are left out, as they may take seconds to open again.
-func (svc *service) fastest(now Time, r *Request) *server {
+// their rate limit are left out, as they may take seconds to open again. In a large service a
+// server of the fastest speed class is returned.
+func (s *Scheduler) fastest(now Time, svc *service, r *Request) *server {
+	open := func(srv *server) bool { return r == nil || srv.eligible(now, r) }
+	if index := s.indexOf(now, svc); index != nil {
+		return index.fastest(now, open)
+	}
 	var best *server
+	svc.index.looks += len(svc.servers)
 	for _, srv := range svc.servers {
-		if r != nil && !srv.eligible(now, r) {
+		if !open(srv) {
 			continue
 		}
 		if srv.usable(now) && srv.pacer.ready(now) && (best == nil || srv.tokenTime < best.tokenTime) {
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -1,6 +1,9 @@
 package sched
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // maxHandoverShare limits the extra placements for handovers, as a fraction of a server's slots.
 // A longer handover is a pause of hosts or links, in which extra placements would only fill the
@@ -25,11 +28,20 @@
 // for these few milliseconds is no later than one that waits here. Runs at engines last so long that
 // the loss is negligible.
 func (svc *service) handoverSlots(srv *server) float64 {
+	return float64(srv.Slots) * svc.handoverShare()
+}
+
+// handoverShareStep is the step in which the share of the handovers changes, since each change
+// concerns every server of the service.
+const handoverShareStep = 1.0 / 64
+
+// handoverShare is the time of a handover relative to that of a call, 0 for engines.
+func (svc *service) handoverShare() float64 {
 	if svc.Engine || svc.handoverTime.mean == 0 {
 		return 0
 	}
 	share := float64(svc.handoverTime.mean) / float64(svc.callTime())
-	return float64(srv.Slots) * min(maxHandoverShare, share)
+	return min(maxHandoverShare, math.Round(share/handoverShareStep)*handoverShareStep)
 }
 
 // callTime is the learned duration of a plain call at a server.
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -23,6 +23,9 @@
 	for _, srv := range s.servers {
 		s.applyNotice(now, srv)
 	}
+	for _, svc := range s.services {
+		svc.index.outdated = true
+	}
 	s.suspects.SetPartial(share.Servers < 1)
 	s.SetAccounts(now, s.quotas)
 }
@@ -34,7 +37,7 @@
 		svc := s.services[spec.Name]
 		if svc == nil {
 			burst := s.policy.RetryBurst * s.share.Quotas
-			svc = &service{retryBudget: bucket{burst: burst, level: burst, at: now}, prefillRatio: initialPrefillRatio, versions: s.versionsOf(spec.Name)}
+			svc = &service{retryBudget: bucket{burst: burst, level: burst, at: now}, prefillRatio: initialPrefillRatio, versions: s.versionsOf(spec.Name), index: newServerIndex()}
 			s.services[spec.Name] = svc
 		}
 		svc.Service = spec
@@ -78,7 +81,7 @@
 		if known == nil {
 			svc := s.services[spec.Service]
 			if svc == nil {
-				svc = &service{Service: Service{Name: spec.Service}, versions: s.versionsOf(spec.Service)}
+				svc = &service{Service: Service{Name: spec.Service}, versions: s.versionsOf(spec.Service), index: newServerIndex()}
 			}
 			s.servers[spec.ID] = newServer(now, spec, svc, s.policy.EjectionTime)
 			s.servers[spec.ID].hashFraction = hashFraction(s.owner, spec.ID)
@@ -94,6 +97,7 @@
 			s.recordEnd(now, srv)
 			s.recordIdleEnd(now, srv)
 			srv.leaving = true // some unlisted servers run on for a while, then cut off long runs
+			srv.serving = nil
 			delete(s.servers, id)
 		}
 	}
@@ -118,6 +122,7 @@
 	byService := map[string][]*server{}
 	for _, srv := range s.servers {
 		byService[srv.Service] = append(byService[srv.Service], srv)
+		srv.serving = nil
 	}
 	for name, svc := range s.services {
 		all := byService[name]
@@ -126,6 +131,10 @@
 			srv.cache.capacity = svc.KVTokens
 		}
 		svc.servers, svc.onTrial = svc.versions.partition(all)
+		for _, srv := range svc.servers {
+			srv.serving = svc
+		}
 		svc.typical = 0
+		svc.index.outdated = true
 	}
 }
--- a/internal/sched/learned.go
+++ b/internal/sched/learned.go
@@ -24,7 +24,7 @@
 // Engines differ in speed by a factor of three and don't report it. Without this, a host that
 // takes over from a lost home would send long prompts to slow engines in the seconds in
 // which most requests wait.
-func (s *Scheduler) ImportLearned(learned []Learned) {
+func (s *Scheduler) ImportLearned(now Time, learned []Learned) {
 	for _, l := range learned {
 		srv := s.servers[l.Server]
 		if srv == nil || l.TokenTime < minTokenTime || l.TokenTime > maxTokenTime {
@@ -34,5 +34,6 @@
 		if svc := s.services[srv.Service]; svc != nil {
 			svc.typical = 0
 		}
+		s.reindex(now, srv)
 	}
 }
--- a/internal/sched/notices.go
+++ b/internal/sched/notices.go
@@ -70,7 +70,10 @@
 func (s *Scheduler) allBackedOff(now Time, svc *service, w *waiting) bool {
 	latest := now + time.Duration(float64(w.Deadline-w.Arrived)*s.policy.MaxWaitShare)
 	found := false
-	for _, srv := range svc.servers {
+	for i, srv := range svc.servers {
+		if i == maxLooks {
+			return found // the others are taken to be like those
+		}
 		if !srv.usable(now) || slices.Contains(w.Avoid, srv.ID) {
 			continue
 		}
@@ -88,11 +91,12 @@
 	if current.Leaving {
 		srv.Draining, srv.leaving = true, true
 	}
-	if !current.Limit.Valid {
+	if current.Limit.Valid {
+		srv.pacer.limit(now, max(current.Limit.PerSecond, minServerRate)*s.share.RateLimits, srv.hashFraction)
+	} else {
 		srv.pacer = pacer{}
-		return
 	}
-	srv.pacer.limit(now, max(current.Limit.PerSecond, minServerRate)*s.share.RateLimits, srv.hashFraction)
+	s.reindex(now, srv)
 }
 
 // forgetNotices drops old notices of servers that are not listed.
--- a/internal/sched/notices_test.go
+++ b/internal/sched/notices_test.go
@@ -149,7 +149,7 @@
 	It("is not waited for while a slower server is idle", func() {
 		s := newScheduler(2, 8)
 		s.LearnNotices(0, 1, []notice.Record{limitRecord("e0", 1, 0)})
-		s.ImportLearned([]Learned{{Server: "e0", TokenTime: 2 * ms}, {Server: "e1", TokenTime: 100 * ms}})
+		s.ImportLearned(0, []Learned{{Server: "e0", TokenTime: 2 * ms}, {Server: "e1", TokenTime: 100 * ms}})
 		for id := range uint64(4) {
 			out, _ := s.Submit(0, stream(id, 0, 0))
 			Expect(placed(out)).To(Equal([]uint64{id}))
@@ -245,7 +245,7 @@
 
 	It("is not waited for while a slower server accepts requests", func() {
 		s := newScheduler(2, 8)
-		s.ImportLearned([]Learned{{Server: "e0", TokenTime: 2 * ms}, {Server: "e1", TokenTime: 100 * ms}})
+		s.ImportLearned(0, []Learned{{Server: "e0", TokenTime: 2 * ms}, {Server: "e1", TokenTime: 100 * ms}})
 		s.LearnNotices(0, 1, backoffRecords("e0", 3*time.Second))
 		out, _ := s.Submit(0, stream(1, 0, 0))
 		Expect(placed(out)).To(Equal([]uint64{1}))
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -44,9 +44,15 @@
 	return true
 }
 
-// serversWithRoom lists the servers that can take one more request now.
-func (s *Scheduler) serversWithRoom(now Time, svc *service) []*server {
+// serversWithRoom lists servers that can take one more request now: all of a service of at most
+// maxCandidates, otherwise those that a decision about r, or about any request if r is nil, should
+// compare.
+func (s *Scheduler) serversWithRoom(now Time, svc *service, r *Request) []*server {
+	if index := s.indexOf(now, svc); index != nil {
+		return index.candidates(now, r)
+	}
 	var free []*server
+	svc.index.looks += len(svc.servers)
 	for _, srv := range svc.servers {
 		if srv.hasRoom(now, s.concurrencyLimit(svc, srv)) {
 			free = append(free, srv)
@@ -115,6 +121,7 @@
 	if !reqs.satisfiable(now, svc, c, r) {
 		return nil
 	}
+	svc.index.looks += len(c.free)
 	for _, srv := range c.free {
 		if !srv.eligible(now, r) || !srv.hasMemory(svc, r) || s.hasConflictingSuspect(srv, r) {
 			continue
@@ -186,6 +193,8 @@
 		srv.isolatedRuns++
 		svc.recurrentPlacedAt = now
 	}
+	s.reindex(now, srv)
+	svc.index.byPart.use(w.PromptParts, srv)
 	s.out = append(s.out, Decision{Key: w.Key, Server: srv.ID, Address: srv.Address, Waited: now - w.submittedAt})
 }
 
@@ -273,7 +282,7 @@
 	}
 	if now-since > maxWait {
 		why := Overload
-		if !slices.ContainsFunc(svc.servers, func(srv *server) bool { return srv.usable(now) }) {
+		if s.countUsable(now, svc) == 0 {
 			why = NoServer
 		}
 		s.refuse(now, w, why, s.retryAfter(now, w))
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -35,13 +35,15 @@
 // service is a service with its queue.
 type service struct {
 	Service
-	servers           []*server // that receive requests
-	onTrial           []*server // of a version that is on trial
+	servers           []*server    // that receive requests
+	index             *serverIndex // of servers; see indexOf
+	onTrial           []*server    // of a version that is on trial
 	versions          *versions
 	queue             queue
 	retryBudget       bucket
 	timeToFirstEvent  durationEstimate // from the placement to the first event or, for a plain call, the complete answer
 	typical           time.Duration    // cached result of typicalTokenTime, 0 when it may have changed
+	typicalSamples    int              // token times learned since typical was computed
 	handoverTime      durationEstimate // of a plain call's placement, beyond the time that its server has the call
 	recurrentPlacedAt Time             // when a recurrent suspect was last placed; see suspects.go
 	// prefillRatio is the time that an engine takes to prefill one prompt token, as a
@@ -89,10 +91,22 @@
 		times = append(times, srv.tokenTime)
 	}
 	slices.Sort(times)
-	svc.typical = times[len(times)/2]
+	svc.typical, svc.typicalSamples = times[len(times)/2], 0
 	return svc.typical
 }
 
+// typicalRefreshFraction is the fraction of a service's servers whose token times may change before
+// the median is computed again.
+const typicalRefreshFraction = 1.0 / 16
+
+// learnedTokenTime notes that the token time of one server has changed.
+func (svc *service) learnedTokenTime() {
+	svc.typicalSamples++
+	if float64(svc.typicalSamples) >= typicalRefreshFraction*float64(len(svc.servers)) {
+		svc.typical = 0
+	}
+}
+
 // Submit requests a placement. The decision may come at once or after a later event;
 // waits reports whether the request is queued. A request under a known key replaces
 // the earlier one.
@@ -143,7 +157,7 @@
 		svc.queue.remove(w.Key)
 		return true
 	}
-	if free := s.serversWithRoom(now, svc); len(free) > 0 && s.tryPlace(now, svc, s.candidates(now, svc, free), w) {
+	if free := s.serversWithRoom(now, svc, &w.Request); len(free) > 0 && s.tryPlace(now, svc, s.candidates(now, svc, free), w) {
 		svc.queue.remove(w.Key)
 		return true
 	}
@@ -180,7 +194,7 @@
 	s.dequeue(k)
 	if r := s.runs[k]; r != nil {
 		s.refund(now, r)
-		s.removeRun(r)
+		s.removeRun(now, r)
 	}
 }
 
@@ -240,34 +254,27 @@
 	s.learnVersion(now, r, o)
 	s.learnServer(now, r, o)
 	s.learnEnd(now, r, o)
-	if svc := s.services[r.req.Service]; svc != nil && o.TokenTime > 0 {
-		svc.typical = 0
-	}
-	if svc := s.services[r.req.Service]; svc != nil && o.FirstEvent > 0 && !o.Result.Lost() {
-		svc.learnPrefillRatio(r, o.FirstEvent)
-		if o.Result == OK {
-			svc.timeToFirstEvent.add(o.FirstEvent)
-			svc.learnHandover(now-r.placed, o.FirstEvent)
-		}
-	}
+	svc := s.services[r.req.Service]
+	s.learnTimes(now, svc, r, o)
 	if o.Result == Progress {
 		r.server.endIsolation(r)
 		s.suspects.Progress(now, r.req.Fingerprint)
 	}
 	if o.Result == Progress || o.Result == Stalled {
+		s.reindex(now, r.server)
 		return nil
 	}
 	if o.Result.NotRun() {
 		s.refund(now, r)
 	}
-	if svc := s.services[r.req.Service]; svc != nil && r.countedAsServed && o.Result != OK {
+	if svc != nil && r.countedAsServed && o.Result != OK {
 		svc.queue.priorityQueue(r.req.Priority).sizeStats.served[r.class].add(now, -1)
 	}
-	s.removeRun(r)
+	s.removeRun(now, r)
 	s.reviewSuspects(now)
 	listed := s.servers[r.server.ID] == r.server
-	if svc := s.services[r.req.Service]; svc != nil && listed && r.server.hasRoom(now, s.concurrencyLimit(svc, r.server)) {
-		if slices.Contains(svc.servers, r.server) {
+	if svc != nil && listed && r.server.hasRoom(now, s.concurrencyLimit(svc, r.server)) {
+		if r.server.serving == svc {
 			s.fill(now, svc, []*server{r.server})
 		} else {
 			s.fillTrial(now, svc)
@@ -276,6 +283,29 @@
 	return s.out
 }
 
+// learnTimes updates the estimates of a service, nil if it is unknown, from the outcome of a run.
+func (s *Scheduler) learnTimes(now Time, svc *service, r *run, o Outcome) {
+	if svc == nil {
+		return
+	}
+	if o.TokenTime > 0 {
+		svc.learnedTokenTime()
+	}
+	if o.FirstEvent == 0 || o.Result.Lost() {
+		return
+	}
+	svc.learnPrefillRatio(r, o.FirstEvent)
+	if o.Result != OK {
+		return
+	}
+	svc.timeToFirstEvent.add(o.FirstEvent)
+	before := svc.handoverShare()
+	svc.learnHandover(now-r.placed, o.FirstEvent)
+	if svc.handoverShare() != before {
+		svc.index.outdated = true
+	}
+}
+
 // learnServer updates what is known of a run's server from the run's outcome.
 func (s *Scheduler) learnServer(now Time, r *run, o Outcome) {
 	if s.failedRequests.recordOutcome(now, r.req.Fingerprint, r.server.ID, o.Result) {
@@ -285,6 +315,9 @@
 		r.server.ended = false // the server has answered since, so it had not ended
 	}
 	r.server.learn(now, o)
+	if svc := r.server.serving; svc != nil && o.Result == OK {
+		svc.index.connected(o.Holder, r.server)
+	}
 }
 
 // RecordServerFault counts a failure against a server: it failed a request that another
@@ -304,11 +337,12 @@
 	}
 }
 
-func (s *Scheduler) removeRun(r *run) {
+func (s *Scheduler) removeRun(now Time, r *run) {
 	if r.orphan {
 		s.orphans--
 	}
 	r.server.finish(r)
+	s.reindex(now, r.server)
 	s.addCopies(r.req.Fingerprint, -1)
 	delete(s.runs, r.req.Key)
 }
@@ -333,6 +367,7 @@
 	if a.Elapsed < adoptedSendWindow {
 		srv.pacer.take(now)
 	}
+	s.reindex(now, srv)
 	r.predictedEnd = max(now, r.predictedEnd-a.Elapsed)
 	r.refunded = true // charged by the scheduler that placed it
 	s.runs[a.Key] = r
@@ -365,7 +400,7 @@
 	for _, svc := range s.services {
 		if svc.queue.size > 0 {
 			s.fillTrial(now, svc)
-			s.fill(now, svc, s.serversWithRoom(now, svc))
+			s.fill(now, svc, s.serversWithRoom(now, svc, nil))
 			s.refuseOverdue(now, svc)
 		}
 	}
@@ -378,7 +413,7 @@
 	}
 	for _, r := range s.runs {
 		if r.orphan && now >= r.predictedEnd {
-			s.removeRun(r)
+			s.removeRun(now, r)
 		}
 	}
 }
@@ -403,12 +438,7 @@
 func (s *Scheduler) refuse(now Time, w *waiting, why Reason, after time.Duration) {
 	d := Decision{Key: w.Key, Reason: why, RetryAfter: after, Detail: s.suspects.Explain(now, w.Fingerprint)}
 	if svc := s.services[w.Service]; svc != nil {
-		d.Waiting = svc.queue.size
-		for _, srv := range svc.servers {
-			if srv.usable(now) {
-				d.Usable++
-			}
-		}
+		d.Waiting, d.Usable = svc.queue.size, s.countUsable(now, svc)
 	}
 	s.out = append(s.out, d)
 }
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -52,6 +52,8 @@
 	brokenAnswers     []quarantine.Loss // recent answers that were cut off
 	pacer             pacer
 	backoffs          map[uint64]Time // by holder, until when nothing is sent for that holder
+	serving           *service        // the service that places requests here, nil if unlisted or on trial
+	entry             indexEntry      // its place in the index of serving
 }
 
 func newServer(now Time, spec Server, svc *service, firstEjection time.Duration) *server {
