member: what a host does for a datagram does not grow with the fleet

Cause: updates, targets, replaceOthersAt, expire and LiveCount each walked all members for every datagram or probe round; a change of any member rebuilt and sorted the list of all and ranked it anew for whoever asked next (followers, watchers, look-ups). A newcomer's answer at a seed of a starting fleet therefore took milliseconds, and each host paid for every other host's start.

Change: records stand in pools from which random ones are drawn in constant time; announcements are a queue; incarnations at one address are found by address; a ranking is kept and computed again only when one of its first 16 leaves. Look-ups draw 64 members rather than listing all.

Ruled out: caching the list for a while (it is stale just when the fleet changes).

--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -161,13 +161,5 @@
 // countHosts returns how many hosts are live, this one included, and how many recently stopped
 // responding without proof that they ended.
 func (f *Follower) countHosts() (live, silent int) {
-	for _, m := range f.members.All() {
-		switch {
-		case m.State != member.Dead:
-			live++
-		case !m.Proved && time.Since(m.Since) < partitionTimeout:
-			silent++
-		}
-	}
-	return max(1, live), silent
+	return f.members.LiveCount(), f.members.SilentCount(partitionTimeout)
 }
--- a/internal/member/news.go
+++ b/internal/member/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/chart"
@@ -39,26 +40,45 @@
 func (t *Table) updates(sample int) []*wire.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []*wire.Member
-	var others []*record
-	for _, r := range t.members {
-		if r.transmitsLeft > 0 && len(out) < maxUpdates {
-			r.transmitsLeft--
-			out = append(out, r.toWire())
-			continue
-		}
-		if r.machine.State() != Dead {
-			others = append(others, r)
+	recent := t.nextAnnouncements(maxUpdates)
+	chosen := slices.Clone(recent)
+	t.pools[livePool].draw(func(r *record) (more bool) {
+		if len(chosen) < len(recent)+sample && !slices.Contains(recent, r) {
+			chosen = append(chosen, r)
 		}
-	}
-	for i := 0; i < sample && len(others) > 0; i++ {
-		k := rand.IntN(len(others))
-		out = append(out, others[k].toWire())
-		others = append(others[:k], others[k+1:]...)
+		return len(chosen) < len(recent)+sample
+	})
+	out := make([]*wire.Member, 0, len(chosen))
+	for _, r := range chosen {
+		out = append(out, r.toWire())
 	}
 	return out
 }
 
+// announce lets the next datagrams carry an entry. The caller holds mu.
+func (t *Table) announce(r *record) {
+	r.transmitsLeft = t.maxTransmits()
+	if !r.announced {
+		r.announced = true
+		t.announcements = append(t.announcements, r)
+	}
+}
+
+// nextAnnouncements returns up to n entries to be carried by a datagram, in turn. The caller holds
+// mu.
+func (t *Table) nextAnnouncements(n int) []*record {
+	n = min(n, len(t.announcements))
+	next := slices.Clone(t.announcements[:n])
+	t.announcements = t.announcements[n:]
+	for _, r := range next {
+		r.transmitsLeft--
+		if r.announced = r.transmitsLeft > 0; r.announced {
+			t.announcements = append(t.announcements, r)
+		}
+	}
+	return next
+}
+
 // updatesFor selects the entries for an answer to a host. A newcomer gets a larger sample
 // that begins with the largest members, since one of those is the home, the host that runs
 // the scheduler.
@@ -129,26 +149,23 @@
 func (t *Table) targets(n int) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var live, unproved []*record
-	for _, r := range t.members {
-		switch {
-		case r.machine.State() != Dead:
-			live = append(live, r)
-		case !r.proved:
-			unproved = append(unproved, r)
+	var chosen []*record
+	choose := func(r *record) (more bool) {
+		if len(chosen) < n && !slices.Contains(chosen, r) {
+			chosen = append(chosen, r)
 		}
+		return len(chosen) < n
 	}
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	t.sameZoneFirst(live)
-	chosen := live[:min(n, len(live))]
-	if len(unproved) > 0 && rand.IntN(deadProbeOdds) == 0 {
+	if rand.IntN(anyZoneOdds) > 0 {
+		t.pools[zonePool].draw(choose)
+	}
+	t.pools[livePool].draw(choose)
+	if unproved := t.pools[unprovedPool].records; len(unproved) > 0 && rand.IntN(deadProbeOdds) == 0 {
 		chosen = append(chosen, unproved[rand.IntN(len(unproved))])
 	}
 	out := make([]Member, 0, len(chosen))
 	for _, r := range chosen {
-		m := fromWire(r.wire)
-		m.State = r.machine.State()
-		out = append(out, m)
+		out = append(out, r.member())
 	}
 	return out
 }
@@ -157,23 +174,8 @@
 const deadProbeOdds = 3
 
 // anyZoneOdds is the mean number of probe rounds for each one that draws from all members
-// instead of preferring those of the same availability zone. With it, updates leave or enter
+// instead of preferring those of the same availability zone; a host that is alone in its zone always
+// draws from all. With it, updates leave or enter
 // a zone of 40 hosts 60 times a second, which is enough. Uniform probes would send four
 // fifths of their bytes between zones, where traffic is charged.
 const anyZoneOdds = 4
-
-// sameZoneFirst moves members of the same availability zone to the front, except in one of
-// anyZoneOdds rounds on average. A host that is alone in its zone probes all members
-// uniformly. The caller holds mu.
-func (t *Table) sameZoneFirst(live []*record) {
-	if rand.IntN(anyZoneOdds) == 0 {
-		return
-	}
-	sameZone := 0
-	for i, r := range live {
-		if r.wire.Zone == t.self.Zone {
-			live[sameZone], live[i] = live[i], live[sameZone]
-			sameZone++
-		}
-	}
-}
--- a/internal/member/rank.go
+++ b/internal/member/rank.go
@@ -1,10 +1,13 @@
 package member
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gentianflow/gentianflow/internal/chart"
 	"github.com/gentianflow/gentianflow/internal/ident"
 )
 
@@ -20,7 +23,7 @@
 	}
 	var all []weighted
 	for _, m := range members {
-		if m.State == Alive || m.State == Suspect {
+		if mayBeHome(m.State) {
 			all = append(all, weighted{m, weight(service, m.Incarnation)})
 		}
 	}
@@ -37,6 +40,8 @@
 	return out
 }
 
+func mayBeHome(s chart.State) bool { return s == Alive || s == Suspect }
+
 // weight hashes the incarnation rather than the host name, so that a restarted
 // host competes as a new one and does not take its services back at once.
 func weight(service string, inc ident.Incarnation) uint64 {
@@ -63,11 +68,75 @@
 func (t *Table) First(service string, n int) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := t.allLocked()
-	ranked, known := t.rankings[service]
-	if !known {
-		ranked = Rank(service, list, maxRanked)
-		t.rankings[service] = ranked
+	ranking := t.rankingOf(service)
+	if ranking.members == nil {
+		for _, c := range ranking.first {
+			if m, ok := t.get(c.incarnation); ok {
+				ranking.members = append(ranking.members, m)
+			}
+		}
+	}
+	return ranking.members[:min(n, len(ranking.members))]
+}
+
+// rankingOf returns the ranking of a service, and computes it if it is unknown. The caller holds mu.
+func (t *Table) rankingOf(service string) *ranking {
+	if r := t.rankings[service]; r != nil && !r.outdated {
+		return r
+	}
+	r := &ranking{}
+	t.rankings[service] = r
+	self := t.selfMember()
+	r.set(service, candidate{incarnation: self.Incarnation, capacity: self.Capacity}, mayBeHome(self.State))
+	for _, other := range t.pools[livePool].records {
+		r.set(service, other.candidate(), mayBeHome(other.machine.State()))
+	}
+	return r
+}
+
+// candidate is a member in a ranking.
+type candidate struct {
+	incarnation ident.Incarnation
+	capacity    uint32
+	weight      uint64
+}
+
+func (r *record) candidate() candidate {
+	return candidate{incarnation: r.incarnation(), capacity: r.wire.Capacity}
+}
+
+// ranking holds the first maxRanked members of a service's ranking. A member that joins or leaves
+// changes it only if it is one of them.
+type ranking struct {
+	first    []candidate
+	outdated bool     // one of first has left, so that its successor must be found among all
+	members  []Member // first, as First returns it; nil if it must be listed again
+}
+
+// set includes a candidate in the ranking or excludes it.
+func (r *ranking) set(service string, c candidate, eligible bool) {
+	at := slices.IndexFunc(r.first, func(other candidate) bool { return other.incarnation == c.incarnation })
+	if !eligible {
+		r.outdated = r.outdated || at >= 0
+		return
+	}
+	full := len(r.first) == maxRanked
+	if at >= 0 || full && c.capacity < r.first[maxRanked-1].capacity {
+		return
+	}
+	c.weight = weight(service, c.incarnation)
+	r.members = nil
+	i, _ := slices.BinarySearchFunc(r.first, c, candidate.compare)
+	r.first = slices.Insert(r.first, i, c)
+	if full {
+		r.first = r.first[:maxRanked]
+	}
+}
+
+// compare orders candidates as Rank does.
+func (c candidate) compare(other candidate) int {
+	if c.capacity != other.capacity {
+		return cmp.Compare(other.capacity, c.capacity)
 	}
-	return ranked[:min(n, len(ranked))]
+	return cmp.Compare(other.weight, c.weight)
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -13,6 +13,8 @@
 package member
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -58,27 +60,38 @@
 	wire          *wire.Member
 	machine       chart.Machine
 	proved        bool
-	stateSince    time.Time // start of the current state
-	firstSeen     time.Time // when this host learned of the member
-	lastContact   time.Time // when the member last contacted this host
-	transmitsLeft int       // number of datagrams that are still to carry this entry
+	stateSince    time.Time  // start of the current state
+	firstSeen     time.Time  // when this host learned of the member
+	lastContact   time.Time  // when the member last contacted this host
+	transmitsLeft int        // number of datagrams that are still to carry this entry
+	announced     bool       // it is in Table.announcements
+	poolPos       [pools]int // 1 + its position in each pool, 0: not in it
 }
 
-// Table is the membership as one host sees it. mu guards self, members, sorted and
-// rankings.
+func (r *record) incarnation() ident.Incarnation { return ident.Incarnation(r.wire.Incarnation) }
+
+func (r *record) member() Member {
+	m := fromWire(r.wire)
+	m.State, m.Proved, m.Since = r.machine.State(), r.proved, r.stateSince
+	return m
+}
+
+// Table is the membership as one host sees it. mu guards all fields from self to rankings.
+//
+// A host handles some dozen datagrams a second, whatever the size of the fleet. What it does for one
+// must not grow with the number of members, so nothing but All and expire walks them.
 type Table struct {
 	events  *event.Recorder
 	horizon time.Duration // how long dead members are kept
 
-	mu      sync.Mutex
-	self    *wire.Member
-	members map[ident.Incarnation]*record
-	// sorted is the list that All returns, nil if a member has changed since it was built.
-	// rankings holds the first maxRanked members of each service's ranking of that list.
-	// They are cached because building the list of hundreds of hosts takes 0.1 ms, and a
-	// home looks up who the home is whenever a host asks it for rows of the store.
-	sorted   []Member
-	rankings map[string][]Member
+	mu            sync.Mutex
+	self          *wire.Member
+	members       map[ident.Incarnation]*record
+	byAddress     map[string][]*record // by control address
+	pools         [pools]pool
+	announcements []*record           // that datagrams are still to carry, the next one first
+	sorted        []Member            // the list that All returns, nil if a member has changed since it was built
+	rankings      map[string]*ranking // by service
 
 	changed notify.Set
 }
@@ -86,7 +99,14 @@
 // NewTable returns a table that contains only this host. Dead members are kept for
 // horizon.
 func NewTable(self *wire.Member, horizon time.Duration, events *event.Recorder) *Table {
-	return &Table{events: events, horizon: horizon, self: self, members: map[ident.Incarnation]*record{}}
+	t := &Table{
+		events: events, horizon: horizon, self: self,
+		members: map[ident.Incarnation]*record{}, byAddress: map[string][]*record{}, rankings: map[string]*ranking{},
+	}
+	for kind := range t.pools {
+		t.pools[kind].kind = kind
+	}
+	return t
 }
 
 // Subscribe returns a channel that receives a token after changes.
@@ -122,27 +142,24 @@
 func (t *Table) All() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.allLocked()
-}
-
-// invalidate drops the cached list and rankings. The caller holds mu.
-func (t *Table) invalidate() { t.sorted = nil }
-
-// allLocked is All for callers that hold mu.
-func (t *Table) allLocked() []Member {
 	if t.sorted == nil {
-		t.sorted, t.rankings = t.buildList(), map[string][]Member{}
+		t.sorted = t.buildList()
 	}
 	return t.sorted
 }
 
+// invalidate drops what is cached of the members' entries. The caller holds mu.
+func (t *Table) invalidate() {
+	t.sorted = nil
+	for _, ranking := range t.rankings {
+		ranking.members = nil
+	}
+}
+
 func (t *Table) buildList() []Member {
 	out := []Member{t.selfMember()}
 	for _, r := range t.members {
-		m := fromWire(r.wire)
-		m.State = r.machine.State()
-		m.Proved, m.Since = r.proved, r.stateSince
-		out = append(out, m)
+		out = append(out, r.member())
 	}
 	sort.Slice(out, func(i, j int) bool {
 		if out[i].Host != out[j].Host {
@@ -155,10 +172,18 @@
 
 // Get returns the entry of an incarnation.
 func (t *Table) Get(inc ident.Incarnation) (Member, bool) {
-	for _, m := range t.All() {
-		if m.Incarnation == inc {
-			return m, true
-		}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.get(inc)
+}
+
+// get is Get for callers that hold mu.
+func (t *Table) get(inc ident.Incarnation) (Member, bool) {
+	if inc == ident.Incarnation(t.self.Incarnation) {
+		return t.selfMember(), true
+	}
+	if r := t.members[inc]; r != nil {
+		return r.member(), true
 	}
 	return Member{}, false
 }
@@ -169,6 +194,7 @@
 	t.self.State = wire.MemberState_MEMBER_LEAVING
 	t.self.Beat++
 	t.invalidate()
+	clear(t.rankings)
 	t.changed.Notify()
 	t.mu.Unlock()
 }
@@ -200,7 +226,8 @@
 	r.proved = true
 	t.invalidate()
 	t.fire(r, "die")
-	r.transmitsLeft = t.maxTransmits()
+	t.place(r)
+	t.announce(r)
 	t.changed.Notify()
 	inc := ident.Incarnation(r.wire.Incarnation)
 	t.events.Record(event.MemberProvedDead, event.Fields{Peer: r.wire.Host, Detail: inc.String() + ": " + reason})
@@ -214,7 +241,8 @@
 		return
 	}
 	r.stateSince = time.Now()
-	r.transmitsLeft = t.maxTransmits()
+	t.place(r)
+	t.announce(r)
 	t.invalidate()
 	t.changed.Notify()
 	code := map[chart.State]event.Code{
@@ -295,8 +323,8 @@
 	if w.ControlAddress != "" && w.ControlAddress == t.self.ControlAddress {
 		return false // this host's own predecessor
 	}
-	for _, other := range t.members {
-		if other.wire.ControlAddress != w.ControlAddress || other.machine.State() == Dead {
+	for _, other := range t.byAddress[w.ControlAddress] {
+		if other.machine.State() == Dead {
 			continue
 		}
 		if w.StartedMs <= other.wire.StartedMs {
@@ -343,8 +371,11 @@
 	inc := ident.Incarnation(w.Incarnation)
 	r := t.members[inc]
 	if r == nil {
-		r = &record{wire: w, machine: memberChart.Start(), stateSince: time.Now(), firstSeen: time.Now(), transmitsLeft: t.maxTransmits()}
+		r = &record{wire: w, machine: memberChart.Start(), stateSince: time.Now(), firstSeen: time.Now()}
 		t.members[inc] = r
+		t.byAddress[w.ControlAddress] = append(t.byAddress[w.ControlAddress], r)
+		t.place(r)
+		t.announce(r)
 		t.invalidate()
 		if w.State != wire.MemberState_MEMBER_DEAD {
 			t.changed.Notify()
@@ -360,19 +391,42 @@
 			t.changed.Notify()
 		}
 		if w.Beat > r.wire.Beat {
-			r.transmitsLeft = t.maxTransmits()
+			t.announce(r)
 		}
-		r.wire = w
+		t.replaceEntry(r, w)
 	}
 	return r
 }
 
+// replaceEntry replaces what is known of a member by a newer entry of it. The caller holds mu.
+func (t *Table) replaceEntry(r *record, w *wire.Member) {
+	before := r.wire
+	r.wire = w
+	if before.ControlAddress != w.ControlAddress {
+		t.removeAddress(r, before.ControlAddress)
+		t.byAddress[w.ControlAddress] = append(t.byAddress[w.ControlAddress], r)
+	}
+	if before.Capacity != w.Capacity {
+		clear(t.rankings)
+		t.invalidate()
+	}
+}
+
+func (t *Table) removeAddress(r *record, address string) {
+	others := slices.DeleteFunc(t.byAddress[address], func(other *record) bool { return other == r })
+	if len(others) == 0 {
+		delete(t.byAddress, address)
+		return
+	}
+	t.byAddress[address] = others
+}
+
 // replaceOthersAt records that all other incarnations at the control address of w have
 // ended, since w could bind the port. This holds only for a message from w itself: reports
 // by others about two incarnations at one address arrive in any order.
 func (t *Table) replaceOthersAt(w *wire.Member) {
-	for _, other := range t.members {
-		if other.wire.ControlAddress == w.ControlAddress && other.wire.Incarnation != w.Incarnation {
+	for _, other := range t.byAddress[w.ControlAddress] {
+		if other.wire.Incarnation != w.Incarnation {
 			t.recordProof(other, "replaced by a new incarnation at its address")
 		}
 	}
@@ -394,18 +448,25 @@
 func (t *Table) expire(now time.Time, suspicion time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for inc, r := range t.members {
+	for _, r := range slices.Clone(t.pools[timedPool].records) {
 		switch {
 		case r.machine.State() == Suspect && now.Sub(r.stateSince) > suspicion:
 			t.fire(r, "die")
 		case r.machine.State() == Dead && now.Sub(r.stateSince) > t.horizon:
-			delete(t.members, inc)
-			t.invalidate()
-			t.events.Record(event.MemberForgotten, event.Fields{Peer: r.wire.Host, Detail: inc.String()})
+			t.forget(r)
 		}
 	}
 }
 
+// forget removes a member. The caller holds mu.
+func (t *Table) forget(r *record) {
+	delete(t.members, r.incarnation())
+	t.removeAddress(r, r.wire.ControlAddress)
+	t.place(r)
+	t.invalidate()
+	t.events.Record(event.MemberForgotten, event.Fields{Peer: r.wire.Host, Detail: r.incarnation().String()})
+}
+
 // missLeaving marks a leaving member that no longer answers as dead.
 func (t *Table) missLeaving(inc ident.Incarnation) {
 	t.mu.Lock()
@@ -419,11 +480,43 @@
 func (t *Table) LiveCount() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 1
-	for _, r := range t.members {
-		if r.machine.State() != Dead {
+	return 1 + len(t.pools[livePool].records)
+}
+
+// SilentCount returns the number of members that count as dead without proof, and have done so for
+// less than a time.
+func (t *Table) SilentCount(within time.Duration) (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.pools[unprovedPool].records {
+		if time.Since(r.stateSince) < within {
 			n++
 		}
 	}
 	return n
 }
+
+// SampleAlive returns up to n different random members that are alive, this host possibly among
+// them.
+func (t *Table) SampleAlive(n int) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Member, 0, n+1)
+	live := &t.pools[livePool]
+	live.draw(func(r *record) (more bool) {
+		if r.machine.State() == Alive {
+			out = append(out, r.member())
+		}
+		return len(out) < n
+	})
+	// This host takes the place of one of the others as often as each of them is drawn.
+	if self := t.selfMember(); self.State == Alive {
+		if at := rand.IntN(len(live.records) + 1); len(out) < n {
+			out = append(out, self)
+		} else if at < n {
+			out[at] = self
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -310,7 +310,7 @@
 // addresses returns the entry addresses for a look-up and how long callers may keep them. ok is
 // false if no host is live.
 func (n *Node) addresses() (list []string, ttl time.Duration, ok bool) {
-	list = lookupAddresses(n.members.All())
+	list = lookupAddresses(n.members.SampleAlive(maxLookupAddresses))
 	return list, lookupTTL, len(list) > 0
 }
 
