node: a change of one server costs each host one server

Cause: each change of a server made every host copy the list of all, pass it to its scheduler and sort it there; placements and idle connections were checked by walking the list; each full read decoded every entry again; each host logged a line for each of 3,000 servers at its start.

Change: the list passes on what changed; the scheduler keeps each service's servers in order; incarnations are found by a map; rows whose version is known are not decoded; an update of more than 64 servers is one event.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -88,22 +88,24 @@
 }
 
 // apply records which servers this host's scheduler would use.
-func (h *fleetHost) apply(list []sched.Server) {
+func (h *fleetHost) apply(c serverChanges) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
 	usable := map[string]bool{}
-	for _, srv := range list {
-		usable[srv.ID] = !srv.Draining
+	for _, id := range c.removed {
+		usable[id] = false
 	}
-	for id, last := range h.usableUntil {
-		if last.IsZero() && !usable[id] {
-			h.usableUntil[id] = now
-		}
+	for _, srv := range c.changed {
+		usable[srv.ID] = !srv.Draining
 	}
 	for id, isUsable := range usable {
-		if isUsable {
+		last, known := h.usableUntil[id]
+		switch {
+		case isUsable:
 			h.usableUntil[id] = time.Time{}
+		case known && last.IsZero():
+			h.usableUntil[id] = now
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -299,8 +299,11 @@
 	}
 }
 
-func (n *Node) applyServers(list []sched.Server) {
-	n.loop.Do(func(now sched.Time, s *sched.Scheduler) { s.SetServers(now, list) })
+func (n *Node) applyServers(changes serverChanges) {
+	n.loop.Do(func(now sched.Time, s *sched.Scheduler) { s.UpdateServers(now, changes.changed, changes.removed) })
+	if len(changes.removed) == 0 {
+		return
+	}
 	go func() {
 		n.pool.Retain(func(s upstream.Server) bool { return n.servers.hasAddress(s.ID, s.Address) })
 		n.client.RetainNotices(n.servers.contains)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -32,10 +33,14 @@
 type servers struct {
 	decode func(name string, value []byte) (sched.Server, error)
 	events *event.Recorder
-	apply  func([]sched.Server)
+	apply  func(serverChanges)
 
 	mu         sync.Mutex
 	known      map[string]sched.Server // by name
+	names      map[string]string       // of the known servers, by incarnation
+	versions   map[string]int64        // by name, of the row from which the known entry was decoded
+	changes    serverChanges           // since the last publish
+	unrecorded []event.Fields          // of the events of these changes
 	missing    map[string]time.Time    // by name, since when; the entry expired during an outage of the store
 	invalid    map[string]string       // by name, why its entry was rejected
 	gone       map[string]time.Time    // by incarnation, since when
@@ -43,10 +48,17 @@
 	lastUpdate time.Time               // when the store or one of its readers last reported on servers
 }
 
-func newServers(decode func(string, []byte) (sched.Server, error), events *event.Recorder, apply func([]sched.Server)) *servers {
+// serverChanges are the changes of the list of servers. An incarnation may be in both lists; it is
+// then listed again.
+type serverChanges struct {
+	changed []sched.Server // new, or with a changed entry
+	removed []string       // incarnations
+}
+
+func newServers(decode func(string, []byte) (sched.Server, error), events *event.Recorder, apply func(serverChanges)) *servers {
 	return &servers{
 		decode: decode, events: events, apply: apply,
-		known: map[string]sched.Server{}, missing: map[string]time.Time{},
+		known: map[string]sched.Server{}, names: map[string]string{}, versions: map[string]int64{}, missing: map[string]time.Time{},
 		invalid: map[string]string{}, gone: map[string]time.Time{},
 	}
 }
@@ -63,29 +75,31 @@
 	if len(u.Rows) == 0 && !u.Whole {
 		return
 	}
-	before := maps.Clone(s.known)
 	listed := s.decodeRows(u.Rows)
 	for name, row := range listed {
-		if row.deleted {
+		switch {
+		case row.deleted:
 			s.remove(name, now, u)
-			continue
+		case row.unchanged:
+			delete(s.missing, name)
+		default:
+			s.add(name, row)
 		}
-		s.add(name, row)
 	}
 	if u.Whole {
 		s.removeUnlisted(listed, now, u)
 	}
 	s.sweep(now)
-	if !maps.Equal(before, s.known) {
-		s.publish()
-	}
+	s.publish()
 }
 
 // serverRow is a decoded row.
 type serverRow struct {
-	server  sched.Server
-	err     error // the entry is invalid
-	deleted bool
+	server    sched.Server
+	version   int64
+	err       error // the entry is invalid
+	deleted   bool
+	unchanged bool // the known entry was decoded from this row
 }
 
 // decodeRows decodes rows; the last row for a name counts.
@@ -96,18 +110,22 @@
 	entries := make(map[string]serverRow, len(rows))
 	anyStartTime := false
 	for _, row := range rows {
-		e := serverRow{deleted: row.Deleted}
-		if !row.Deleted {
+		e := serverRow{version: row.Version, deleted: row.Deleted}
+		if known, decoded := s.versions[row.Key]; decoded && !row.Deleted && row.Version != 0 && row.Version == known {
+			e.unchanged = true
+		} else if !row.Deleted {
 			e.server, e.err = s.decode(row.Key, row.Value)
 		}
 		anyStartTime = anyStartTime || e.server.StartedMs != 0
 		entries[row.Key] = e
 	}
 	for _, srv := range s.known {
-		anyStartTime = anyStartTime || srv.StartedMs != 0
+		if anyStartTime = anyStartTime || srv.StartedMs != 0; anyStartTime {
+			break
+		}
 	}
 	for name, e := range entries {
-		if anyStartTime && !e.deleted && e.err == nil && e.server.StartedMs == 0 {
+		if anyStartTime && !e.deleted && !e.unchanged && e.err == nil && e.server.StartedMs == 0 {
 			e.err = failure.New(failure.BadConfig, "entry of server %s has no start time, unlike other entries", name)
 			entries[name] = e
 		}
@@ -133,9 +151,13 @@
 		srv.WarmUp = current.WarmUp // the warm-up counts from when the server was first seen
 	}
 	if !ok || current.Draining != srv.Draining {
-		s.events.Record(event.ServersChanged, event.Fields{Server: srv.ID, Service: srv.Service, Detail: describeState(srv)})
+		s.unrecorded = append(s.unrecorded, event.Fields{Server: srv.ID, Service: srv.Service, Detail: describeState(srv)})
+	}
+	s.names[srv.ID], s.versions[name] = name, e.version
+	if srv != current {
+		s.known[name] = srv
+		s.changes.changed = append(s.changes.changed, srv)
 	}
-	s.known[name] = srv
 }
 
 // reject removes a server whose entry is invalid. The event is recorded once for each error,
@@ -197,8 +219,11 @@
 
 func (s *servers) drop(name string) {
 	srv := s.known[name]
-	s.events.Record(event.ServersChanged, event.Fields{Server: srv.ID, Service: srv.Service, Detail: "gone"})
+	s.unrecorded = append(s.unrecorded, event.Fields{Server: srv.ID, Service: srv.Service, Detail: "gone"})
+	s.changes.removed = append(s.changes.removed, srv.ID)
 	delete(s.known, name)
+	delete(s.names, srv.ID)
+	delete(s.versions, name)
 	delete(s.missing, name)
 	s.gone[srv.ID] = time.Now()
 }
@@ -218,21 +243,38 @@
 func (s *servers) tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before, now := len(s.known), time.Now()
+	now := time.Now()
 	s.sweep(now)
 	maps.DeleteFunc(s.gone, func(_ string, since time.Time) bool { return now.Sub(since) > goneRetention })
-	if len(s.known) != before {
-		s.publish()
-	}
+	s.publish()
 }
 
-// publish passes the list to apply. The caller holds mu.
+// publish passes the changes since the last call to apply. The caller holds mu.
 func (s *servers) publish() {
-	list := make([]sched.Server, 0, len(s.known))
-	for _, srv := range s.known {
-		list = append(list, srv)
+	s.recordChanges()
+	if len(s.changes.changed) == 0 && len(s.changes.removed) == 0 {
+		return
 	}
-	s.apply(list)
+	changes := s.changes
+	s.changes = serverChanges{}
+	s.apply(changes)
+}
+
+// maxChangeEvents is the number of changes from which one event stands for all of an update. Every
+// host of a fleet that starts reads thousands of servers at once.
+const maxChangeEvents = 64
+
+// recordChanges records the changes since the last call. The caller holds mu.
+func (s *servers) recordChanges() {
+	if len(s.unrecorded) > maxChangeEvents {
+		s.events.Record(event.ServersChanged, event.Fields{Detail: fmt.Sprintf("%d changed or new, %d gone, %d listed",
+			len(s.changes.changed), len(s.changes.removed), len(s.known))})
+	} else {
+		for _, fields := range s.unrecorded {
+			s.events.Record(event.ServersChanged, fields)
+		}
+	}
+	s.unrecorded = nil
 }
 
 // count returns the number of ready servers, of draining servers, and of those among them that
@@ -259,12 +301,8 @@
 
 // byID finds a listed server by its incarnation. The caller holds mu.
 func (s *servers) byID(id string) (sched.Server, bool) {
-	for _, srv := range s.known {
-		if srv.ID == id {
-			return srv, true
-		}
-	}
-	return sched.Server{}, false
+	name, ok := s.names[id]
+	return s.known[name], ok
 }
 
 // hasAddress reports whether an incarnation is listed at this address.
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +24,21 @@
 	RunSpecs(t, "node")
 }
 
+// applyTo returns a function that keeps a list of servers up to date with the published changes.
+func applyTo(list *[]sched.Server) func(serverChanges) {
+	byID := map[string]sched.Server{}
+	return func(c serverChanges) {
+		for _, id := range c.removed {
+			Expect(byID).To(HaveKey(id), "removed though not listed")
+			delete(byID, id)
+		}
+		for _, srv := range c.changed {
+			byID[srv.ID] = srv
+		}
+		*list = slices.Collect(maps.Values(byID))
+	}
+}
+
 func rowsOf(ids ...string) []store.Row {
 	var rows []store.Row
 	for _, id := range ids {
@@ -35,7 +52,7 @@
 	var s *servers
 	BeforeEach(func() {
 		decode := func(id string, _ []byte) (sched.Server, error) { return sched.Server{ID: id, Address: id}, nil }
-		s = newServers(decode, event.NewRecorder("h", "i", 16, kitlog.NewNopLogger()), func(l []sched.Server) { list = l })
+		s = newServers(decode, event.NewRecorder("h", "i", 16, kitlog.NewNopLogger()), applyTo(&list))
 		s.update(store.Update{Rows: rowsOf("a", "b"), Whole: true})
 		Expect(list).To(HaveLen(2))
 	})
@@ -91,7 +108,7 @@
 	}
 	BeforeEach(func() {
 		log.Reset()
-		s = newServers(decode, event.NewRecorder("h", "i", 64, kitlog.NewLogfmtLogger(&log)), func(l []sched.Server) { list = l })
+		s = newServers(decode, event.NewRecorder("h", "i", 64, kitlog.NewLogfmtLogger(&log)), applyTo(&list))
 		s.update(store.Update{Rows: []store.Row{row("a", "1 ready"), row("b", "1 ready")}, Whole: true})
 		Expect(ids()).To(ConsistOf("a@1", "b@1"))
 	})
@@ -154,7 +171,7 @@
 	})
 
 	It("count when no entry has a start time", func() {
-		s = newServers(decode, event.NewRecorder("h", "i", 16, kitlog.NewNopLogger()), func(l []sched.Server) { list = l })
+		s = newServers(decode, event.NewRecorder("h", "i", 16, kitlog.NewNopLogger()), applyTo(&list))
 		s.update(store.Update{Rows: []store.Row{row("a", "0 ready"), row("b", "0 ready")}, Whole: true})
 		Expect(ids()).To(ConsistOf("a@0", "b@0"))
 	})
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -77,34 +77,83 @@
 	listed := map[string]bool{}
 	for _, spec := range list {
 		listed[spec.ID] = true
-		known := s.servers[spec.ID]
-		if known == nil {
-			svc := s.services[spec.Service]
-			if svc == nil {
-				svc = &service{Service: Service{Name: spec.Service}, versions: s.versionsOf(spec.Service), index: newServerIndex()}
-			}
-			s.servers[spec.ID] = newServer(now, spec, svc, s.policy.EjectionTime)
-			s.servers[spec.ID].hashFraction = hashFraction(s.owner, spec.ID)
-			s.applyNotice(now, s.servers[spec.ID])
-			continue
-		}
-		known.leaving = known.leaving || spec.Draining
-		spec.Draining = spec.Draining || known.Draining && spec.Address == known.Address
-		known.Server = spec
 	}
-	for id, srv := range s.servers {
+	var removed []string
+	for id := range s.servers {
 		if !listed[id] {
-			s.recordEnd(now, srv)
-			s.recordIdleEnd(now, srv)
-			srv.leaving = true // some unlisted servers run on for a while, then cut off long runs
-			srv.serving = nil
-			delete(s.servers, id)
+			removed = append(removed, id)
+		}
+	}
+	s.UpdateServers(now, list, removed)
+}
+
+// UpdateServers applies changes of the list of backend servers: servers that are new or whose entry
+// has changed, and the IDs of those that are no longer listed. A server that is in both is listed.
+func (s *Scheduler) UpdateServers(now Time, changed []Server, removed []string) {
+	listed := map[string]bool{}
+	for _, spec := range changed {
+		listed[spec.ID] = true
+		s.setServer(now, spec)
+	}
+	for _, id := range removed {
+		if srv := s.servers[id]; srv != nil && !listed[id] {
+			s.removeServer(now, srv)
 		}
 	}
 	s.forgetNotices(now)
 	s.groupServers()
 }
 
+// setServer lists a server, or applies a changed entry of it.
+func (s *Scheduler) setServer(now Time, spec Server) {
+	known := s.servers[spec.ID]
+	if known != nil {
+		known.leaving = known.leaving || spec.Draining
+		spec.Draining = spec.Draining || known.Draining && spec.Address == known.Address
+		if known.Service != spec.Service {
+			s.unlist(known)
+			defer s.list(known)
+		}
+		known.Server = spec
+		return
+	}
+	svc := s.services[spec.Service]
+	if svc == nil {
+		svc = &service{Service: Service{Name: spec.Service}, versions: s.versionsOf(spec.Service), index: newServerIndex()}
+	}
+	srv := newServer(now, spec, svc, s.policy.EjectionTime)
+	srv.hashFraction = hashFraction(s.owner, spec.ID)
+	s.servers[spec.ID] = srv
+	s.list(srv)
+	s.applyNotice(now, srv)
+}
+
+// removeServer drops a server that is no longer listed.
+func (s *Scheduler) removeServer(now Time, srv *server) {
+	s.recordEnd(now, srv)
+	s.recordIdleEnd(now, srv)
+	srv.leaving = true // some unlisted servers run on for a while, then cut off long runs
+	srv.serving = nil
+	s.unlist(srv)
+	delete(s.servers, srv.ID)
+}
+
+// list adds a server to those of its service, which are ordered by ID.
+func (s *Scheduler) list(srv *server) {
+	listed := s.listed[srv.Service]
+	i, _ := slices.BinarySearchFunc(listed, srv.ID, compareID)
+	s.listed[srv.Service] = slices.Insert(listed, i, srv)
+}
+
+func (s *Scheduler) unlist(srv *server) {
+	listed := s.listed[srv.Service]
+	if i, found := slices.BinarySearchFunc(listed, srv.ID, compareID); found {
+		s.listed[srv.Service] = slices.Delete(listed, i, i+1)
+	}
+}
+
+func compareID(srv *server, id string) int { return cmp.Compare(srv.ID, id) }
+
 // SetOwner sets the incarnation of the host that runs this scheduler. It must be called before
 // SetServers.
 func (s *Scheduler) SetOwner(incarnation uint64) { s.owner = incarnation }
@@ -119,16 +168,11 @@
 
 // groupServers assigns the listed servers to their services and splits them by version.
 func (s *Scheduler) groupServers() {
-	byService := map[string][]*server{}
-	for _, srv := range s.servers {
-		byService[srv.Service] = append(byService[srv.Service], srv)
-		srv.serving = nil
-	}
 	for name, svc := range s.services {
-		all := byService[name]
-		slices.SortFunc(all, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+		all := s.listed[name]
 		for _, srv := range all {
 			srv.cache.capacity = svc.KVTokens
+			srv.serving = nil
 		}
 		svc.servers, svc.onTrial = svc.versions.partition(all)
 		for _, srv := range svc.servers {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -16,7 +16,8 @@
 	owner          uint64 // incarnation of the host; determines the hashFraction of each server
 	services       map[string]*service
 	servers        map[string]*server
-	quotas         []Account // as configured
+	listed         map[string][]*server // by service, ordered by ID
+	quotas         []Account            // as configured
 	accounts       map[string]*bucket
 	runs           map[Key]*run
 	orphans        int
@@ -68,7 +69,7 @@
 func New(p Policy) *Scheduler {
 	s := &Scheduler{
 		policy: p, share: Share{Servers: 1, Quotas: 1, RateLimits: 1},
-		services: map[string]*service{}, servers: map[string]*server{},
+		services: map[string]*service{}, servers: map[string]*server{}, listed: map[string][]*server{},
 		accounts: map[string]*bucket{}, runs: map[Key]*run{},
 		suspects: quarantine.NewTable(), failedRequests: newRequestFailures(), copies: map[quarantine.Fingerprint]int{},
 		review: map[quarantine.Fingerprint]string{}, versions: map[string]*versions{}, notices: map[string]serverNotice{}, bounds: rollout.DefaultBounds(),
