caller: an error event that cannot be decoded leaves the outcome unknown

Cause: eventFailure used localFailure, meant for errors before anything was sent, so a caller was told "not run" of a request that a host had. Ruled out: retrying at another host (the host's statement is final, only unreadable).

--- a/caller/stream.go
+++ b/caller/stream.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/gentianflow/gentianflow/internal/callerapi"
+	"github.com/gentianflow/gentianflow/internal/failure"
 )
 
 // newTransport returns a transport whose connections are of type countedConn.
@@ -70,7 +71,7 @@
 		case callerapi.EventEnd:
 			return k.complete(data)
 		case callerapi.EventError:
-			return nil, eventFailure(data), nil
+			return nil, k.eventFailure(data), nil
 		}
 		if offset, err = k.appendEvent(offset, data); err != nil {
 			return nil, nil, err
@@ -112,10 +113,12 @@
 	return k.answer(), nil, nil
 }
 
-func eventFailure(data string) *Failure {
+// eventFailure returns the failure that an error event of a stream states. The outcome of one that
+// cannot be decoded is unknown, since the request was sent.
+func (k *call) eventFailure(data string) *Failure {
 	var body callerapi.ErrorBody
-	if err := json.Unmarshal([]byte(data), &body); err != nil {
-		return localFailure(err)
+	if err := json.Unmarshal([]byte(data), &body); err != nil || body.Error.Code == "" {
+		return &Failure{Code: string(failure.Internal), Outcome: string(failure.Unknown), RequestID: k.idText(), Message: "undecodable error event: " + data}
 	}
 	return failureOf(body.Error)
 }
