sched: a host's own pause is not learned as an engine's speed

Change: a sample of more than four times the typical token time counts only once a run placed after the first such sample confirms it. Ruled out: a lower bound (engines of other sites are that slow); forgetting what is stale (slow engines would be tried again and again).

--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -315,6 +315,9 @@
 	if (o.Result == OK || o.Result == Progress) && r.placed > r.server.endedAt {
 		r.server.ended = false // the server has answered since, so it had not ended
 	}
+	if svc := s.services[r.req.Service]; svc != nil && o.TokenTime > 0 && !r.server.plausible(now, r.placed, o.TokenTime, svc.typicalTokenTime()) {
+		o.TokenTime = 0
+	}
 	r.server.learn(now, o)
 	if svc := r.server.serving; svc != nil && o.Result == OK {
 		svc.index.connected(o.Holder, r.server)
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -383,3 +383,32 @@
 		Expect(n).To(Equal(2))
 	})
 })
+
+var _ = Describe("the token time of an engine", func() {
+	// A host that was paused counted its pause as the time of the streams that it was reading, 107 ms a
+	// token. Requests then waited for other engines, so that no better sample ever came.
+	It("does not include a pause of the host that read its streams", func() {
+		s := newScheduler(2, 2)
+		var ids []uint64
+		for id := uint64(1); id <= 4; id++ {
+			s.Submit(0, stream(id, 0, 0))
+			ids = append(ids, id)
+		}
+		for _, id := range ids {
+			s.Finish(6*time.Second, Outcome{Key: Key{Holder: 1, ID: id}, Result: OK, FirstEvent: 100 * ms, TokenTime: 107 * ms})
+		}
+		for _, srv := range []string{"e0", "e1"} {
+			Expect(s.servers[srv].tokenTime).To(Equal(defaultTokenTime))
+		}
+	})
+
+	It("is learned from the second of two runs when the engine is that slow", func() {
+		s := newScheduler(1, 1)
+		for id := uint64(1); id <= 2; id++ {
+			now := Time(id) * time.Second
+			s.Submit(now, stream(id, now, 0))
+			s.Finish(now+500*ms, Outcome{Key: Key{Holder: 1, ID: id}, Result: OK, FirstEvent: 100 * ms, TokenTime: 107 * ms})
+		}
+		Expect(s.servers["e0"].tokenTime).To(Equal(107 * ms))
+	})
+})
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -34,6 +34,7 @@
 	prefillFreeAt     Time // when prefill of the prompts placed so far is predicted to end
 	tokenTime         time.Duration
 	tokenTimeMeasured bool    // tokenTime comes from the server's own answers
+	slowSampleAt      Time    // of the first implausible sample of the token time, 0 if the newest was plausible
 	failureRate       float64 // moving average of the fraction of answers that failed, as of failureUpdatedAt
 	failureUpdatedAt  Time
 	ejectedUntil      Time
@@ -196,6 +197,27 @@
 	s.tokenTime += time.Duration(float64(sample-s.tokenTime) * weight)
 }
 
+// maxPlausibleSlowness is the multiple of the typical token time up to which one run suffices as a
+// sample. Engines of a service differ by a factor of three.
+const maxPlausibleSlowness = 4
+
+// plausible reports whether a sample of the token time is to be learned, from a run placed at a
+// time, where other servers typically take typical.
+//
+// A host that was paused counts the pause as the time of the streams that it was reading. Its
+// sample made a server look so slow that nothing was placed there and no better sample ever came.
+// So an implausible one must be confirmed by a run that was placed after it.
+func (s *server) plausible(now, placed Time, sample, typical time.Duration) bool {
+	if sample <= maxPlausibleSlowness*typical {
+		s.slowSampleAt = 0
+		return true
+	}
+	if s.slowSampleAt == 0 {
+		s.slowSampleAt = now
+	}
+	return placed > s.slowSampleAt
+}
+
 // eject stops sending to the server for a while, twice as long each time up to a limit, until
 // an answer arrives. Failures during an ejection don't extend it, since runs that were placed
 // together fail together.
