member: fresh news first, and a bound on what newcomers are sent

Cause: while hundreds of hosts are announced, a host that leaves waited behind all of them: 8 entries a datagram, 985 waiting, some 9 s to its first transmission. Seeds answered each ping of each newcomer with 40 entries: 985 hosts x 6 pings x 4 KB within 1.5 s, seven times a link of 20 Mbit/s. Change: datagrams carry first what was carried least often; large answers are limited to 100 a second.

--- a/internal/member/news.go
+++ b/internal/member/news.go
@@ -24,6 +24,10 @@
 	// after 2 s.
 	newcomerPeriod = 3 * time.Second
 	newcomerSample = 24
+	// largeAnswerRate is how many newcomers a second are answered with a large sample, at 4 KB each.
+	// Seeds get several pings from each of a thousand hosts that start at once; without a limit the
+	// answers would fill a link of 20 Mbit/s for seconds.
+	largeAnswerRate = 100
 )
 
 // maxTransmits returns how often an update has to be sent to reach the whole fleet.
@@ -55,25 +59,48 @@
 	return out
 }
 
+// announcement is an entry that datagrams are still to carry. It is void once the record has a newer
+// one.
+type announcement struct {
+	record *record
+	number int
+}
+
 // announce lets the next datagrams carry an entry. The caller holds mu.
 func (t *Table) announce(r *record) {
-	r.transmitsLeft = t.maxTransmits()
-	if !r.announced {
-		r.announced = true
-		t.announcements = append(t.announcements, r)
+	r.announcements++
+	t.queueAnnouncement(announcement{r, r.announcements}, 0)
+}
+
+// queueAnnouncement queues an announcement behind those that were carried as often.
+func (t *Table) queueAnnouncement(a announcement, transmits int) {
+	for len(t.announcements) <= transmits {
+		t.announcements = append(t.announcements, nil)
 	}
+	t.announcements[transmits] = append(t.announcements[transmits], a)
 }
 
-// nextAnnouncements returns up to n entries to be carried by a datagram, in turn. The caller holds
-// mu.
-func (t *Table) nextAnnouncements(n int) []*record {
-	n = min(n, len(t.announcements))
-	next := slices.Clone(t.announcements[:n])
-	t.announcements = t.announcements[n:]
-	for _, r := range next {
-		r.transmitsLeft--
-		if r.announced = r.transmitsLeft > 0; r.announced {
-			t.announcements = append(t.announcements, r)
+// nextAnnouncements returns up to n entries to be carried by a datagram, those that were carried least
+// often first: when hundreds of hosts start, a host that leaves must not wait behind all of them. The
+// caller holds mu.
+func (t *Table) nextAnnouncements(n int) (next []*record) {
+	limit := t.maxTransmits()
+	taken := make([][]announcement, len(t.announcements))
+	left := n
+	for transmits, queue := range t.announcements {
+		take := min(left, len(queue))
+		taken[transmits], t.announcements[transmits] = queue[:take], queue[take:]
+		left -= take
+	}
+	for transmits, queue := range taken {
+		for _, a := range queue {
+			if a.number != a.record.announcements {
+				continue
+			}
+			next = append(next, a.record)
+			if transmits+1 < limit {
+				t.queueAnnouncement(a, transmits+1)
+			}
 		}
 	}
 	return next
@@ -86,8 +113,10 @@
 	if !t.isNewcomer(inc) {
 		return t.updates(sampleSize)
 	}
-	out := t.largest()
-	return append(out, t.updates(newcomerSample)...)
+	if !t.takeLargeAnswer() {
+		return append(t.largest(), t.updates(sampleSize)...)
+	}
+	return append(t.largest(), t.updates(newcomerSample)...)
 }
 
 func (t *Table) isNewcomer(inc ident.Incarnation) bool {
@@ -97,6 +126,20 @@
 	return r != nil && time.Since(r.firstSeen) < newcomerPeriod
 }
 
+// takeLargeAnswer reports whether largeAnswerRate allows one more large answer, and counts it.
+func (t *Table) takeLargeAnswer() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	earned := largeAnswerRate * now.Sub(t.largeAnswersAt).Seconds()
+	t.largeAnswers, t.largeAnswersAt = min(largeAnswerRate, t.largeAnswers+earned), now
+	if t.largeAnswers < 1 {
+		return false
+	}
+	t.largeAnswers--
+	return true
+}
+
 // maxLargest is the number of largest members in an answer to a newcomer.
 const maxLargest = 8
 
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -63,8 +63,7 @@
 	stateSince    time.Time  // start of the current state
 	firstSeen     time.Time  // when this host learned of the member
 	lastContact   time.Time  // when the member last contacted this host
-	transmitsLeft int        // number of datagrams that are still to carry this entry
-	announced     bool       // it is in Table.announcements
+	announcements int        // number of its newest announcement
 	poolPos       [pools]int // 1 + its position in each pool, 0: not in it
 }
 
@@ -76,7 +75,7 @@
 	return m
 }
 
-// Table is the membership as one host sees it. mu guards all fields from self to rankings.
+// Table is the membership as one host sees it. mu guards all fields from self to largeAnswersAt.
 //
 // A host handles some dozen datagrams a second, whatever the size of the fleet. What it does for one
 // must not grow with the number of members, so nothing but All and expire walks them.
@@ -84,14 +83,16 @@
 	events  *event.Recorder
 	horizon time.Duration // how long dead members are kept
 
-	mu            sync.Mutex
-	self          *wire.Member
-	members       map[ident.Incarnation]*record
-	byAddress     map[string][]*record // by control address
-	pools         [pools]pool
-	announcements []*record           // that datagrams are still to carry, the next one first
-	sorted        []Member            // the list that All returns, nil if a member has changed since it was built
-	rankings      map[string]*ranking // by service
+	mu             sync.Mutex
+	self           *wire.Member
+	members        map[ident.Incarnation]*record
+	byAddress      map[string][]*record // by control address
+	pools          [pools]pool
+	announcements  [][]announcement    // by the number of datagrams that have carried them
+	sorted         []Member            // the list that All returns, nil if a member has changed since it was built
+	rankings       map[string]*ranking // by service
+	largeAnswers   float64             // that largeAnswerRate allows, as of largeAnswersAt
+	largeAnswersAt time.Time
 
 	changed notify.Set
 }
