node: a fleet that starts leaves the store to the hosts that rank first

Cause: a host that has just started knows few others, so it ranks itself among the 15 readers and standbys, or draws its turn at the store among the few it knows; it waited 0.2 s for a seed that may start 0.3 s later. Change: until a host has settled it reads only if it ranks first, and shares the store's calls with 2,000 others; its turn is a share of the round, which follows what it knows of the fleet; it waits 1 s for the hosts that its settings name. Newcomers ask one seed a round, and none once they know 64 others. Ruled out: a longer settling time for all (a small fleet would serve later after all were killed).

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -100,8 +100,11 @@
 		for _, m := range targets {
 			probes.Go(func() { g.probe(ctx, m) })
 		}
-		if len(targets) < g.timing.ProbesPerRound || round%roundsPerSeedPing == 0 || time.Since(g.started) < joinPeriod {
-			g.pingSeeds()
+		switch {
+		case len(targets) < g.timing.ProbesPerRound || round%roundsPerSeedPing == 0:
+			g.pingSeeds(maxSeeds)
+		case g.joining():
+			g.pingSeeds(1)
 		}
 		g.table.expire(time.Now(), g.timing.SuspicionTimeout)
 		select {
@@ -123,13 +126,16 @@
 func (g *Gossip) contactSeeds(ctx context.Context) {
 	tick := time.NewTicker(contactPeriod)
 	defer tick.Stop()
-	for time.Since(g.started) < joinPeriod && g.table.LiveCount() == 1 {
-		g.pingSeeds()
+	for time.Since(g.started) < joinPeriod {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
+		if g.table.LiveCount() > 1 {
+			return
+		}
+		g.pingSeeds(maxSeeds)
 	}
 }
 
@@ -140,16 +146,25 @@
 	// maxSeeds is the number of seeds pinged at once, drawn from a list that may have
 	// hundreds.
 	maxSeeds = 4
-	// joinPeriod is how long a host that starts pings its seeds in each round. When a
-	// whole fleet starts at once, the seeds are the hosts that hear from all others.
-	joinPeriod = 1500 * time.Millisecond
+	// joinPeriod is how long a host that starts pings a seed in each round. When a whole fleet
+	// starts at once, the seeds are the hosts that hear from all others, and a host stops asking
+	// them when it knows joinedMembers.
+	joinPeriod    = 1500 * time.Millisecond
+	joinedMembers = 64
 )
 
-func (g *Gossip) pingSeeds() {
+// joining reports whether this host has just started and still learns of others from the seeds.
+func (g *Gossip) joining() bool {
+	fleetRuns := g.ReportedFleetSize() > 0
+	return time.Since(g.started) < joinPeriod && (fleetRuns || g.table.LiveCount() < joinedMembers)
+}
+
+// pingSeeds pings up to n seeds.
+func (g *Gossip) pingSeeds(n int) {
 	self := g.table.Self().ControlAddress
 	seeds := slices.Clone(g.seeds())
 	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	for _, a := range seeds[:min(maxSeeds, len(seeds))] {
+	for _, a := range seeds[:min(n, len(seeds))] {
 		if a != self {
 			g.send(a, &wire.Gossip{Kind: wire.GossipKind_GOSSIP_PING})
 		}
--- a/internal/member/news.go
+++ b/internal/member/news.go
@@ -114,7 +114,7 @@
 		return t.updates(sampleSize)
 	}
 	if !t.takeLargeAnswer() {
-		return append(t.largest(), t.updates(sampleSize)...)
+		return t.largest()
 	}
 	return append(t.largest(), t.updates(newcomerSample)...)
 }
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/failure"
@@ -12,9 +13,11 @@
 
 const (
 	// joinTimeout is how long a host that starts waits for gossip of other hosts before it asks
-	// the store. Running hosts answer within 10 ms; hosts of a fleet that starts all at once
-	// are up within 300 ms of each other.
-	joinTimeout = 200 * time.Millisecond
+	// the store. Running hosts answer within 10 ms; hosts of a fleet that starts all at once are up
+	// within 300 ms of each other, and a small one needs as long again to start its process.
+	joinTimeout = 1 * time.Second
+	// aloneTimeout is the same for a host whose settings name no other host.
+	aloneTimeout = 200 * time.Millisecond
 	// firstContactWait is how long a host waits after its first contact with another host while
 	// no contact knows the size of the fleet. The first answer states the largest known size, and
 	// gossip reports the other hosts within member.SettleTime.
@@ -69,9 +72,12 @@
 // awaitFleet waits until another host has reported the size of the fleet, but no longer than
 // joinTimeout, and no longer than firstContactWait after the first contact.
 func (n *Node) awaitFleet(ctx context.Context) {
-	start := time.Now()
+	start, timeout := time.Now(), joinTimeout
+	if !slices.ContainsFunc(n.settings.Seeds, func(seed string) bool { return seed != n.peerAddress() }) {
+		timeout = aloneTimeout
+	}
 	var firstContact time.Time
-	for n.gossip.ReportedFleetSize() == 0 && time.Since(start) < joinTimeout {
+	for n.gossip.ReportedFleetSize() == 0 && time.Since(start) < timeout {
 		if firstContact.IsZero() && n.members.LiveCount() > 1 {
 			firstContact = time.Now()
 		}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -116,15 +116,23 @@
 type tableReaders struct{ n *Node }
 
 // ReaderOrder implements store.Readers.
+//
+// A host that has just started knows only some of the others, and among those it often ranks as a
+// reader. It leaves the store to them until it has settled, unless it ranks first: if each of a
+// thousand hosts that start together read the store, that would take thousands of calls.
 func (t tableReaders) ReaderOrder() store.ReaderOrder {
 	list, readers := dispatch.StoreReaders(t.n.members)
 	o := store.ReaderOrder{Readers: readers, Self: -1}
 	for i, m := range list {
 		if m.Incarnation == t.n.incarnation {
+			if i > 0 && !t.n.gossip.Settled() {
+				continue
+			}
 			o.Self = i
 		}
 		o.Names = append(o.Names, m.Incarnation.String())
 	}
+	o.Readers = min(o.Readers, len(o.Names))
 	return o
 }
 
@@ -145,8 +153,18 @@
 	return nil, failure.New(failure.PeerSilent, "host %s no longer reads the store", name)
 }
 
+// unsettledFleetSize is the number of hosts among which a host that has not settled shares the
+// calls to the store: it knows too few of them to count.
+const unsettledFleetSize = 2000
+
 // Hosts implements store.Readers.
-func (t tableReaders) Hosts() int { return max(t.n.members.LiveCount(), t.n.knownFleetSize()) }
+func (t tableReaders) Hosts() int {
+	known := max(t.n.members.LiveCount(), t.n.knownFleetSize())
+	if known > 1 && !t.n.gossip.Settled() {
+		return max(known, unsettledFleetSize)
+	}
+	return known
+}
 
 // role is this host's role in reading the tables for others.
 func (n *Node) role() store.Role { return tableReaders{n}.ReaderOrder().Role() }
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -64,7 +64,8 @@
 	streamHost         string // the reader at the other end of stream
 	stream             *peer.Stream
 	pauses             map[string]pause // by reader that is not asked for a while
-	nextOwnRead        time.Time        // when this follower may read the store next, zero if not scheduled
+	turnFrom           time.Time        // when this follower's turn was drawn, zero if none was
+	turn               float64          // rounds from turnFrom until it may read the store
 	storeFailedAt      time.Time        // last failed call to the store, zero if it answered since
 	roundsBetweenReads int              // rounds from one read of the store to the next
 	newestVersion      int64            // newest version seen; a relay may be behind
@@ -168,16 +169,17 @@
 	if role != Follower {
 		return now.Sub(r.storeFailedAt) >= r.backoff()
 	}
-	round := time.Duration(r.readers.Hosts()) * followerReadSpacing
-	if r.nextOwnRead.IsZero() {
+	if r.turnFrom.IsZero() {
 		r.roundsBetweenReads = 1
-		r.nextOwnRead = now.Add(rand.N(round + 1))
+		r.turnFrom, r.turn = now, rand.Float64()
 	}
-	if now.Before(r.nextOwnRead) {
+	// The number of hosts that this one knows changes while it waits.
+	round := float64(r.readers.Hosts()) * float64(followerReadSpacing)
+	if now.Before(r.turnFrom.Add(time.Duration(r.turn * round))) {
 		return false
 	}
 	r.roundsBetweenReads = min(maxRoundsBetweenReads, 2*r.roundsBetweenReads)
-	r.nextOwnRead = now.Add(round*time.Duration(r.roundsBetweenReads)/2 + rand.N(round+1))
+	r.turnFrom, r.turn = now, float64(r.roundsBetweenReads)/2+rand.Float64()
 	return true
 }
 
@@ -208,7 +210,7 @@
 			err = errStale
 		}
 		if isAnswer(err) {
-			r.nextOwnRead = time.Time{}
+			r.turnFrom = time.Time{}
 			delete(r.pauses, name)
 			return rows, version, err
 		}
