dispatch: the link to the home is watched closely only while something waits there

Cause: every host checked its link 50 times a second, also those of which nobody asked anything. Ruled out: a longer period for all (a request must move to the local loop within 40 ms).

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -83,7 +83,10 @@
 	// a CPU quota or briefly frozen (0.25 to 0.4 s), and it leaves half of the 1.2 s that
 	// the shortest streams may wait.
 	suspectTimeout = 400 * time.Millisecond
-	watchPeriod    = 20 * time.Millisecond
+	// watchPeriod is how often a link to the home is checked while a request or a ping waits there,
+	// idleWatchPeriod how often otherwise.
+	watchPeriod     = 20 * time.Millisecond
+	idleWatchPeriod = leadingPollPeriod
 	// maxPlacementAge is how old a placement may be when the holder receives it. After a
 	// freeze a holder can read old placements whose servers may have shut down since.
 	maxPlacementAge = 500 * time.Millisecond
--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -244,3 +245,24 @@
 		Expect(c.link).To(BeNil())
 	})
 })
+
+var _ = Describe("the watch of a link to the home", func() {
+	// Every host checked its link 50 times a second, also those of which nobody asked anything: a
+	// twentieth of the processor time of a fleet of a thousand hosts.
+	It("checks often only while something waits for the home", func() {
+		c, _ := startHost(neverLeaving, "a")
+		l := &homeLink{out: ring.New[*wire.ToHome](8), used: make(chan struct{}, 1), openedAt: time.Now()}
+		w := newLinkWatch(c, l)
+		Expect(w.period()).To(Equal(watchPeriod), "the home may begin to lead at any time")
+		l.leading.Store(true)
+		c.follow(l)
+		Expect(w.period()).To(Equal(idleWatchPeriod))
+		w.check(time.Now())
+		Expect(w.period()).To(Equal(watchPeriod), "a ping is outstanding")
+		l.lastPong.Store(w.ping)
+		Expect(w.period()).To(Equal(idleWatchPeriod))
+		go func() { _, _ = c.Acquire(context.Background(), request()) }()
+		Eventually(l.used).Should(Receive(), "a request wakes the watch")
+		Expect(w.period()).To(Equal(watchPeriod))
+	})
+})
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -26,11 +26,18 @@
 	lastReceived atomic.Int64  // time of the last message, in nanoseconds since openedAt
 	leading      atomic.Bool   // the home last reported that it schedules for all hosts
 	ended        chan struct{} // closed when the stream has ended
+	used         chan struct{} // receives a token when a placement request is sent; see watch
 }
 
 func (l *homeLink) push(m *wire.ToHome) bool { return l.out.TryPush(m) }
 
-func (l *homeLink) request(m *wire.Ask) bool { return l.push(&wire.ToHome{Asks: []*wire.Ask{m}}) }
+func (l *homeLink) request(m *wire.Ask) bool {
+	select {
+	case l.used <- struct{}{}:
+	default:
+	}
+	return l.push(&wire.ToHome{Asks: []*wire.Ask{m}})
+}
 
 func (l *homeLink) sendRunning(m *wire.Running) bool {
 	return l.push(&wire.ToHome{Running: []*wire.Running{m}})
@@ -94,6 +101,7 @@
 	}
 	l := &homeLink{
 		host: home.Host, incarnation: home.Incarnation, stream: st, openedAt: time.Now(), out: ring.New[*wire.ToHome](linkQueueSize), ended: make(chan struct{}),
+		used: make(chan struct{}, 1),
 	}
 	linkCtx, stop := context.WithCancel(ctx)
 	var workers sync.WaitGroup
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -21,8 +21,8 @@
 // would get twice the load that they can hold. After that the link ends, and all requests move
 // to the local loop.
 func (f *Follower) watch(ctx context.Context, l *homeLink, address string) {
-	tick := time.NewTicker(watchPeriod)
-	defer tick.Stop()
+	timer := time.NewTimer(watchPeriod)
+	defer timer.Stop()
 	w := newLinkWatch(f.client, l)
 	for {
 		if w.check(time.Now()) {
@@ -31,14 +31,33 @@
 		if w.state() == linkLost {
 			return
 		}
+		timer.Reset(w.period())
 		select {
-		case <-tick.C:
+		case <-timer.C:
+		case <-l.used:
+			// The request has watchPeriod to be answered before the next check.
+			timer.Reset(watchPeriod)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				return
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// period returns the time until the next check: longer while nothing waits for the home, as on most
+// hosts of a large fleet most of the time.
+func (w *linkWatch) period() time.Duration {
+	pinging := w.ping != w.link.lastPong.Load()
+	if pinging || !w.link.leading.Load() || w.state() == linkSuspect || w.client.waitsAt(w.link) {
+		return watchPeriod
+	}
+	return idleWatchPeriod
+}
+
 // enterLinkState performs the actions of a link state when the link enters it.
 func (f *Follower) enterLinkState(l *homeLink, to chart.State, address string) {
 	switch to {
@@ -89,7 +108,7 @@
 func (w *linkWatch) state() chart.State { return w.machine.State() }
 
 // check updates the state of the link and reports whether it has changed. It is called every
-// watchPeriod. A suspect home recovers by answering the outstanding ping; check sends one if
+// watchPeriod while something waits for the home. A suspect home recovers by answering the outstanding ping; check sends one if
 // none is outstanding.
 func (w *linkWatch) check(now time.Time) (changed bool) {
 	outstanding := w.ping != w.link.lastPong.Load()
