store: a relay's history follows the size of its table

Cause: 4,096 changes at any size, so replacing a third of 6,000 servers (6,000 changes) sent every host to a whole read; each waiting host's wake-up walked all of them, and each change copied them once full. Change: four changes a row, cut at twice that, found by binary search over the highest version so far. Ruled out: a larger constant. Spec at 300 to 12,000 rows; failed before at 6,000.

--- a/internal/node/fleetstart_test.go
+++ b/internal/node/fleetstart_test.go
@@ -45,6 +45,7 @@
 	ctx    context.Context
 	tables map[string]*storeTable
 	hosts  []*startingHost
+	byName map[string]*startingHost // by incarnation
 	tasks  sync.WaitGroup
 
 	mu      sync.Mutex
@@ -147,19 +148,17 @@
 
 // Open implements store.Readers.
 func (h *startingHost) Open(_ context.Context, name string) (*peer.Stream, error) {
-	for _, to := range h.fleet.hosts {
-		if to.n.incarnation.String() != name || to.n.relays == nil {
-			continue
-		}
-		a, b := net.Pipe()
-		h.fleet.tasks.Go(func() {
-			stop := context.AfterFunc(h.fleet.ctx, func() { _ = b.Close() }) // a pipe's close never fails
-			defer stop()
-			to.n.relays.Serve(h.fleet.ctx, &peer.Stream{Conn: b, Reader: bufio.NewReader(b)}, to.n.role)
-		})
-		return &peer.Stream{Conn: a, Reader: bufio.NewReader(a)}, nil
+	to := h.fleet.byName[name]
+	if to == nil || to.n.relays == nil {
+		return nil, failure.New(failure.PeerSilent, "host %s has not started", name)
 	}
-	return nil, failure.New(failure.PeerSilent, "no host %s", name)
+	a, b := net.Pipe()
+	h.fleet.tasks.Go(func() {
+		stop := context.AfterFunc(h.fleet.ctx, func() { _ = b.Close() }) // a pipe's close never fails
+		defer stop()
+		to.n.relays.Serve(h.fleet.ctx, &peer.Stream{Conn: b, Reader: bufio.NewReader(b)}, to.n.role)
+	})
+	return &peer.Stream{Conn: a, Reader: bufio.NewReader(a)}, nil
 }
 
 // startTogether starts hosts within startSpread, runs them for joinDuration and returns the fleet. Every
@@ -167,7 +166,7 @@
 func startTogether(hosts int, seed uint64) *startingFleet {
 	rng := rand.New(rand.NewPCG(seed, uint64(hosts)))
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &startingFleet{ctx: ctx, inboxes: map[string]chan datagram{}, tables: map[string]*storeTable{}}
+	f := &startingFleet{ctx: ctx, byName: map[string]*startingHost{}, inboxes: map[string]chan datagram{}, tables: map[string]*storeTable{}}
 	for _, name := range []string{serverTable, operatorTable, hostTable, quarantineTable} {
 		f.tables[name] = newStoreTable()
 	}
@@ -178,7 +177,9 @@
 		if i < 3 {
 			seeds = append(seeds, address)
 		}
-		f.hosts = append(f.hosts, &startingHost{fleet: f, address: address, tableReaders: tableReaders{&Node{incarnation: ident.Incarnation(rng.Uint64())}}})
+		h := &startingHost{fleet: f, address: address, tableReaders: tableReaders{&Node{incarnation: ident.Incarnation(rng.Uint64())}}}
+		f.hosts = append(f.hosts, h)
+		f.byName[h.n.incarnation.String()] = h
 	}
 	for i, h := range f.hosts {
 		delay, capacity := time.Duration(rng.Int64N(int64(startSpread))), uint32(192)
--- a/internal/store/relay.go
+++ b/internal/store/relay.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,10 +17,12 @@
 	// minOutage is the shortest outage of the store that is reported to other hosts. Server
 	// entries expire after twice this time.
 	minOutage = 1 * time.Second
-	// maxHistory is the maximum number of changes kept for a table; hosts that are further
-	// behind read the whole table. It exceeds the 3,000 backend servers of the largest fleet,
-	// which all register within a second.
-	maxHistory = 4096
+	// minHistory is the number of changes that are kept for a table of any size, and
+	// historyPerRow how many for each of its rows: a server that is replaced causes three, and
+	// most of them may be replaced within seconds. Hosts that are further behind read the whole
+	// table.
+	minHistory    = 1024
+	historyPerRow = 4
 )
 
 // Relay serves to other hosts what one host reads of a table. Calls to the store are billed: if
@@ -27,7 +31,7 @@
 type Relay struct {
 	mu           sync.Mutex
 	rows         map[string]Row
-	history      []Row
+	history      []change
 	historyStart int64 // history holds the changes after this version
 	version      int64
 	// lastAnswer is when the store itself gave its newest answer, zero while it fails. Answers
@@ -43,6 +47,14 @@
 	outageEnd    time.Time     // end of that outage
 }
 
+// change is an entry of a relay's history.
+type change struct {
+	Row
+	// newest is the highest version up to this entry. Versions mostly rise from one entry to the
+	// next, but a table that is read page by page may contain newer rows.
+	newest int64
+}
+
 // NewRelay returns an empty relay, which can't answer calls until the first Apply.
 func NewRelay() *Relay {
 	return &Relay{rows: map[string]Row{}, changed: make(chan struct{})}
@@ -103,11 +115,22 @@
 	return rows
 }
 
+// appendHistory appends changes. The history grows to twice the number of changes to be kept before
+// it is cut, so that a change does not cost a copy of it.
 func (r *Relay) appendHistory(rows []Row) {
-	r.history = append(r.history, rows...)
-	if excess := len(r.history) - maxHistory; excess > 0 {
-		r.historyStart = r.history[excess-1].Version
-		r.history = append([]Row(nil), r.history[excess:]...)
+	newest := r.historyStart
+	if len(r.history) > 0 {
+		newest = r.history[len(r.history)-1].newest
+	}
+	for _, row := range rows {
+		newest = max(newest, row.Version)
+		r.history = append(r.history, change{row, newest})
+	}
+	keep := max(minHistory, historyPerRow*len(r.rows))
+	if len(r.history) > 2*keep {
+		cut := len(r.history) - keep
+		r.historyStart = r.history[cut-1].newest
+		r.history = append([]change(nil), r.history[cut:]...)
 	}
 }
 
@@ -230,10 +253,11 @@
 	if after < r.historyStart {
 		return nil, 0, nil, failure.New(failure.HistoryLost, "the relay's history begins at %d", r.historyStart)
 	}
+	first, _ := slices.BinarySearchFunc(r.history, after+1, func(c change, version int64) int { return cmp.Compare(c.newest, version) })
 	var rows []Row
-	for _, row := range r.history {
-		if row.Version > after {
-			rows = append(rows, row)
+	for _, c := range r.history[first:] {
+		if c.Version > after {
+			rows = append(rows, c.Row)
 		}
 	}
 	return rows, max(after, r.version), r.changed, nil
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -440,3 +440,48 @@
 		Expect(r.Gap()).To(BeNumerically("~", 1500*time.Millisecond, 200*time.Millisecond))
 	})
 })
+
+var _ = Describe("the relay of a large table", func() {
+	ctx := context.Background()
+
+	// A relay kept 4,096 changes at any size. When a third of 3,000 servers were replaced, every host that
+	// was a moment behind read the whole table from the home.
+	It("has the changes of a third of its rows being replaced, at any size", func() {
+		for _, rows := range []int{300, 3000, 6000, 12000} {
+			r := store.NewRelay()
+			version := int64(0)
+			row := func(key string, deleted bool) store.Row {
+				version++
+				return store.Row{Key: key, Version: version, Deleted: deleted}
+			}
+			var all []store.Row
+			for i := range rows {
+				all = append(all, row(fmt.Sprint("s", i), false))
+			}
+			r.Apply(store.Update{Rows: all, Whole: true, Version: version})
+			before := version
+			for i := range rows / 3 {
+				r.Apply(store.Update{Rows: []store.Row{row(fmt.Sprint("s", i), false)}, Version: version})
+				r.Apply(store.Update{Rows: []store.Row{row(fmt.Sprint("n", i), false), row(fmt.Sprint("s", i), true)}, Version: version})
+			}
+			changed, _, err := r.Changes(ctx, before, time.Millisecond)
+			Expect(err).NotTo(HaveOccurred(), "%d rows", rows)
+			Expect(changed).To(HaveLen(rows / 3 * 3))
+			last, _, err := r.Changes(ctx, version-1, time.Millisecond)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(last).To(HaveLen(1))
+		}
+	})
+
+	It("keeps a bounded history", func() {
+		r := store.NewRelay()
+		for version := range int64(20_000) {
+			r.Apply(store.Update{Rows: []store.Row{{Key: "one", Version: version + 1}}, Version: version + 1})
+		}
+		_, _, err := r.Changes(ctx, 15_000, time.Millisecond)
+		Expect(failure.Is(err, failure.HistoryLost)).To(BeTrue())
+		changed, _, err := r.Changes(ctx, 19_500, time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed).To(HaveLen(500))
+	})
+})
