--- a/internal/node/propagation_test.go
+++ b/internal/node/propagation_test.go
@@ -27,9 +27,14 @@
 	return 4 * time.Second
 }
 
-// fleetSizes are the sizes at which the tests run, from the smallest site to the largest
-// planned one.
-var fleetSizes = []int{6, 60, 195, 390}
+// fleetSizes are the sizes at which the tests run. PROPAGATION_HOSTS names another one, since a fleet
+// of 1,000 hosts takes minutes.
+var fleetSizes = func() []int {
+	if n, err := strconv.Atoi(os.Getenv("PROPAGATION_HOSTS")); err == nil {
+		return []int{n}
+	}
+	return []int{6, 60, 195, 390}
+}()
 
 // propagationDelays holds the longest times, after the store's acknowledgement, that hosts
 // still used servers that had left (draining, or with their entry deleted) and lacked a
