store: a host compares its rows with the relay's instead of reading them again

Cause: every host read each whole table anew from the home once a minute: hosts x servers, the square of the fleet; 985 hosts x some 80 KB a minute, 1.3 MB a second at the home (reckoned). Change: the call names the version and a digest of the rows that the host has; the relay answers with the changes since, and with the whole table only if the rows differ or its history is too short. Relays of older hosts answer with the whole table, as before. Ruled out: no comparison at all while a relay is followed (a fault of ours would stay for good).

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -98,7 +98,7 @@
 	relay := relays.Table(table)
 	tables := store.NewRelayedTables(direct, readers, relay.StoreFailed)
 	return &store.Watcher{
-		Tables: tables, Table: table, Events: events, OnFailure: relay.StoreFailed,
+		Tables: tables, Table: table, Events: events, OnFailure: relay.StoreFailed, Digest: relay.Digest,
 		RereadInterval: func() time.Duration {
 			if tables.Reader() == "" {
 				return store.RereadStore
--- a/internal/store/relay.go
+++ b/internal/store/relay.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/gentianflow/gentianflow/internal/failure"
 )
 
@@ -31,6 +33,7 @@
 type Relay struct {
 	mu           sync.Mutex
 	rows         map[string]Row
+	digest       uint64 // of rows
 	history      []change
 	historyStart int64 // history holds the changes after this version
 	version      int64
@@ -76,13 +79,10 @@
 	if u.Whole {
 		rows = r.difference(u)
 		clear(r.rows)
+		r.digest = 0
 	}
 	for _, row := range u.Rows {
-		if row.Deleted {
-			delete(r.rows, row.Key)
-		} else {
-			r.rows[row.Key] = row
-		}
+		r.setRow(row)
 	}
 	r.version = max(r.version, u.Version)
 	if firstUpdate {
@@ -95,6 +95,48 @@
 	}
 }
 
+// setRow stores a row, or drops it if it is deleted. The caller holds mu.
+func (r *Relay) setRow(row Row) {
+	if known, ok := r.rows[row.Key]; ok {
+		r.digest ^= known.digest()
+		delete(r.rows, row.Key)
+	}
+	if !row.Deleted {
+		r.rows[row.Key] = row
+		r.digest ^= row.digest()
+	}
+}
+
+// digest is a hash of a row's key and value. Versions are left out, since a relay that rereads the
+// table gives its changes the version of the read.
+func (row Row) digest() uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(row.Key) // never fails
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(row.Value)
+	return d.Sum64()
+}
+
+// Digest returns a digest of the rows. It is the same for the same keys and values.
+func (r *Relay) Digest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.digest
+}
+
+// Verify compares the rows that a caller knows as of version after, given their digest, with the
+// relay's. It returns the changes after that version, or the whole table if the rows differ or the
+// history does not reach back that far. While changes are on their way the rows are not compared.
+func (r *Relay) Verify(ctx context.Context, after int64, digest uint64) (rows []Row, version int64, whole bool, err error) {
+	rows, version, _, err = r.changesSince(after)
+	current := len(rows) == 0 && version == after
+	if err == nil && (!current || digest == r.Digest()) {
+		return rows, version, false, nil
+	}
+	rows, version, err = r.Snapshot(ctx)
+	return rows, version, true, err
+}
+
 // difference returns the changes between the known rows and a whole table. They get the version
 // of the read. The caller holds mu.
 func (r *Relay) difference(u Update) []Row {
@@ -173,7 +215,7 @@
 const firstReadWait = 300 * time.Millisecond
 
 // Snapshot returns the table as last read. It fails with StoreDown if that was too long ago.
-func (r *Relay) Snapshot(ctx context.Context) ([]Row, int64, error) {
+func (r *Relay) Snapshot(context.Context) ([]Row, int64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if time.Since(r.lastAnswer) > staleAfter {
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -78,8 +78,12 @@
 	// following is set while the newest answer is a relay's. A call to the relay is then open
 	// nearly all the time, and lastAnswer understates how recent the data is.
 	following bool
+	// partial is set if the newest answer to a call for a whole table has only its changes.
+	partial bool
 }
 
+var _ Verifier = (*RelayedTables)(nil)
+
 // NewRelayedTables returns the reader of one table. onLost is called when the relay that was followed
 // has no fresh answer any more; it may be nil.
 func NewRelayedTables(direct Tables, readers Readers, onLost func()) *RelayedTables {
@@ -101,6 +105,14 @@
 	return r.read(ctx, call, relayMargin, func() ([]Row, int64, error) { return r.direct.Snapshot(ctx, table) })
 }
 
+// Verify implements Verifier.
+func (r *RelayedTables) Verify(ctx context.Context, table string, after int64, digest uint64) (rows []Row, version int64, whole bool, err error) {
+	call := &wire.TableCall{Table: table, Snapshot: true, After: after, Digest: digest}
+	r.partial = false
+	rows, version, err = r.read(ctx, call, relayMargin, func() ([]Row, int64, error) { return r.direct.Snapshot(ctx, table) })
+	return rows, version, !r.partial, err
+}
+
 // Changes implements Tables.
 func (r *RelayedTables) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
 	call := &wire.TableCall{Table: table, After: after, WaitMs: uint32(relayWait.Milliseconds())}
@@ -255,6 +267,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	r.partial = reply.Partial
 	now := time.Now()
 	r.gap = r.reportedGap(name, reply, now)
 	r.recordAnswer(now, name)
--- a/internal/store/relays.go
+++ b/internal/store/relays.go
@@ -69,19 +69,28 @@
 	var rows []Row
 	var version int64
 	var err error
-	if call.Snapshot {
+	whole := false
+	switch {
+	case call.Snapshot && call.After > 0:
+		rows, version, whole, err = relay.Verify(ctx, call.After, call.Digest)
+	case call.Snapshot:
 		if role == Reader {
 			relay.awaitFirstRead(ctx)
 		}
+		whole = true
 		rows, version, err = relay.Snapshot(ctx)
-	} else {
+	default:
 		rows, version, err = relay.Changes(ctx, call.After, time.Duration(call.WaitMs)*time.Millisecond)
 	}
 	if err != nil {
 		return &wire.TableReply{Failure: string(failure.From(err).Code)}
 	}
-	reply := &wire.TableReply{Version: version}
+	reply := &wire.TableReply{Version: version, Partial: call.Snapshot && !whole}
 	reply.GapMs, reply.ReturnedMs = relay.outage()
-	relay.pack(reply, rowRange{whole: call.Snapshot, after: call.After, newest: version}, rows)
+	requested := rowRange{whole: whole, newest: version}
+	if !whole {
+		requested.after = call.After
+	}
+	relay.pack(reply, requested, rows)
 	return reply
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,6 +44,15 @@
 	Reader() string
 }
 
+// Verifier is implemented by Tables that can compare a known table with its source without reading all
+// of it.
+type Verifier interface {
+	// Verify reads a table that is known up to version after and whose known rows have a digest. It
+	// returns the changes after that version, or the whole table if the known rows differ or cannot
+	// be compared.
+	Verify(ctx context.Context, table string, after int64, digest uint64) (rows []Row, version int64, whole bool, err error)
+}
+
 // Writer changes rows of the system's own tables.
 type Writer interface {
 	Put(ctx context.Context, table, key string, value []byte) error
@@ -79,8 +88,8 @@
 	// must be noticed.
 	changeWait = 700 * time.Millisecond
 	// RereadStore is the interval between full reads of the store, needed since a change feed
-	// that was cut off reports no error. RereadRelay is the same for the home's relay, which
-	// rereads the store itself.
+	// that was cut off reports no error. RereadRelay is the interval at which a host compares its
+	// rows with those of the relay, which rereads the store itself.
 	RereadStore = 10 * time.Second
 	RereadRelay = 60 * time.Second
 	// batchDelay is the pause after an answer with changes. Each call is billed, so at the
@@ -98,9 +107,12 @@
 	Tables Tables
 	Table  string
 	Events *event.Recorder
-	// RereadInterval returns the current interval between full reads. If it is nil, RereadStore
-	// applies.
+	// RereadInterval returns the current interval between full reads, or between verifications if
+	// Tables is a Verifier. If it is nil, RereadStore applies.
 	RereadInterval func() time.Duration
+	// Digest returns the digest of the rows that were applied. It may be nil if Tables is no
+	// Verifier.
+	Digest func() uint64
 	// OnFailure is called when a call fails. It may be nil.
 	OnFailure func()
 	Apply     func(Update)
@@ -143,7 +155,7 @@
 			w.Apply(u)
 		})
 		if failure.Is(err, failure.HistoryLost) || ctx.Err() != nil {
-			continue // read the whole table at once: changes were missed, or it is due
+			continue // read the whole table at once: changes were missed
 		}
 		if w.OnFailure != nil {
 			w.OnFailure()
@@ -180,7 +192,16 @@
 		return err
 	}
 	onAnswer(Update{Rows: rows, Whole: true, Version: version})
-	for lastRead := time.Now(); time.Since(lastRead) < w.reread(); {
+	for lastRead := time.Now(); ctx.Err() == nil; {
+		if time.Since(lastRead) >= w.reread() {
+			whole := true
+			if rows, version, whole, err = w.readAgain(ctx, version); err != nil {
+				return err
+			}
+			lastRead = time.Now()
+			onAnswer(Update{Rows: rows, Whole: whole, Version: version})
+			continue
+		}
 		rows, version, err = w.Tables.Changes(ctx, w.Table, version, changeWait)
 		if err != nil {
 			return err
@@ -195,5 +216,14 @@
 		case <-ctx.Done():
 		}
 	}
-	return failure.New(failure.HistoryLost, "the table is due for a full read")
+	return ctx.Err()
+}
+
+// readAgain verifies the table that is known up to a version, or reads all of it.
+func (w *Watcher) readAgain(ctx context.Context, known int64) (rows []Row, version int64, whole bool, err error) {
+	if v, ok := w.Tables.(Verifier); ok && w.Digest != nil {
+		return v.Verify(ctx, w.Table, known, w.Digest())
+	}
+	rows, version, err = w.Tables.Snapshot(ctx, w.Table)
+	return rows, version, true, err
 }
