member: every host learns the leaders first, and known news stops early

Cause (start spec at 1,000 hosts, calls by time and role): followers that know half of the fleet rank other hosts first than the real home, ask 15 hosts of which none reads, and take their turn at the store: 225 calls by 110 hosts. Seeds named the largest members by another ranking than the one in use, which is the same only while fewer than eight hosts are equally large. And each host carried each of the others 13 times, for two minutes, though all knew them. Change: each datagram carries one of the first three of the ranking in use, newcomers get its first eight; an entry that four others have reported is no longer announced (only while it is alive). Ruled out: more announcements a datagram (bytes of every host).

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -64,6 +64,7 @@
 	firstSeen     time.Time  // when this host learned of the member
 	lastContact   time.Time  // when the member last contacted this host
 	announcements int        // number of its newest announcement
+	heard         int        // how often others have reported the entry since then
 	poolPos       [pools]int // 1 + its position in each pool, 0: not in it
 }
 
@@ -312,6 +313,9 @@
 	newer := known == nil || w.Beat > known.wire.Beat
 	r := t.merge(w)
 	t.applyState(r, w.State, newer)
+	if !newer && w.State == wire.MemberState_MEMBER_ALIVE {
+		t.noteHeard(r)
+	}
 }
 
 // supersedeAtAddress marks the older incarnations at the control address of w, a member
--- a/internal/member/updates.go
+++ b/internal/member/updates.go
@@ -44,13 +44,18 @@
 func (t *Table) updates(sample int) []*wire.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	recent := t.nextAnnouncements(maxUpdates)
-	chosen := slices.Clone(recent)
+	chosen := t.nextAnnouncements(maxUpdates)
+	wanted := len(chosen) + sample
+	if leaders := t.leaders(announcedLeaders); len(leaders) > 0 {
+		if l := leaders[rand.IntN(len(leaders))]; !slices.Contains(chosen, l) {
+			chosen = append(chosen, l)
+		}
+	}
 	t.pools[livePool].draw(func(r *record) (more bool) {
-		if len(chosen) < len(recent)+sample && !slices.Contains(recent, r) {
+		if len(chosen) < wanted && !slices.Contains(chosen, r) {
 			chosen = append(chosen, r)
 		}
-		return len(chosen) < len(recent)+sample
+		return len(chosen) < wanted
 	})
 	out := make([]*wire.Member, 0, len(chosen))
 	for _, r := range chosen {
@@ -69,9 +74,25 @@
 // announce lets the next datagrams carry an entry. The caller holds mu.
 func (t *Table) announce(r *record) {
 	r.announcements++
+	r.heard = 0
 	t.queueAnnouncement(announcement{r, r.announcements}, 0)
 }
 
+// enoughHeard is how many reports of others show that an entry is known to nearly all.
+const enoughHeard = 4
+
+// noteHeard counts a report of an entry that this host knows, and ends its announcement when others
+// have reported it often enough. Otherwise each of a thousand hosts that start together would carry
+// each of the others a dozen times, for two minutes. Entries that are not alive are announced in full.
+func (t *Table) noteHeard(r *record) {
+	if r.machine.State() != Alive {
+		return
+	}
+	if r.heard++; r.heard == enoughHeard {
+		r.announcements++
+	}
+}
+
 // queueAnnouncement queues an announcement behind those that were carried as often.
 func (t *Table) queueAnnouncement(a announcement, transmits int) {
 	for len(t.announcements) <= transmits {
@@ -107,16 +128,25 @@
 }
 
 // updatesFor selects the entries for an answer to a host. A newcomer gets a larger sample
-// that begins with the largest members, since one of those is the home, the host that runs
-// the scheduler.
+// that begins with the leaders, since one of those is the home, the host that runs the
+// scheduler.
 func (t *Table) updatesFor(inc ident.Incarnation) []*wire.Member {
 	if !t.isNewcomer(inc) {
 		return t.updates(sampleSize)
 	}
 	if !t.takeLargeAnswer() {
-		return t.largest()
+		return t.leaderEntries()
+	}
+	return append(t.leaderEntries(), t.updates(newcomerSample)...)
+}
+
+func (t *Table) leaderEntries() (out []*wire.Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.leaders(maxLeaders) {
+		out = append(out, r.toWire())
 	}
-	return append(t.largest(), t.updates(newcomerSample)...)
+	return out
 }
 
 func (t *Table) isNewcomer(inc ident.Incarnation) bool {
@@ -140,24 +170,35 @@
 	return true
 }
 
-// maxLargest is the number of largest members in an answer to a newcomer.
-const maxLargest = 8
+const (
+	// maxLeaders is the number of leaders in an answer to a newcomer.
+	maxLeaders = 8
+	// announcedLeaders is the number of leaders of which each datagram carries one.
+	announcedLeaders = 3
+)
 
-// largest returns the entries of the largest members.
-func (t *Table) largest() []*wire.Member {
-	var out []*wire.Member
-	for _, m := range t.First(anyService, maxLargest) {
-		t.mu.Lock()
-		if r := t.members[m.Incarnation]; r != nil {
-			out = append(out, r.toWire())
+// leaders returns the entries of the first n members of each ranking in use, other than this host. Where
+// no ranking is in use, those of the largest members.
+//
+// Every host must know the home and the hosts next to it, long before it knows all others: of 50 hosts
+// that are equally large, a host that knows half may not know the home. The caller holds mu.
+func (t *Table) leaders(n int) (out []*record) {
+	if len(t.rankings) == 0 {
+		t.rankingOf(anyService)
+	}
+	for service := range t.rankings {
+		first := t.rankingOf(service).first
+		for _, c := range first[:min(n, len(first))] {
+			if r := t.members[c.incarnation]; r != nil && !slices.Contains(out, r) {
+				out = append(out, r)
+			}
 		}
-		t.mu.Unlock()
 	}
 	return out
 }
 
-// anyService is the service name under which largest ranks members; it only decides the
-// order of members of equal capacity.
+// anyService is the service name under which members are ranked where no service is known; it only
+// decides the order of members of equal capacity.
 const anyService = ""
 
 // toWire returns the member's entry as this host reports it to others.
