sched: an index forgets the holders that are gone

Cause (found by reading): what is remembered of holders' connections was kept for ever, and was gathered for services that need no index. Change: dropped with the holder; gathered for large services only. Spec: 500 holders that come and go.

--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -24,12 +24,8 @@
 	speedClassRatio = 1.125
 	// speedClasses covers the token times from minTokenTime to maxTokenTime.
 	speedClasses = 52
-	// maxConnectedServers bounds the servers remembered for a holder, and maxCachingServers those
-	// remembered for a prompt part; the newest remain.
+	// maxConnectedServers bounds the servers remembered for a holder; the newest remain.
 	maxConnectedServers = 32
-	maxCachingServers   = 4
-	// cachedPartsPerServer sets how many prompt parts an index remembers.
-	cachedPartsPerServer = 4
 )
 
 // serverIndex finds the servers of a large service that a decision should compare, without a look
@@ -75,10 +71,12 @@
 	return &serverIndex{outdated: true, byHolder: map[uint64][]*server{}}
 }
 
-// indexOf returns the index of a service, up to date, or nil if the service is so small that
-// decisions compare all its servers.
+// large reports whether svc has so many servers that decisions use its index rather than compare all.
+func (svc *service) large() bool { return len(svc.servers) > maxCandidates }
+
+// indexOf returns the index of a service, up to date, or nil if the service is not large.
 func (s *Scheduler) indexOf(now Time, svc *service) *serverIndex {
-	if len(svc.servers) <= maxCandidates {
+	if !svc.large() {
 		return nil
 	}
 	if svc.index.outdated {
@@ -91,7 +89,7 @@
 
 // reindex updates the index after a change of a server.
 func (s *Scheduler) reindex(now Time, srv *server) {
-	if svc := srv.serving; svc != nil && !svc.index.outdated && len(svc.servers) > maxCandidates {
+	if svc := srv.serving; svc != nil && svc.large() && !svc.index.outdated {
 		svc.index.update(now, srv)
 	}
 }
@@ -358,77 +356,3 @@
 	x.looks += looks
 	return best
 }
-
-// recentParts remembers which servers prefilled a prompt part last. It holds up to twice limit parts,
-// in two generations of which the older one is dropped as a whole.
-type recentParts struct {
-	limit    int
-	new, old map[uint64]cachingServers
-}
-
-type cachingServers [maxCachingServers]*server
-
-// use records that srv prefills the parts of a prompt.
-func (p *recentParts) use(parts []Part, srv *server) {
-	for _, part := range parts {
-		servers := p.get(part.Key)
-		at := len(servers) - 1
-		for i, have := range servers {
-			if have == srv || have == nil {
-				at = i
-				break
-			}
-		}
-		copy(servers[1:at+1], servers[:at])
-		servers[0] = srv
-		if p.new == nil || len(p.new) >= p.limit {
-			p.old, p.new = p.new, map[uint64]cachingServers{}
-		}
-		p.new[part.Key] = servers
-	}
-}
-
-func (p *recentParts) get(key uint64) cachingServers {
-	if servers, ok := p.new[key]; ok {
-		return servers
-	}
-	return p.old[key]
-}
-
-// servers lists the servers that prefilled a part last, the newest first.
-func (p *recentParts) servers(key uint64) []*server {
-	servers := p.get(key)
-	n := 0
-	for n < len(servers) && servers[n] != nil {
-		n++
-	}
-	return servers[:n]
-}
-
-// closedServers is a heap of servers by opensAt. It implements heap.Interface.
-type closedServers []*server
-
-func (c closedServers) Len() int           { return len(c) }
-func (c closedServers) Less(i, j int) bool { return c[i].entry.opensAt < c[j].entry.opensAt }
-
-func (c closedServers) Swap(i, j int) {
-	c[i], c[j] = c[j], c[i]
-	c[i].entry.closedPos, c[j].entry.closedPos = i, j
-}
-
-// Push implements heap.Interface.
-func (c *closedServers) Push(x any) {
-	srv := x.(*server)
-	srv.entry.closedPos = len(*c)
-	*c = append(*c, srv)
-}
-
-// Pop implements heap.Interface.
-func (c *closedServers) Pop() any {
-	last := len(*c) - 1
-	srv := (*c)[last]
-	(*c)[last] = nil
-	*c = (*c)[:last]
-	srv.entry.closedPos = -1
-	return srv
-}
--- a/internal/sched/index_test.go
+++ b/internal/sched/index_test.go
@@ -173,3 +173,30 @@
 	}
 	return list
 }
+
+// Holders come and go with each restart of a host, and most services are small.
+var _ = Describe("what an index remembers of holders and prompts", func() {
+	It("is forgotten when the holder is gone, and not gathered for a small service", func() {
+		for _, servers := range []int{maxCandidates, maxCandidates + 1} {
+			s := newScheduler(servers, 4)
+			svc := s.services[engine]
+			for id := range uint64(500) {
+				r := stream(id, 0, 0)
+				r.Key.Holder, r.PromptParts = id, []Part{{Key: id, Tokens: 10}}
+				s.Submit(0, r)
+				s.Finish(0, Outcome{Key: r.Key, Result: OK, FirstEvent: ms})
+			}
+			if !svc.large() {
+				Expect(svc.index.byHolder).To(BeEmpty())
+				Expect(svc.index.byPart.new).To(BeEmpty())
+				continue
+			}
+			Expect(svc.index.byHolder).To(HaveLen(500))
+			Expect(len(svc.index.byPart.new)).To(BeNumerically("<=", svc.index.byPart.limit))
+			for id := range uint64(500) {
+				s.HolderGone(0, id)
+			}
+			Expect(svc.index.byHolder).To(BeEmpty())
+		}
+	})
+})
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -194,7 +194,9 @@
 		svc.recurrentPlacedAt = now
 	}
 	s.reindex(now, srv)
-	svc.index.byPart.use(w.PromptParts, srv)
+	if svc.large() {
+		svc.index.byPart.use(w.PromptParts, srv)
+	}
 	s.out = append(s.out, Decision{Key: w.Key, Server: srv.ID, Address: srv.Address, Waited: now - w.submittedAt})
 }
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -319,7 +319,7 @@
 		o.TokenTime = 0
 	}
 	r.server.learn(now, o)
-	if svc := r.server.serving; svc != nil && o.Result == OK {
+	if svc := r.server.serving; svc != nil && svc.large() && o.Result == OK {
 		svc.index.connected(o.Holder, r.server)
 	}
 }
@@ -383,6 +383,7 @@
 func (s *Scheduler) HolderGone(now Time, holder uint64) {
 	for _, svc := range s.services {
 		svc.queue.each(func(w *waiting) (bool, bool) { return w.Holder == holder, false })
+		delete(svc.index.byHolder, holder)
 	}
 	for k, r := range s.runs {
 		if k.Holder == holder && !r.orphan {
