--- a/internal/member/growth_test.go
+++ b/internal/member/growth_test.go
@@ -145,3 +145,26 @@
 	ranked := Rank("scheduler", t.All(), maxRanked)
 	Expect(slices.EqualFunc(t.First("scheduler", maxRanked), ranked, func(a, b Member) bool { return a.Incarnation == b.Incarnation })).To(BeTrue())
 }
+
+var _ = Describe("a sample of the members", func() {
+	// A look-up that named some hosts more often than others would send them more callers.
+	It("contains each live member equally often, this host too, and no other", func() {
+		const hosts, draws, size = 20, 4000, 5
+		t := tableOf(hosts)
+		t.ProveDead(ident.Incarnation(entryOf(7).Incarnation), "test")
+		seen := map[ident.Incarnation]int{}
+		for range draws {
+			sample := t.SampleAlive(size)
+			Expect(sample).To(HaveLen(size))
+			for _, m := range sample {
+				seen[m.Incarnation]++
+			}
+		}
+		Expect(seen).To(HaveLen(hosts - 1))
+		Expect(seen).NotTo(HaveKey(ident.Incarnation(entryOf(7).Incarnation)))
+		for inc, n := range seen {
+			Expect(n).To(BeNumerically("~", draws*size/(hosts-1), draws/10), "%v", inc)
+		}
+		Expect(t.SampleAlive(3 * hosts)).To(HaveLen(hosts - 1))
+	})
+})
