--- a/internal/member/updates.go
+++ b/internal/member/updates.go
@@ -15,7 +15,7 @@
 	// datagrams that carry an update.
 	baseTransmits = 3
 	// maxUpdates is the maximum number of updates in a datagram, sampleSize the number
-	// of random members added to them.
+	// of members added to them: a leader and random ones.
 	maxUpdates = 8
 	sampleSize = 3
 	// newcomerPeriod is how long a host counts as a newcomer after it was first seen. A
@@ -39,8 +39,8 @@
 	return n
 }
 
-// updates selects the entries for the next datagram: recent changes first, then random
-// members, which make up for lost datagrams.
+// updates selects the entries for the next datagram: recent changes first, then a sample of one leader
+// and random members, which make up for lost datagrams.
 func (t *Table) updates(sample int) []*wire.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
