--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -79,7 +79,8 @@
 // Table is the membership as one host sees it. mu guards all fields from self to largeAnswersAt.
 //
 // A host handles some dozen datagrams a second, whatever the size of the fleet. What it does for one
-// must not grow with the number of members, so nothing but All and expire walks them.
+// must not grow with the number of members, so only All walks them, and a ranking of which one of the
+// first has left.
 type Table struct {
 	events  *event.Recorder
 	horizon time.Duration // how long dead members are kept
--- a/internal/member/updates.go
+++ b/internal/member/updates.go
@@ -64,8 +64,8 @@
 	return out
 }
 
-// announcement is an entry that datagrams are still to carry. It is void once the record has a newer
-// one.
+// announcement is an entry that datagrams are still to carry. It is void once number is no longer the
+// record's, because a newer one was queued or others have reported the entry often enough.
 type announcement struct {
 	record *record
 	number int
@@ -102,8 +102,8 @@
 }
 
 // nextAnnouncements returns up to n entries to be carried by a datagram, those that were carried least
-// often first: when hundreds of hosts start, a host that leaves must not wait behind all of them. The
-// caller holds mu.
+// often first: a host that leaves soon after hundreds have started waits only behind those that were
+// never carried. Void announcements count among the n. The caller holds mu.
 func (t *Table) nextAnnouncements(n int) (next []*record) {
 	limit := t.maxTransmits()
 	taken := make([][]announcement, len(t.announcements))
