--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -68,6 +68,9 @@
 	HomeServerState Code = 311
 	ShareChanged    Code = 312
 
+	AccountOverShare Code = 313
+	OverloadForecast Code = 314
+
 	MemberJoined     Code = 401
 	MemberSuspect    Code = 402
 	MemberDead       Code = 403
@@ -77,6 +80,7 @@
 	PeerRefused      Code = 407
 	MemberForgotten  Code = 408
 	MemberProvedDead Code = 409
+	HostNearLimit    Code = 410
 
 	ConfigInForce  Code = 501
 	ConfigRefused  Code = 502
@@ -104,6 +108,7 @@
 	ServerLimit       Code = 617
 	ServerLeaves      Code = 618
 	SendHeldBack      Code = 619
+	ServerSlowed      Code = 620
 
 	StoreDown      Code = 701
 	StoreUp        Code = 702
@@ -146,18 +151,20 @@
 	QuarantineLifted:   {"quarantine_lifted", Info, "A request left quarantine: it succeeded or was released."},
 	RequestLeft:        {"request_left", Info, "The caller disconnected before it received the answer; detail gives the phase of the request."},
 
-	HomeOpened:      {"home_opened", Info, "This host became the home of a service."},
-	HomeClosed:      {"home_closed", Info, "This host stopped being the home of a service."},
-	HomeShed:        {"home_shed", Trace, "The home shed a waiting request; detail gives the reason."},
-	HomeRevoke:      {"home_revoke", Trace, "The home asks a holder not to dispatch a request that was resent through another host."},
-	HomeUncovered:   {"home_uncovered", Warn, "A holder ended and the ledger may lack grants to it; until the horizon passes, resends of its requests are answered as unknown."},
-	HomeReport:      {"home_report", Trace, "A holder reported its entries of the ledger."},
-	HomeFull:        {"home_full", Warn, "The input queue of the home is full; the sender waits."},
-	HomeMoved:       {"home_moved", Info, "A holder switched to another home of a service."},
-	HomeHandover:    {"home_handover", Info, "A leaving home handed its ledger over to the next one."},
-	HomeGranted:     {"home_granted", Trace, "The home granted one dispatch."},
-	ShareChanged:    {"share_changed", Info, "The share of all servers and quotas that this host schedules has changed: 1 as the home, less when it schedules locally. Detail gives the shares."},
-	HomeServerState: {"home_server_state", Info, "The state of a backend server has changed at the home."},
+	HomeOpened:       {"home_opened", Info, "This host became the home of a service."},
+	HomeClosed:       {"home_closed", Info, "This host stopped being the home of a service."},
+	HomeShed:         {"home_shed", Trace, "The home shed a waiting request; detail gives the reason."},
+	HomeRevoke:       {"home_revoke", Trace, "The home asks a holder not to dispatch a request that was resent through another host."},
+	HomeUncovered:    {"home_uncovered", Warn, "A holder ended and the ledger may lack grants to it; until the horizon passes, resends of its requests are answered as unknown."},
+	HomeReport:       {"home_report", Trace, "A holder reported its entries of the ledger."},
+	HomeFull:         {"home_full", Warn, "The input queue of the home is full; the sender waits."},
+	HomeMoved:        {"home_moved", Info, "A holder switched to another home of a service."},
+	HomeHandover:     {"home_handover", Info, "A leaving home handed its ledger over to the next one."},
+	HomeGranted:      {"home_granted", Trace, "The home granted one dispatch."},
+	ShareChanged:     {"share_changed", Info, "The share of all servers and quotas that this host schedules has changed: 1 as the home, less when it schedules locally. Detail gives the shares."},
+	AccountOverShare: {"account_over_share", Info, "A client account started or stopped asking for more than its share of the servers' time while requests wait; detail gives its priority, what it asked for and its share."},
+	OverloadForecast: {"overload_forecast", Info, "A priority of a service started or stopped refusing requests for which no server is expected to have room in time; detail gives the forecast."},
+	HomeServerState:  {"home_server_state", Info, "The state of a backend server has changed at the home."},
 
 	MemberJoined:     {"member_joined", Info, "A new incarnation of an entry host became known."},
 	MemberSuspect:    {"member_suspect", Warn, "A member missed its heartbeat deadline."},
@@ -168,6 +175,7 @@
 	PeerRefused:      {"peer_refused", Warn, "A session was refused; detail gives the reason."},
 	MemberForgotten:  {"member_forgotten", Trace, "A dead member was removed from the member list after the horizon."},
 	MemberProvedDead: {"member_proved_dead", Info, "The process of an incarnation is known to have ended; detail gives the evidence."},
+	HostNearLimit:    {"host_near_limit", Warn, "This host started or stopped turning callers away because a resource of it is nearly used up; detail gives the resource."},
 
 	ConfigInForce:  {"config_in_force", Info, "A configuration version is in force on this host."},
 	ConfigRefused:  {"config_refused", Warn, "A configuration could not be read or is invalid."},
@@ -191,6 +199,7 @@
 	ServerLimit:    {"server_limit", Info, "A backend server changed or withdrew its rate limit (requests per second from all hosts); detail gives the old and the new limit, and whether another host reported it."},
 	ServerLeaves:   {"server_leaves", Info, "A backend server announced in an answer that it leaves; detail states whether another host reported it."},
 	SendHeldBack:   {"send_held_back", Info, "A request was not sent to the server of its placement and requests another placement, because a server notice that arrived since then forbids it; detail gives the notice."},
+	ServerSlowed:   {"server_slowed", Info, "A backend server reported that work takes more than twice as long there as usual; detail gives the figures."},
 	ServerEnded:    {"server_ended", Warn, "A backend server ended while it ran a request: the answer broke off and the server refuses connections; detail gives the fingerprint of the request."},
 
 	RolloutOrdered: {"rollout_ordered", Info, "This host carries out an order to move a service to a version; detail gives the version and the time limit."},
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -86,6 +86,20 @@
 	// EjectionTime is the first ejection time of a server that does not answer. Each further
 	// ejection without an answer in between doubles it, up to four times.
 	EjectionTime time.Duration
+	// LearnPauses limits the pauses of streams by what holders observe rather than by the time of the
+	// entire pending prefill; see pauses.go.
+	LearnPauses bool
+	// AccountShares orders the waiting requests of a priority by fair shares of their accounts;
+	// see shares.go. QuotaWeights weights the shares by the accounts' quotas.
+	AccountShares bool
+	QuotaWeights  bool
+	// LiveLoad takes the load that servers report into account; see serverload.go.
+	LiveLoad bool
+	// ForecastAdmission refuses requests for which a forecast shows no room in time, and
+	// BookReturns spreads the returns of refused callers over the room that is foreseen;
+	// see admission.go and returns.go.
+	ForecastAdmission bool
+	BookReturns       bool
 }
 
 // DefaultPolicy returns the policy that hosts run by default.
--- a/internal/sched/settings.go
+++ b/internal/sched/settings.go
@@ -95,6 +95,12 @@
 		number("size-floor", unitShare, 0, 1, "0", "minimum placement rate of requests with much work, as a share of the rate of their priority queue", func(p *Policy) *float64 { return &p.MinSizeClassShare }),
 		onOff("handovers", "servers of plain services get extra placements to cover the time of handovers", func(p *Policy) *bool { return &p.Handovers }),
 		duration("time-out", time.Minute, "0", "length of the first ejection of a server that does not answer", func(p *Policy) *time.Duration { return &p.EjectionTime }),
+		onOff("pause-model", "pauses of streams beside a prompt are predicted from those that holders observe", func(p *Policy) *bool { return &p.LearnPauses }),
+		onOff("account-shares", "the accounts of a priority share the servers' time fairly while requests wait", func(p *Policy) *bool { return &p.AccountShares }),
+		onOff("share-weights", "the shares of accounts are weighted by their quotas", func(p *Policy) *bool { return &p.QuotaWeights }),
+		onOff("live-load", "placements follow the load that servers report", func(p *Policy) *bool { return &p.LiveLoad }),
+		onOff("admission-forecast", "requests for which no room in time is foreseen are refused at once", func(p *Policy) *bool { return &p.ForecastAdmission }),
+		onOff("return-booking", "refused callers are told moments at which room is foreseen", func(p *Policy) *bool { return &p.BookReturns }),
 	}
 }
 
