--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -145,7 +145,7 @@
 	q := c.tier(it.req.Tier)
 	if c.grantsEnabled && c.mayGrant(it.req.Holder) {
 		if s := c.chooseServer(&it.req, q.rank); s != nil {
-			q.virtualTime = max(q.virtualTime, it.startTag)
+			q.flows.Advance(it.startTag)
 			c.grant(s, it)
 			return
 		}
@@ -217,7 +217,7 @@
 			c.parked = append(c.parked, it)
 			continue
 		}
-		it.group.tier.virtualTime = max(it.group.tier.virtualTime, it.startTag)
+		it.group.tier.flows.Advance(it.startTag)
 		c.grant(s, it)
 	}
 }
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"github.com/gentianflow/gentianflow/internal/fairshare"
 	"github.com/gentianflow/gentianflow/internal/ident"
 	"github.com/gentianflow/gentianflow/internal/prefix"
 )
@@ -37,9 +38,6 @@
 
 func (g *group) head() *item { return g.items.min() }
 
-// flow is a client account's flow in the fair queuing of a tier.
-type flow struct{ finishTag float64 }
-
 // tierQueue is the priority queue of one tier. Requests are ordered by start
 // tags, so that client accounts share the servers by work. An account that
 // floods the queue gets late tags and is also the first to be shed.
@@ -52,10 +50,9 @@
 	aged      indexedHeap[*item]  // aged requests, earliest start tag first
 	// agedCached holds the aged requests whose prefix was found to be cached at
 	// another server; see firstAged.
-	agedCached  indexedHeap[*item]
-	flows       map[ident.AccountID]*flow
-	virtualTime float64
-	queuedWork  float64 // waiting work in seconds at speed 1
+	agedCached indexedHeap[*item]
+	flows      *fairshare.Flows[ident.AccountID]
+	queuedWork float64 // waiting work in seconds at speed 1
 }
 
 // newStartTagHeap returns a heap of items ordered by start tag.
@@ -64,7 +61,7 @@
 }
 
 func newTierQueue(number int) *tierQueue {
-	q := &tierQueue{number: number, groups: map[prefix.Key]*group{}, flows: map[ident.AccountID]*flow{}}
+	q := &tierQueue{number: number, groups: map[prefix.Key]*group{}, flows: fairshare.New[ident.AccountID]()}
 	q.uncached = indexedHeap[*group]{
 		less:     func(a, b *group) bool { return a.head().before(b.head()) },
 		setIndex: func(g *group, i int) { g.uncachedIndex = i },
@@ -80,19 +77,6 @@
 
 func (q *tierQueue) len() int { return q.shedOrder.len() }
 
-// assignStartTag returns the start tag of a new request and charges its
-// account.
-func (q *tierQueue) assignStartTag(account ident.AccountID, work, share float64) float64 {
-	f := q.flows[account]
-	if f == nil {
-		f = &flow{}
-		q.flows[account] = f
-	}
-	tag := max(q.virtualTime, f.finishTag)
-	f.finishTag = tag + work/share
-	return tag
-}
-
 // group returns the group of a key and creates it on first use.
 func (q *tierQueue) group(key prefix.Key) *group {
 	g := q.groups[key]
--- a/internal/core/resend.go
+++ b/internal/core/resend.go
@@ -248,7 +248,7 @@
 	if share <= 0 {
 		share = 1
 	}
-	it.startTag = q.assignStartTag(r.Account, c.workOf(&r), share)
+	it.startTag = q.flows.Charge(r.Account, c.workOf(&r)/share)
 	c.ledger.waiting(c.now, it)
 	if !c.admit(it) {
 		c.refuse(&r, failure.Overload)
