--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -60,6 +60,14 @@
 // VirtualTime returns the virtual time.
 func (s *Flows[K]) VirtualTime() float64 { return s.virtualTime }
 
+// Next returns the tag at which the next request goes on, if requests are served in order.
+func (s *Flows[K]) Next() float64 {
+	if len(s.backlogged.items) == 0 {
+		return s.virtualTime
+	}
+	return max(s.virtualTime, s.backlogged.items[0].Head())
+}
+
 // Len returns the number of flows with state.
 func (s *Flows[K]) Len() int { return len(s.flows) }
 
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -69,6 +69,7 @@
 		buckets[a.Name] = b
 	}
 	s.accounts = buckets
+	s.setShareWeights(accounts)
 }
 
 // SetServers applies a new list of backend servers. The state of servers that stay listed is
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -78,6 +78,11 @@
 	speeds      map[string]float64
 	// lengths draws the length of an answer and the length that its caller expects.
 	lengths func(mean int) (real, expected int)
+	// priority overrides the priority of a kind, unless it is nil.
+	priority func(kind int) int
+	length   time.Duration // of the load, if longer than burstLength
+	// after is called after each event, unless it is nil.
+	after func(now Time)
 }
 
 // exactLength draws a length that the caller knows.
@@ -102,6 +107,7 @@
 	retried bool
 	placed  bool
 	served  bool
+	inTime  bool
 }
 
 func newLoadSimulation(seed uint64) *loadSimulation {
@@ -132,19 +138,27 @@
 
 // arrive submits a new request of a random kind and schedules the next arrival.
 func (d *loadSimulation) arrive(now Time) {
-	k := d.drawKind()
+	d.request(now, d.drawKind(), "")
+	if now < burstLength {
+		d.at(now+time.Duration(d.rng.ExpFloat64()*float64(time.Second)/burstRate), d.arrive)
+	}
+}
+
+// request submits a new request of a kind and an account.
+func (d *loadSimulation) request(now Time, k int, account string) *loadRequest {
 	kind := loadKinds[k]
 	d.results[k].arrived++
 	r := &loadRequest{kind: k, started: now}
-	r.Service, r.Priority = engine, kind.priority
+	r.Service, r.Account, r.Priority = engine, account, kind.priority
+	if d.priority != nil {
+		r.Priority = d.priority(k)
+	}
 	r.PromptTokens = int(d.rng.ExpFloat64() * float64(kind.prompt))
 	r.length, r.OutputTokens = d.lengths(kind.output)
 	r.LatencyTarget, r.Deadline = now+kind.latencyTarget, now+kind.deadline
 	d.all = append(d.all, r)
 	d.submit(now, r)
-	if now < burstLength {
-		d.at(now+time.Duration(d.rng.ExpFloat64()*float64(time.Second)/burstRate), d.arrive)
-	}
+	return r
 }
 
 func (d *loadSimulation) submit(now Time, r *loadRequest) {
@@ -205,21 +219,30 @@
 			d.results[r.kind].lost++
 		case end-time.Duration(r.length)*tokenTime-r.started <= loadKinds[r.kind].latencyTarget:
 			d.results[r.kind].inTime++
+			r.inTime = true
 		default:
 			d.results[r.kind].late++
 		}
-		d.apply(now, d.s.Finish(now, Outcome{Key: r.Key, Result: OK, FirstEvent: first, TokenTime: tokenTime}))
+		d.apply(now, d.s.Finish(now, Outcome{Key: r.Key, Result: OK, FirstEvent: first, TokenTime: tokenTime, OutputTokens: r.length}))
 	})
 }
 
 func (d *loadSimulation) run() {
 	d.at(0, d.arrive)
-	for tick := 10 * ms; tick < burstLength+20*time.Second; tick += 10 * ms {
+	d.play()
+}
+
+// play ticks the scheduler and handles the events.
+func (d *loadSimulation) play() {
+	for tick := 10 * ms; tick < max(burstLength, d.length)+20*time.Second; tick += 10 * ms {
 		d.at(tick, func(now Time) { d.apply(now, d.s.Tick(now)) })
 	}
 	for d.events.Len() > 0 {
 		next := heap.Pop(&d.events).(simEvent)
 		next.do(next.at)
+		if d.after != nil {
+			d.after(next.at)
+		}
 	}
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -16,6 +15,7 @@
 	if svc.queue.size == 0 || len(free) == 0 {
 		return
 	}
+	s.refreshShares(now, svc)
 	if s.policy.DemoteLate {
 		for _, pq := range svc.queue.priorityQueues {
 			pq.demoteLate(now, svc.timeToFirstEvent.upperBound())
@@ -78,7 +78,7 @@
 				w.adjustedRank -= s.policy.ConnectCost
 			}
 		}
-		slices.SortStableFunc(head, func(a, b *waiting) int { return cmp.Compare(a.adjustedRank, b.adjustedRank) })
+		slices.SortStableFunc(head, compareAdjustedRank)
 	}
 }
 
@@ -186,6 +186,7 @@
 		v.trial.CountRequest(srv.Version == v.order.To)
 	}
 	r.class, r.countedAsServed = w.class, true
+	r.charge = w.leaveShares(true)
 	s.runs[w.Key] = r
 	s.addCopies(w.Fingerprint, 1)
 	if s.suspects.Recurrent(w.Fingerprint) {
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -9,9 +9,10 @@
 type waiting struct {
 	Request
 	submittedAt  Time // when it was submitted here; Arrived may be earlier
-	rank         Time // sort key: Arrived, plus longAnswerDelay
+	rank         Time // sort key: Arrived, plus longAnswerDelay and, with AccountShares, the time until the account's turn
 	adjustedRank Time // rank with the cache and connections of the choosing server considered
 	class        int  // size class within its priority
+	share        shareEntry
 }
 
 // priorityQueue holds the waiting requests of one priority. onTime is sorted by rank, except
@@ -26,6 +27,7 @@
 	placementRate rate
 	allocated     serverTime // to the requests placed
 	sizeStats     sizeStats
+	shares        *accountShares // nil until used
 	// nextShareCheck is when the minimum share of this priority is checked again.
 	nextShareCheck Time
 }
@@ -40,7 +42,7 @@
 func (q *queue) add(w *waiting) {
 	pq := q.priorityQueue(w.Priority)
 	at := len(pq.onTime)
-	for at > 0 && pq.onTime[at-1].rank > w.rank {
+	for at > 0 && compareRank(pq.onTime[at-1], w) > 0 {
 		at--
 	}
 	pq.onTime = slices.Insert(pq.onTime, at, w)
@@ -70,6 +72,7 @@
 		for _, list := range []*[]*waiting{&pq.onTime, &pq.late} {
 			if i := slices.IndexFunc(*list, match); i >= 0 {
 				w := (*list)[i]
+				w.leaveShares(false)
 				*list = slices.Delete(*list, i, i+1)
 				q.size--
 				return w
@@ -94,6 +97,7 @@
 	for i, w := range *list {
 		drop, stop := f(w)
 		if drop {
+			w.leaveShares(false)
 			delete(q.keys, w.Key)
 			q.size--
 		} else {
@@ -117,7 +121,7 @@
 	kept := pq.onTime[:0]
 	for _, w := range pq.onTime {
 		if w.LatencyTarget < now+timeToFirstEvent {
-			pq.late = append(pq.late, w)
+			pq.addLate(w)
 		} else {
 			kept = append(kept, w)
 		}
@@ -131,8 +135,8 @@
 // are placed, so that nothing is left for late ones.
 func (pq *priorityQueue) shouldRejectEarly(now Time, timeToFirstEvent time.Duration, w *waiting) bool {
 	placementRate := pq.placementRate.valueAt(now)
-	ahead := float64(slices.Index(pq.onTime, w))
-	if ahead < placementRate*(w.LatencyTarget-timeToFirstEvent-now).Seconds() {
+	left := w.LatencyTarget - timeToFirstEvent - now
+	if float64(pq.ahead(w)) < placementRate*left.Seconds() && !pq.turnAfter(now, w, left) {
 		return false
 	}
 	return pq.arrivalRate.valueAt(now) > earlyRejectionRatio*placementRate
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/quarantine"
@@ -30,7 +31,12 @@
 	notices        map[string]serverNotice           // by server
 	bounds         rollout.Bounds
 	rolloutSteps   []rollout.Status // steps since the last call of TakeRolloutSteps
-	out            []Decision       // decisions of the current call
+	shareWeights   map[string]float64
+	shareChanges   []ShareChange // since the last call of TakeShareChanges
+	// shareChangesSince and shareChangeCount limit the changes to maxShareChanges an interval.
+	shareChangesSince Time
+	shareChangeCount  int
+	out               []Decision // decisions of the current call
 }
 
 // service is a service with its queue.
@@ -134,9 +140,11 @@
 		return s.out, false
 	}
 	pq := svc.queue.priorityQueue(r.Priority)
-	pq.arrivalRate.add(now)
+	if !s.policy.AccountShares || s.quotaWait(now, &r) == 0 {
+		pq.arrivalRate.add(now)
+	}
 	w.class = pq.sizeStats.classify(now, svc.work(&r))
-	w.rank = s.rank(now, pq, w)
+	w.rank = s.enterShares(now, svc, pq, w, s.rank(now, pq, w))
 	svc.queue.add(w)
 	placed := s.placeArrival(now, svc, w)
 	if !placed && s.shouldRejectEarly(now, svc, pq, w) && s.dequeue(r.Key) {
@@ -178,7 +186,7 @@
 	if !svc.Engine || maxWait > earlyRejectionMaxWait || s.share.Servers < 1 || w.Retry {
 		return false
 	}
-	if len(pq.onTime)+len(pq.late) < s.policy.EarlyRejectionMinQueue {
+	if pq.waitingWithinQuota() < s.policy.EarlyRejectionMinQueue {
 		return false
 	}
 	return pq.shouldRejectEarly(now, svc.timeToFirstEvent.upperBound(), w)
@@ -195,6 +203,7 @@
 	s.dequeue(k)
 	if r := s.runs[k]; r != nil {
 		s.refund(now, r)
+		r.charge.end(0)
 		s.removeRun(now, r)
 	}
 }
@@ -271,6 +280,7 @@
 	if svc != nil && r.countedAsServed && o.Result != OK {
 		svc.queue.priorityQueue(r.req.Priority).sizeStats.served[r.class].add(now, -1)
 	}
+	s.settle(svc, r, o)
 	s.removeRun(now, r)
 	s.reviewSuspects(now)
 	listed := s.servers[r.server.ID] == r.server
@@ -345,6 +355,7 @@
 	if r.orphan {
 		s.orphans--
 	}
+	r.charge.end(1)
 	r.server.finish(r)
 	s.reindex(now, r.server)
 	s.addCopies(r.req.Fingerprint, -1)
@@ -372,7 +383,11 @@
 		srv.pacer.take(now)
 	}
 	s.reindex(now, srv)
+	total := r.predictedEnd - now
 	r.predictedEnd = max(now, r.predictedEnd-a.Elapsed)
+	if total > 0 {
+		s.adoptCharge(now, svc, r, a.Priority, float64(r.predictedEnd-now)/float64(total))
+	}
 	r.refunded = true // charged by the scheduler that placed it
 	s.runs[a.Key] = r
 	s.addCopies(a.Fingerprint, 1)
@@ -403,6 +418,7 @@
 	s.reviewSuspects(now)
 	s.advanceTrials(now)
 	for _, svc := range s.services {
+		s.refreshShares(now, svc)
 		if svc.queue.size > 0 {
 			s.fillTrial(now, svc)
 			s.fill(now, svc, s.serversWithRoom(now, svc, nil))
@@ -442,6 +458,9 @@
 
 func (s *Scheduler) refuse(now Time, w *waiting, why Reason, after time.Duration) {
 	d := Decision{Key: w.Key, Reason: why, RetryAfter: after, Detail: s.suspects.Explain(now, w.Fingerprint)}
+	if share := s.explainShare(now, s.services[w.Service], w); share != "" {
+		d.Detail = strings.TrimSpace(d.Detail + " " + share)
+	}
 	if svc := s.services[w.Service]; svc != nil {
 		d.Waiting, d.Usable = svc.queue.size, s.countUsable(now, svc)
 	}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -20,6 +20,7 @@
 	refunded        bool
 	class           int  // size class within its priority queue
 	countedAsServed bool // in the served count of its size class
+	charge          shareCharge
 	isolated        bool // nothing else is placed at the server until the run shows progress
 }
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -140,6 +140,8 @@
 	Result     Result
 	FirstEvent time.Duration // from dispatch to the first event, 0 if unknown
 	TokenTime  time.Duration // time per output token, 0 if unknown
+	// OutputTokens is how many output tokens the run has generated, 0 if unknown.
+	OutputTokens int
 }
 
 // AdoptedRun is an unfinished run that another scheduler placed.
@@ -154,6 +156,7 @@
 	Account       string
 	Fingerprint   quarantine.Fingerprint // the same for all attempts of a request
 	Interruptible bool
+	Priority      int // -1 if unknown
 }
 
 // Reason is why a request was refused without having run.
