--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -108,6 +108,8 @@
 	server   string
 	done     chan sched.Decision
 	revoke   func(*Refused) // called when the placement is revoked, may be nil
+	// outputTokens is how many output tokens the run has generated, 0 if unknown.
+	outputTokens int
 }
 
 // Client requests placements on behalf of this host, from the home (the host that runs the
@@ -216,6 +218,16 @@
 	})
 }
 
+// RecordOutput sets how many output tokens the run of a placement has generated. Finish reports
+// it to the scheduler.
+func (c *Client) RecordOutput(id uint64, tokens int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.pending[id]; p != nil {
+		p.outputTokens = tokens
+	}
+}
+
 // Finish reports how the run of a placement ended, or, with the results Progress and Stalled,
 // the state of a run that continues. timeToFirst is the time from dispatch to the first
 // event and tokenInterval the time per output token; both are 0 if unknown.
@@ -227,6 +239,7 @@
 	if p == nil {
 		return
 	}
+	o.OutputTokens = p.outputTokens
 	if result != sched.Progress && result != sched.Stalled {
 		delete(c.pending, id)
 	}
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -54,6 +54,7 @@
 	return &wire.Outcome{
 		Id: o.ID, Result: uint32(o.Result),
 		FirstUs: uint32(o.FirstEvent.Microseconds()), PaceUs: uint32(o.TokenTime.Microseconds()),
+		OutputTokens: uint32(max(0, o.OutputTokens)),
 	}
 }
 
@@ -61,6 +62,7 @@
 	return sched.Outcome{
 		Key: sched.Key{Holder: holder, ID: m.Id}, Result: sched.Result(m.Result),
 		FirstEvent: time.Duration(m.FirstUs) * time.Microsecond, TokenTime: time.Duration(m.PaceUs) * time.Microsecond,
+		OutputTokens: int(m.OutputTokens),
 	}
 }
 
@@ -69,6 +71,7 @@
 		Id: id, Service: p.request.Service, Server: p.server, PromptTokens: uint32(p.request.PromptTokens),
 		OutputTokens: uint32(p.request.OutputTokens), ElapsedMs: millis(now.Sub(p.placedAt)), PauseMs: millis(p.request.MaxPause),
 		Account: p.request.Account, Fingerprint: p.request.Fingerprint.Bytes(), Repeatable: p.request.Interruptible,
+		Priority: uint32(p.request.Priority) + 1,
 	}
 }
 
@@ -77,6 +80,7 @@
 		Key: sched.Key{Holder: holder, ID: m.Id}, Service: m.Service, Server: m.Server,
 		PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens), Elapsed: fromMillis(m.ElapsedMs), MaxPause: fromMillis(m.PauseMs),
 		Account: m.Account, Fingerprint: quarantine.FingerprintFromBytes(m.Fingerprint), Interruptible: m.Repeatable,
+		Priority: int(m.Priority) - 1,
 	}
 }
 
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -105,6 +105,7 @@
 			lifted := l.logSuspects(changes)
 			l.onSuspects(changes, func(f quarantine.Fingerprint) bool { return lifted[f] })
 		}
+		l.logShares(l.sched.TakeShareChanges())
 		if steps := l.sched.TakeRolloutSteps(); len(steps) > 0 {
 			l.logRollouts(steps)
 			l.onRollouts(steps)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -55,6 +55,7 @@
 			complete := bytes.LastIndex(buf, endOfEvent) + len(endOfEvent)
 			if complete >= len(endOfEvent) {
 				if werr := x.forwardEvents(resp, buf[:complete]); werr != nil {
+					x.h.Placer.RecordOutput(t.placement.ID, (x.stream.events-earlierEvents)*tokensPerEvent)
 					return t.handleLost(ctx, werr)
 				}
 				buf = append(buf[:0], buf[complete:]...)
@@ -74,6 +75,7 @@
 		if err == nil {
 			continue
 		}
+		x.h.Placer.RecordOutput(t.placement.ID, (x.stream.events-earlierEvents)*tokensPerEvent)
 		if !errors.Is(err, io.EOF) {
 			return t.handleLost(ctx, err)
 		}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -261,6 +261,11 @@
 		gauge("scheduler_waiting", int64(s.Waiting()))
 		gauge("scheduler_running", int64(s.Running()))
 		gauge("requests_in_quarantine", int64(s.QuarantinedRequests()))
+		shares := s.ShareStats()
+		gauge("share_accounts", int64(shares.Accounts))
+		gauge("share_accounts_waiting", int64(shares.Waiting))
+		gauge("share_accounts_over", int64(shares.Over))
+		gauge("share_error_ms", shares.Error.Milliseconds())
 		for _, status := range s.Rollouts() {
 			prefix := "rollout." + status.Order.Service + "." + status.Order.To
 			gauge(prefix+".requests_to_service", int64(status.Reached))
