--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -52,6 +52,8 @@
 	backlogged  flowHeap[K] // with waiting requests and not suspended, by Head
 	idle        flowHeap[K] // without waiting and running requests, by finish
 	meanCost    float64     // of the placed requests
+	requests    int         // waiting
+	runs        int         // placed and not ended
 }
 
 // New returns a set without flows.
@@ -111,6 +113,7 @@
 	f.finish += cost
 	f.waiting += cost
 	f.requests++
+	s.requests++
 	s.update(f)
 	return f, start
 }
@@ -123,6 +126,7 @@
 	}
 	s.meanCost += (cost - s.meanCost) * meanCostWeight
 	f.runs++
+	s.runs++
 	s.leave(f, cost)
 	lowest := start
 	if len(s.backlogged.items) > 0 {
@@ -135,6 +139,7 @@
 func (s *Flows[K]) Cancel(f *Flow[K], cost float64) {
 	f.finish -= cost
 	s.leave(f, cost)
+	s.endBusyPeriod()
 }
 
 // leave takes one waiting request out of a flow. The sum of costs is reset when it was the last
@@ -142,6 +147,7 @@
 func (s *Flows[K]) leave(f *Flow[K], cost float64) {
 	f.waiting -= cost
 	f.requests--
+	s.requests--
 	if f.requests == 0 {
 		f.finish -= f.waiting
 		f.waiting = 0
@@ -157,6 +163,7 @@
 	}
 	f.finish += cost
 	f.runs++
+	s.runs++
 	s.update(f)
 	return f
 }
@@ -165,7 +172,21 @@
 func (s *Flows[K]) End(f *Flow[K], change float64) {
 	f.finish += change
 	f.runs--
+	s.runs--
 	s.update(f)
+	s.endBusyPeriod()
+	s.dropPassed()
+}
+
+// endBusyPeriod moves the virtual time on to the last finish tag once nothing waits or runs: what
+// the flows used before counts no more.
+func (s *Flows[K]) endBusyPeriod() {
+	if s.requests > 0 || s.runs > 0 {
+		return
+	}
+	for _, f := range s.idle.items {
+		s.virtualTime = max(s.virtualTime, f.finish)
+	}
 	s.dropPassed()
 }
 
--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -27,6 +28,9 @@
 	// two refreshes the order of their tags stays as it is; only their place among new arrivals
 	// is out of date.
 	shareRefreshInterval = 10 * time.Millisecond
+	// shareRefreshPerRequest is added for each waiting request, of which a refresh takes a tenth of a
+	// microsecond: refreshes then take at most about a hundredth of the time.
+	shareRefreshPerRequest = 10 * time.Microsecond
 	// shareLearningTime is how long the rate of a new priority queue is not trusted to refuse a
 	// request: it is a moving average over serverTimeDecay.
 	shareLearningTime = time.Second
@@ -43,6 +47,8 @@
 	// maxShareChanges the number of changes that a scheduler reports within it.
 	shareChangeInterval = time.Second
 	maxShareChanges     = 16
+	// minAskedAge is the least time, in multiples of serverTimeDecay, over which demand is averaged.
+	minAskedAge = 0.05
 	// maxOverShare bounds the accounts of a priority that are recorded as over their share.
 	maxOverShare = 256
 )
@@ -60,6 +66,7 @@
 	nextRefresh Time
 	refreshes   uint64
 	over        map[string]*overShare
+	sorted      []*waiting // buffer of byBase
 }
 
 // accountQueue is what waits of one account in a priority.
@@ -69,9 +76,10 @@
 	weight    float64
 	late      float64 // cost of the requests in priorityQueue.late
 	overQuota bool
-	asked     serverTime // work of the requests submitted
-	refresh   uint64     // number of the refresh that cursor belongs to
-	cursor    float64    // start tag of the next request in the current refresh
+	asked     serverTime // work of the requests submitted since askedAt
+	askedAt   Time
+	refresh   uint64  // number of the refresh that cursor belongs to
+	cursor    float64 // start tag of the next request in the current refresh
 }
 
 // shareEntry is a waiting request's part in the shares.
@@ -79,7 +87,7 @@
 	queue   *accountQueue // nil without shares
 	cost    float64       // work divided by the account's weight
 	start   float64       // start tag
-	delay   time.Duration // part of the rank beyond the arrival or turn; see longAnswerDelay
+	base    Time          // rank without shares; orders the requests of an account
 	charged bool          // it waits, and its cost is part of the flow
 	pending bool          // the account's turn has not come
 	late    bool          // it is in priorityQueue.late
@@ -202,26 +210,38 @@
 	work := svc.work(&w.Request)
 	q := x.queues[w.Account]
 	if q == nil {
-		q = &accountQueue{shares: x, weight: s.shareWeight(w.Account)}
+		q = &accountQueue{shares: x, weight: s.shareWeight(w.Account), askedAt: now}
 		x.queues[w.Account] = q
 		x.addWeight(q, q.weight)
 	}
 	q.asked.add(now, work)
 	e := &w.share
-	*e = shareEntry{queue: q, cost: work.Seconds() / q.weight, delay: base - w.Arrived, charged: true}
+	*e = shareEntry{queue: q, cost: work.Seconds() / q.weight, base: base, charged: true}
 	q.flow, e.start = x.flows.Enqueue(w.Account, e.cost)
 	e.start -= q.late // late requests wait behind those that can be on time
 	if q.overQuota {
 		x.overQuota++
 	}
 	x.setOverQuota(q, s.quotaWait(now, &w.Request) > 0)
-	turn := x.turn(e.start, s.shareRate(now, svc, pq))
-	if turn <= turnTolerance {
+	rate := s.shareRate(now, svc, pq)
+	if x.turn(e.start, rate) <= turnTolerance {
 		return base
 	}
 	e.pending = true
 	x.pending++
-	return max(base, now+turn+e.delay)
+	e.start -= pq.costBehind(w)
+	return now + x.turn(e.start, rate)
+}
+
+// costBehind is the cost of the requests of w's account that w overtakes: those that can be on
+// time and go after w by the rank without shares.
+func (pq *priorityQueue) costBehind(w *waiting) (cost float64) {
+	for _, other := range pq.onTime {
+		if e := &other.share; e.queue == w.share.queue && e.pending && e.base > w.share.base {
+			cost += e.cost
+		}
+	}
+	return cost
 }
 
 // sharesAt returns the shares of pq and creates them on first use.
@@ -359,7 +379,7 @@
 	}
 	for _, pq := range svc.queue.priorityQueues {
 		if x := pq.shares; x != nil && now >= x.nextRefresh {
-			x.nextRefresh = now + shareRefreshInterval
+			x.nextRefresh = now + shareRefreshInterval + time.Duration(len(pq.onTime)+len(pq.late))*shareRefreshPerRequest
 			s.refreshQueue(now, svc, pq)
 			s.reportShares(now, svc, pq)
 		}
@@ -384,7 +404,7 @@
 	rate := s.shareRate(now, svc, pq)
 	moved := false
 	for i, list := range [...][]*waiting{pq.onTime, pq.late} {
-		for _, w := range list {
+		for _, w := range x.byBase(list) {
 			e := &w.share
 			e.start = e.queue.cursor
 			e.queue.cursor += e.cost
@@ -395,7 +415,7 @@
 			if i == 0 && turn > overShareTurn && !e.queue.overQuota {
 				x.overSeen(now, w.Account)
 			}
-			w.rank = max(w.Arrived, now+turn) + e.delay
+			w.rank = now + turn
 			moved = true
 			if turn == 0 {
 				e.pending = false
@@ -409,9 +429,19 @@
 	}
 }
 
+// byBase returns the requests in the order that they have without shares. Of an account's requests
+// the first in this order has the first turn. The result is valid until the next call.
+func (x *accountShares) byBase(list []*waiting) []*waiting {
+	x.sorted = append(x.sorted[:0], list...)
+	if x.pending > 0 {
+		slices.SortStableFunc(x.sorted, func(a, b *waiting) int { return cmp.Compare(a.share.base, b.share.base) })
+	}
+	return x.sorted
+}
+
 // compareRank orders requests by rank, those whose account's turn has not come behind the others.
-// Otherwise longAnswerDelay would move the long answers of accounts within their share behind short
-// ones of an account over its share.
+// Their rank is their turn without longAnswerDelay, which orders the requests of one account. Otherwise
+// the long answers of one account would be moved behind the short ones of an account that asks for more.
 func compareRank(a, b *waiting) int {
 	return cmp.Or(comparePending(a, b), cmp.Compare(a.rank, b.rank))
 }
@@ -465,12 +495,19 @@
 		o.changed, o.reported = now, over
 		c := ShareChange{Service: svc.Name, Priority: pq.priority, Account: account, Over: over, Share: s.shareRate(now, svc, pq) * s.shareWeight(account)}
 		if q := x.queues[account]; q != nil {
-			c.Asked = q.asked.valueAt(now) / serverTimeDecay.Seconds()
+			c.Asked = q.askedRate(now)
 		}
 		s.shareChanges = append(s.shareChanges, c)
 	}
 }
 
+// askedRate is the work that the account has asked for a second, over about serverTimeDecay or since
+// its queue has been in use.
+func (q *accountQueue) askedRate(now Time) float64 {
+	age := float64(now-q.askedAt) / float64(serverTimeDecay)
+	return q.asked.valueAt(now) / serverTimeDecay.Seconds() / (1 - math.Exp(-max(minAskedAge, age)))
+}
+
 // takeShareChange reports whether one more change may be reported now.
 func (s *Scheduler) takeShareChange(now Time) bool {
 	if now-s.shareChangesSince >= shareChangeInterval {
@@ -510,7 +547,7 @@
 // turnAfter reports whether the turn of w's account comes later than left from now, as far as it
 // is known.
 func (pq *priorityQueue) turnAfter(now Time, w *waiting, left time.Duration) bool {
-	return w.share.pending && pq.shares.learned(now) && w.rank-w.share.delay-now >= left
+	return w.share.pending && pq.shares.learned(now) && w.rank-now >= left
 }
 
 // addLate adds a request to pq.late, at the end unless accounts share the servers.
