--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -31,8 +31,8 @@
 	// shareRefreshPerRequest is added for each waiting request, of which a refresh takes a tenth of a
 	// microsecond: refreshes then take at most about a hundredth of the time.
 	shareRefreshPerRequest = 10 * time.Microsecond
-	// shareLearningTime is how long the rate of a new priority queue is not trusted to refuse a
-	// request: it is a moving average over serverTimeDecay.
+	// shareLearningTime is how long the rate of a new priority queue is taken from the servers rather
+	// than from the moving average over serverTimeDecay, which starts at 0.
 	shareLearningTime = time.Second
 	// minShareRate is the minimum assumed rate at which work is placed, as a fraction of the
 	// servers' time. After a pause the average is near 0, and turns would seem to be far off.
@@ -544,12 +544,6 @@
 	return n
 }
 
-// turnAfter reports whether the turn of w's account comes later than left from now, as far as it
-// is known.
-func (pq *priorityQueue) turnAfter(now Time, w *waiting, left time.Duration) bool {
-	return w.share.pending && pq.shares.learned(now) && w.rank-now >= left
-}
-
 // addLate adds a request to pq.late, at the end unless accounts share the servers.
 func (pq *priorityQueue) addLate(w *waiting) {
 	at := len(pq.late)
