--- a/internal/sched/shares_test.go
+++ b/internal/sched/shares_test.go
@@ -1,8 +1,10 @@
 package sched
 
 import (
+	"container/heap"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -750,3 +752,117 @@
 		Expect(state).To(BeNumerically("<=", 2000+1+fairshare.MaxIdle), "2,000 requests wait and one runs")
 	})
 })
+
+var _ = Describe("shares by quota", func() {
+	// Guards against equal shares where the operator has granted one account more: it has a quota of five
+	// others and asks for five and a half shares, while two more accounts take whatever they get.
+	run := func(seed uint64, weights bool) (large, small float64) {
+		d := newShareSimulation(seed, true)
+		d.s.policy.QuotaWeights = weights
+		accounts := []Account{{Name: "large", Rate: 5e6, Burst: 5e6}}
+		for i := range shareAccounts - 3 {
+			accounts = append(accounts, Account{Name: accountName(i), Rate: 1e6, Burst: 1e6})
+			d.addAccount(accountLoad{accountName(i), 0.5 * shareRate, 0, shareLength})
+		}
+		for i := range 2 {
+			accounts = append(accounts, Account{Name: fmt.Sprint("over", i), Rate: 1e6, Burst: 1e6})
+			d.addAccount(accountLoad{fmt.Sprint("over", i), 10 * shareRate, 0, shareLength})
+		}
+		d.addAccount(accountLoad{"large", 5.5 * shareRate, 0, shareLength})
+		d.s.SetAccounts(0, accounts)
+		d.play()
+		results := d.accountsFrom(0, shareLength)
+		small, _ = inTimeOf(results)
+		return results["large"].onTime(), small
+	}
+	for seed := range uint64(2) {
+		It(fmt.Sprintf("serve the account with the large quota in time (seed %d)", seed), func() {
+			equal, smallEqual := run(seed, false)
+			weighted, small := run(seed, true)
+			fmt.Fprintf(GinkgoWriter, "weights: equal %.3f %.3f by quota %.3f %.3f\n", equal, smallEqual, weighted, small)
+			Expect(equal).To(BeNumerically("<", 0.95))
+			Expect(weighted).To(BeNumerically(">=", 0.97))
+			Expect(small).To(BeNumerically(">=", 0.95))
+		})
+	}
+})
+
+var _ = Describe("a plain service with one account at ten times its share", func() {
+	// Four servers with six slots serve 400 calls of 60 ms a second, of eight accounts.
+	run := func(shares bool) (others, flooding float64) {
+		const rate, length = 50.0, 10 * time.Second
+		p := DefaultPolicy()
+		p.AccountShares = shares
+		s := New(p)
+		s.SetServices(0, []Service{{Name: plain}})
+		var list []Server
+		for i := range 4 {
+			list = append(list, Server{ID: fmt.Sprint("p", i), Service: plain, Slots: 6})
+		}
+		s.SetServers(0, list)
+		rng := rand.New(rand.NewPCG(3, 3))
+		var events eventQueue
+		at := func(t Time, do func(Time)) { heap.Push(&events, simEvent{t, do}) }
+		calls := map[uint64]*Request{}
+		arrived, inTime := map[string]int{}, map[string]int{}
+		var apply func(now Time, out []Decision)
+		apply = func(now Time, out []Decision) {
+			for _, o := range out {
+				r := calls[o.ID]
+				delete(calls, o.ID)
+				if o.Reason != 0 {
+					continue
+				}
+				took := time.Duration((0.5 + rng.Float64()) * float64(60*ms))
+				if now+took <= r.LatencyTarget {
+					inTime[r.Account]++
+				}
+				at(now+took, func(now Time) {
+					apply(now, s.Finish(now, Outcome{Key: r.Key, Result: OK, FirstEvent: took}))
+				})
+			}
+		}
+		next := uint64(0)
+		var arrive func(account string, rate float64) func(now Time)
+		arrive = func(account string, rate float64) func(now Time) {
+			return func(now Time) {
+				next++
+				r := call(next, now)
+				r.Account, r.LatencyTarget, r.Deadline = account, now+300*ms, now+1500*ms
+				calls[next] = &r
+				arrived[account]++
+				out, _ := s.Submit(now, r)
+				apply(now, out)
+				if now += time.Duration(rng.ExpFloat64() * float64(time.Second) / rate); now < length {
+					at(now, arrive(account, rate))
+				}
+			}
+		}
+		for i := range 7 {
+			at(0, arrive(accountName(i), 0.7*rate))
+		}
+		at(0, arrive("flood", 10*rate))
+		for t := 10 * ms; t < length+2*time.Second; t += 10 * ms {
+			at(t, func(now Time) { apply(now, s.Tick(now)) })
+		}
+		for events.Len() > 0 {
+			e := heap.Pop(&events).(simEvent)
+			e.do(e.at)
+		}
+		others = 1
+		for account, n := range arrived {
+			if account != "flood" {
+				others = min(others, float64(inTime[account])/float64(n))
+			}
+		}
+		return others, float64(inTime["flood"]) / float64(arrived["flood"])
+	}
+	It("serves the others in time", func() {
+		before, _ := run(false)
+		after, flooding := run(true)
+		fmt.Fprintf(GinkgoWriter, "plain: without %.3f with %.3f, flooding %.3f\n", before, after, flooding)
+		Expect(before).To(BeNumerically("<", 0.9))
+		Expect(after).To(BeNumerically(">=", 0.97))
+		Expect(flooding).To(BeNumerically(">", 0.1))
+	})
+})
