--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -78,6 +78,14 @@
 	speeds      map[string]float64
 	// lengths draws the length of an answer and the length that its caller expects.
 	lengths func(mean int) (real, expected int)
+	// priority overrides the priority of a kind, unless it is nil.
+	priority func(kind int) int
+	length   time.Duration // of the load, if longer than burstLength
+	// after is called after each event, unless it is nil.
+	after func(now Time)
+	// scheduler chooses the scheduler of a request, unless it is nil.
+	scheduler func(now Time, r *loadRequest) *Scheduler
+	alone     []*Scheduler // that schedule beside s
 }
 
 // exactLength draws a length that the caller knows.
@@ -102,20 +110,34 @@
 	retried bool
 	placed  bool
 	served  bool
+	inTime  bool
+	via     *Scheduler // that has it
+	server  string
+	at      Time // when it was placed
 }
 
 func newLoadSimulation(seed uint64) *loadSimulation {
-	d := &loadSimulation{s: New(DefaultPolicy()), rng: rand.New(rand.NewPCG(seed, 1)), outstanding: map[uint64]*loadRequest{}, speeds: map[string]float64{}}
-	d.s.SetServices(0, []Service{{Name: engine, Engine: true, KVTokens: 220_000, Stride: 3}})
+	d := &loadSimulation{rng: rand.New(rand.NewPCG(seed, 1)), outstanding: map[uint64]*loadRequest{}, speeds: map[string]float64{}}
+	d.s = d.newScheduler(0, DefaultPolicy(), 1)
 	d.lengths = d.exactLength
+	return d
+}
+
+// newScheduler returns a scheduler of all engines with a share of their slots.
+func (d *loadSimulation) newScheduler(now Time, p Policy, share float64) *Scheduler {
+	s := New(p)
+	if share < 1 {
+		s.SetShare(now, Share{Servers: share, Quotas: share, RateLimits: share})
+	}
+	s.SetServices(now, []Service{{Name: engine, Engine: true, KVTokens: 220_000, Stride: 3}})
 	var list []Server
 	for i := range loadEngines {
 		id := fmt.Sprintf("e%02d", i)
 		d.speeds[id] = []float64{0.6, 1.7, 1.7}[i%3]
 		list = append(list, Server{ID: id, Service: engine, Slots: loadSlots})
 	}
-	d.s.SetServers(0, list)
-	return d
+	s.SetServers(now, list)
+	return s
 }
 
 func (d *loadSimulation) at(t Time, do func(Time)) { heap.Push(&d.events, simEvent{t, do}) }
@@ -132,19 +154,27 @@
 
 // arrive submits a new request of a random kind and schedules the next arrival.
 func (d *loadSimulation) arrive(now Time) {
-	k := d.drawKind()
+	d.request(now, d.drawKind(), "")
+	if now < burstLength {
+		d.at(now+time.Duration(d.rng.ExpFloat64()*float64(time.Second)/burstRate), d.arrive)
+	}
+}
+
+// request submits a new request of a kind and an account.
+func (d *loadSimulation) request(now Time, k int, account string) *loadRequest {
 	kind := loadKinds[k]
 	d.results[k].arrived++
 	r := &loadRequest{kind: k, started: now}
-	r.Service, r.Priority = engine, kind.priority
+	r.Service, r.Account, r.Priority = engine, account, kind.priority
+	if d.priority != nil {
+		r.Priority = d.priority(k)
+	}
 	r.PromptTokens = int(d.rng.ExpFloat64() * float64(kind.prompt))
 	r.length, r.OutputTokens = d.lengths(kind.output)
 	r.LatencyTarget, r.Deadline = now+kind.latencyTarget, now+kind.deadline
 	d.all = append(d.all, r)
 	d.submit(now, r)
-	if now < burstLength {
-		d.at(now+time.Duration(d.rng.ExpFloat64()*float64(time.Second)/burstRate), d.arrive)
-	}
+	return r
 }
 
 func (d *loadSimulation) submit(now Time, r *loadRequest) {
@@ -152,7 +182,11 @@
 	r.Key, r.Arrived = Key{Holder: 1, ID: d.next}, now
 	r.CallerTimeoutAt = now + loadKinds[r.kind].callerTimeout
 	d.outstanding[r.ID] = r
-	out, _ := d.s.Submit(now, r.Request)
+	r.via = d.s
+	if d.scheduler != nil {
+		r.via = d.scheduler(now, r)
+	}
+	out, _ := r.via.Submit(now, r.Request)
 	d.apply(now, out)
 	d.at(r.CallerTimeoutAt, func(now Time) { d.abandon(now, r.Key) })
 }
@@ -161,7 +195,7 @@
 	for _, o := range out {
 		r := d.outstanding[o.ID]
 		if o.Reason == 0 {
-			r.placed = true
+			r.placed, r.server, r.at = true, o.Server, now
 			d.serve(now, r, d.speeds[o.Server])
 			continue
 		}
@@ -188,7 +222,7 @@
 	}
 	delete(d.outstanding, k.ID)
 	d.results[r.kind].abandoned++
-	d.apply(now, d.s.Withdraw(now, k))
+	d.apply(now, r.via.Withdraw(now, k))
 }
 
 // serve runs a request. Its first token is delayed by the prefill of its prompt and of another
@@ -205,21 +239,35 @@
 			d.results[r.kind].lost++
 		case end-time.Duration(r.length)*tokenTime-r.started <= loadKinds[r.kind].latencyTarget:
 			d.results[r.kind].inTime++
+			r.inTime = true
 		default:
 			d.results[r.kind].late++
 		}
-		d.apply(now, d.s.Finish(now, Outcome{Key: r.Key, Result: OK, FirstEvent: first, TokenTime: tokenTime}))
+		d.apply(now, r.via.Finish(now, Outcome{Key: r.Key, Result: OK, FirstEvent: first, TokenTime: tokenTime, OutputTokens: r.length}))
 	})
 }
 
 func (d *loadSimulation) run() {
 	d.at(0, d.arrive)
-	for tick := 10 * ms; tick < burstLength+20*time.Second; tick += 10 * ms {
-		d.at(tick, func(now Time) { d.apply(now, d.s.Tick(now)) })
+	d.play()
+}
+
+// play ticks the scheduler and handles the events.
+func (d *loadSimulation) play() {
+	for tick := 10 * ms; tick < max(burstLength, d.length)+20*time.Second; tick += 10 * ms {
+		d.at(tick, func(now Time) {
+			d.apply(now, d.s.Tick(now))
+			for _, s := range d.alone {
+				d.apply(now, s.Tick(now))
+			}
+		})
 	}
 	for d.events.Len() > 0 {
 		next := heap.Pop(&d.events).(simEvent)
 		next.do(next.at)
+		if d.after != nil {
+			d.after(next.at)
+		}
 	}
 }
 
