--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -39,6 +39,8 @@
 	ConfigVersion  uint64            `json:"config_version"`
 	// Capacity is the host's CPU in thousandths of a core, 0 if unknown.
 	Capacity uint32 `json:"capacity,omitempty"`
+	// LinkMbps is the bandwidth of its network link, 0 if unknown.
+	LinkMbps uint32 `json:"link_mbps,omitempty"`
 	// Proved reports whether the process is known to have ended.
 	Proved bool `json:"proved,omitempty"`
 	// Since is when this host saw the member enter its state.
@@ -66,6 +68,8 @@
 	announcements int        // number of its newest announcement
 	heard         int        // how often others have reported the entry since then
 	poolPos       [pools]int // 1 + its position in each pool, 0: not in it
+	load          uint32     // its newest load figure, 0: unknown
+	loadAt        time.Time  // the earliest time at which the member can have stated load
 }
 
 func (r *record) incarnation() ident.Incarnation { return ident.Incarnation(r.wire.Incarnation) }
@@ -135,7 +139,7 @@
 	return Member{
 		Incarnation: ident.Incarnation(w.Incarnation), Host: w.Host, Zone: w.Zone,
 		CallerAddress: w.CallerAddress, ControlAddress: w.ControlAddress, AdminAddress: w.AdminAddress,
-		ConfigVersion: w.ConfigVersion, Capacity: w.Capacity,
+		ConfigVersion: w.ConfigVersion, Capacity: w.Capacity, LinkMbps: w.LinkMbps,
 	}
 }
 
@@ -269,6 +273,7 @@
 		t.replaceOthersAt(w)
 	}
 	r.lastContact = time.Now()
+	r.learnLoad(w.Load, r.lastContact)
 	switch {
 	case r.proved:
 	case w.State == wire.MemberState_MEMBER_LEAVING:
@@ -313,6 +318,7 @@
 	}
 	newer := known == nil || w.Beat > known.wire.Beat
 	r := t.merge(w)
+	r.learnLoad(w.Load, time.Now().Add(-relayedLoadAge))
 	t.applyState(r, w.State, newer)
 	if !newer && w.State == wire.MemberState_MEMBER_ALIVE {
 		t.noteHeard(r)
@@ -407,6 +413,9 @@
 // replaceEntry replaces what is known of a member by a newer entry of it. The caller holds mu.
 func (t *Table) replaceEntry(r *record, w *wire.Member) {
 	before := r.wire
+	if w.LinkMbps == 0 {
+		w.LinkMbps = before.LinkMbps // reported by a host of a build that does not know the field
+	}
 	r.wire = w
 	if before.ControlAddress != w.ControlAddress {
 		t.removeAddress(r, before.ControlAddress)
