--- a/cmd/gentianhost/main.go
+++ b/cmd/gentianhost/main.go
@@ -44,6 +44,7 @@
 			"SIGTERM shuts the host down: requests in progress finish first. SIGHUP reloads the settings.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "policy", Usage: "parameters of the scheduler, name=value separated by commas; gentianctl platform policy lists them", Sources: cli.EnvVars("GENTIAN_POLICY")},
+			&cli.BoolFlag{Name: "lookup-by-capacity", Usage: "choose the addresses of a look-up by availability zone, by what hosts can carry and by their load, and refuse requests that would exhaust this host", Sources: cli.EnvVars("GENTIAN_LOOKUP_BY_CAPACITY")},
 			&cli.IntFlag{Name: "metrics-port", Usage: "port that serves the metrics", Value: 7614},
 		},
 		Action: run,
@@ -56,6 +57,7 @@
 		return cli.Exit(err.Error(), exitSettings)
 	}
 	set.MetricsPort = cmd.Int("metrics-port")
+	set.LookupByCapacity = cmd.Bool("lookup-by-capacity")
 	set.Policy = sched.DefaultPolicy()
 	if err := set.Policy.Set(cmd.String("policy")); err != nil {
 		return cli.Exit(err.Error(), exitSettings)
@@ -97,7 +99,9 @@
 		StatusTable:     platform.StatusTable, RolloutTable: platform.RolloutTable,
 		DecodeOrder: platform.DecodeOrder, RolloutStatus: platform.RolloutStatus,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
-		LookupHandler: func(f func() ([]string, time.Duration, bool)) http.Handler { return platform.LookupHandler(f) },
-		ReadyHandler:  platform.ReadyHandler,
+		LookupHandler: func(f func(zone string) ([]string, time.Duration, bool)) http.Handler {
+			return platform.LookupHandler(f)
+		},
+		ReadyHandler: platform.ReadyHandler,
 	}
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -47,6 +47,7 @@
 	}
 	x.w.WriteHeader(a.status)
 	_, err := x.w.Write(a.body)
+	x.h.bytes.Add(int64(len(a.body)))
 	if err != nil && x.r.Method != http.MethodHead {
 		x.recordEvent(event.RequestLeft, "before the answer was written")
 		return
@@ -95,7 +96,9 @@
 	if _, err := x.w.Write(a.body); err != nil {
 		return t.handleLost(ctx, err)
 	}
-	if _, err := io.Copy(x.w, resp.Body); err != nil {
+	copied, err := io.Copy(x.w, resp.Body)
+	x.h.bytes.Add(int64(len(a.body)) + copied)
+	if err != nil {
 		t.conn.Close()
 		go t.reportBroken()
 		x.abort("an unbuffered answer was cut off: " + err.Error())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,6 +66,14 @@
 	Dialect Dialect
 	Events  *event.Recorder
 	Meter   *Meter
+	Gate    Gate // nil: every request is admitted
+}
+
+// Gate decides whether this host can take a further request.
+type Gate interface {
+	// Admit fails with failure.HostFull if a request with a body of so many bytes would exhaust
+	// this host; -1 is an unknown length. After release, the body counts as memory in use.
+	Admit(bodyBytes int64) (release func(), err error)
 }
 
 // Handler is the HTTP handler for callers.
@@ -74,6 +82,7 @@
 	leaving atomic.Bool  // answers close their connections
 	closed  atomic.Bool  // new requests are refused
 	active  atomic.Int64 // requests without a final answer
+	bytes   atomic.Int64 // of bodies of requests and answers that were forwarded
 }
 
 // NewHandler returns a handler for callers.
@@ -88,6 +97,9 @@
 // Active returns the number of requests without a final answer.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
+// ForwardedBytes returns how many bytes of bodies were forwarded. Each was received and sent once.
+func (h *Handler) ForwardedBytes() int64 { return h.bytes.Load() }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
@@ -174,13 +186,36 @@
 	}
 	x.service = x.route.PickService()
 	x.setDeadline()
+	release, err := x.passGate(table.MaxBody)
+	if err != nil {
+		return err
+	}
+	defer release()
 	if err := x.readBody(table.MaxBody); err != nil {
 		return err
 	}
+	x.h.bytes.Add(int64(len(x.body)))
 	x.fingerprint = quarantine.NewFingerprint(x.r.Method, x.r.Host, x.r.RequestURI, x.callerName(), x.body)
 	return nil
 }
 
+// passGate asks the gate before the body is read, since reading it takes the memory that is short. The
+// connection of a refused caller closes, so that it connects to another host.
+func (x *exchange) passGate(maxBody int64) (release func(), err error) {
+	if x.h.Gate == nil {
+		return func() {}, nil
+	}
+	length := x.r.ContentLength
+	if maxBody > 0 && length > maxBody {
+		length = 0 // is not going to be read
+	}
+	release, err = x.h.Gate.Admit(length)
+	if err != nil {
+		x.w.Header().Set("Connection", "close")
+	}
+	return release, err
+}
+
 // callerName identifies the sender of the request by its account, which may have several
 // keys, or on a public route by its key, if there is one.
 func (x *exchange) callerName() string {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -124,6 +124,7 @@
 // forwardEvents writes complete events and records the caller's position in the stream.
 func (x *exchange) forwardEvents(resp *http.Response, events []byte) error {
 	x.beginStream(resp)
+	x.h.bytes.Add(int64(len(events)))
 	if _, err := x.w.Write(events); err != nil {
 		return failure.Wrap(failure.Withdrawn, err, "write events")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/gentianflow/gentianflow/internal/addresses"
 	"github.com/gentianflow/gentianflow/internal/dispatch"
 	"github.com/gentianflow/gentianflow/internal/entry"
 	"github.com/gentianflow/gentianflow/internal/event"
@@ -74,7 +75,7 @@
 	RolloutStatus func(o rollout.Order, s rollout.State) (key string, value []byte, err error)
 	DecodeConfig  func(key string, value []byte) (c routing.Config, ok bool, err error)
 	DecodeServer  func(id string, value []byte) (sched.Server, error)
-	LookupHandler func(func() (list []string, ttl time.Duration, ok bool)) http.Handler
+	LookupHandler func(func(zone string) (list []string, ttl time.Duration, ok bool)) http.Handler
 	ReadyHandler  func(func() bool) http.Handler
 }
 
@@ -98,6 +99,8 @@
 	relays      *store.Relays
 	entry       *entry.Handler
 	traffic     peer.Traffic
+	load        *hostLoad  // nil unless Settings.LookupByCapacity
+	directory   *directory // the same
 
 	control          net.Listener
 	httpServers      []*http.Server
@@ -162,6 +165,9 @@
 		Capacity:  uint32(n.settings.ProcessorShare * 1000),
 		StartedMs: time.Now().UnixMilli(),
 	}
+	if n.settings.LookupByCapacity {
+		self.LinkMbps = n.settings.LinkMbps
+	}
 	n.members = member.NewTable(self, memberRetention, n.events)
 	n.gossip = member.NewGossip(n.members, packets, fleetName, member.DefaultTiming(), n.seedAddresses, n.events)
 	n.peers = peer.NewManager(peer.Identity{Incarnation: n.incarnation, Host: n.settings.Host, Fleet: fleetName},
@@ -187,10 +193,16 @@
 	n.servers = newServers(n.platform.DecodeServer, n.events, n.applyServers)
 	n.client = dispatch.NewClient(n.incarnation, n.settings.AvailabilityZone, n.loop, n.servers, n.events)
 	n.follower = dispatch.NewFollower(n.client, n.members, n.peers, n.home, n.events, n.knownFleetSize, n.setShare)
-	n.entry = entry.NewHandler(entry.Dependencies{
+	deps := entry.Dependencies{
 		Routes: &n.routes, Placer: n.client, Pool: n.pool, Dialect: n.platform.Dialect,
 		Events: n.events, Meter: entry.NewMeter(n.metrics),
-	})
+	}
+	if n.settings.LookupByCapacity {
+		n.directory = newDirectory(n.members)
+		n.load = newHostLoad(n.settings, n.resourceUse(), n.members.SetLoad, n.events)
+		deps.Gate = n.load
+	}
+	n.entry = entry.NewHandler(deps)
 }
 
 // fleetName is announced when sessions open, so that hosts of different fleets do not connect.
@@ -310,15 +322,20 @@
 	}()
 }
 
-// addresses returns the entry addresses for a look-up and how long callers may keep them. ok is
-// false if no host is live.
-func (n *Node) addresses() (list []string, ttl time.Duration, ok bool) {
-	list = lookupAddresses(n.members.SampleAlive(maxLookupAddresses))
+// addresses returns the entry addresses for a look-up from an availability zone and how long callers
+// may keep them. ok is false if no host is live.
+func (n *Node) addresses(zone string) (list []string, ttl time.Duration, ok bool) {
+	if n.directory != nil {
+		list = n.directory.list(time.Now(), zone)
+	}
+	if len(list) == 0 {
+		list = lookupAddresses(n.members.SampleAlive(maxLookupAddresses))
+	}
 	return list, lookupTTL, len(list) > 0
 }
 
 // maxLookupAddresses is the maximum number of addresses that a look-up may return.
-const maxLookupAddresses = 64
+const maxLookupAddresses = addresses.MaxEntries
 
 // lookupAddresses returns the addresses of up to maxLookupAddresses live hosts, in random
 // order. A host that is leaving is not among them.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -69,6 +69,9 @@
 	n.watch(run, n.platform.OperatorTable, n.applyConfig)
 	n.watch(run, n.platform.ServerTable, n.servers.update)
 	n.tasks.Go(func() { n.tick(run) })
+	if n.load != nil {
+		n.tasks.Go(func() { n.load.run(run) })
+	}
 	if err := n.startHTTP(); err != nil {
 		return err
 	}
@@ -257,6 +260,7 @@
 		home = 1
 	}
 	gauge("is_home", home)
+	n.gaugeLoad(gauge)
 	n.loop.Query(r.Context(), func(s *sched.Scheduler) {
 		gauge("scheduler_waiting", int64(s.Waiting()))
 		gauge("scheduler_running", int64(s.Running()))
@@ -280,5 +284,8 @@
 		return
 	}
 	limitMemory(settings.MemoryBytes)
+	if n.load != nil {
+		n.load.setMemoryLimit(settings.MemoryBytes)
+	}
 	n.events.Record(event.SettingsRead, event.Fields{})
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -29,6 +29,7 @@
 	Store            string // IP:PORT of the platform's store
 	ProcessorShare   float64
 	MemoryBytes      int64
+	LinkMbps         uint32        // bandwidth of the host's link, 0: unknown
 	Grace            time.Duration // from SIGTERM to SIGKILL
 	// EntryTTL is the longest time that the store lists a server after it has ended; 0 means
 	// unknown.
@@ -37,4 +38,7 @@
 	// during a rollout's trial.
 	RolloutBounds rollout.Bounds
 	Policy        sched.Policy
+	// LookupByCapacity makes look-ups choose hosts by availability zone, capacity and load, and this
+	// host refuse requests that would exhaust its memory or descriptors. It is the same on all hosts.
+	LookupByCapacity bool
 }
