--- a/test/platform/site_test.go
+++ b/test/platform/site_test.go
@@ -65,6 +65,8 @@
 	session *gexec.Session
 	store   string      // address at which it reaches the store; empty means the site's
 	cores   float64     // processor cores; 0 means the default
+	zone    string      // empty means the zone of all hosts
+	flags   []string    // of its program
 	claimed atomic.Bool // by a fault of the soak, so that no other one uses the host
 }
 
@@ -105,6 +107,7 @@
 	largeFirst           bool               // the first host is larger and therefore the home
 	large                int                // number of larger hosts, the first ones: the home and the readers
 	ownStores            bool               // each host reaches the store through a proxy of its own
+	byCapacity           bool               // hosts run with --lookup-by-capacity and lie in all zones in turn
 }
 
 // newSite starts a site and waits until each host is ready and knows all others, and there is a
@@ -150,10 +153,15 @@
 		if o.ownStores {
 			s.hosts[i].store = s.proxy(s.storeAddress)
 		}
+		if o.byCapacity {
+			s.hosts[i].zone, s.hosts[i].flags = s.zone(i), []string{"--lookup-by-capacity"}
+		}
 		s.start(s.hosts[i])
 	}
 	for _, h := range s.hosts {
-		Eventually(func() int { return len(s.lookup(h)) }).Should(Equal(len(s.hosts)), h.name)
+		if !o.byCapacity {
+			Eventually(func() int { return len(s.lookup(h)) }).Should(Equal(len(s.hosts)), h.name)
+		}
 		Eventually(func() int { return s.ready(h) }).Should(Equal(http.StatusOK), h.name)
 	}
 	Eventually(s.hasHome).Should(BeTrue())
@@ -181,12 +189,12 @@
 // start writes the host's settings file and starts its process.
 func (s *site) start(h *host) {
 	path := filepath.Join(s.dir, h.name+".conf")
-	set := standin.HostSettings{Name: h.name, IP: h.ip, Zone: s.zone(len(h.name)), Store: cmp.Or(h.store, s.storeAddress), Cores: h.cores}
+	set := standin.HostSettings{Name: h.name, IP: h.ip, Zone: cmp.Or(h.zone, s.zone(len(h.name))), Store: cmp.Or(h.store, s.storeAddress), Cores: h.cores}
 	for i := range min(3, len(s.hosts)) {
 		set.Seeds = append(set.Seeds, s.hosts[i].ip)
 	}
 	Expect(set.Write(path)).To(Succeed())
-	cmd := exec.Command(program, "--metrics-port", fmt.Sprint(metricsPort))
+	cmd := exec.Command(program, append(h.flags, "--metrics-port", fmt.Sprint(metricsPort))...)
 	cmd.Env = append(os.Environ(), "GENTIANFLOW_CONFIG="+path)
 	session, err := gexec.Start(cmd, GinkgoWriter, GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
@@ -212,11 +220,14 @@
 }
 
 // lookup asks a host for the addresses of entry hosts, as callers do.
-func (s *site) lookup(h *host) []string {
+func (s *site) lookup(h *host) []string { return s.lookupFrom(h, "") }
+
+// lookupFrom is lookup by a caller in an availability zone.
+func (s *site) lookupFrom(h *host, zone string) []string {
 	var body struct {
 		Addresses []string `json:"addresses"`
 	}
-	resp, err := http.Get("http://" + h.at(lookupPort) + "/resolve?name=" + standin.Host)
+	resp, err := http.Get("http://" + h.at(lookupPort) + "/resolve?name=" + standin.Host + "&region=kyushu&zone=" + zone)
 	if err != nil {
 		return nil
 	}
