--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -344,12 +344,14 @@
 			if !srv.usable(now) || !srv.pacer.ready(now) || !open(srv) {
 				continue
 			}
-			compared++
-			if best == nil || srv.tokenTime < best.tokenTime {
+			if srv.slowdown(now) < slowedRatio {
+				compared++
+			}
+			if best == nil || srv.currentTokenTime(now) < best.currentTokenTime(now) {
 				best = srv
 			}
 		}
-		if best != nil {
+		if compared > 0 || looks >= maxLooks {
 			break
 		}
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -94,7 +94,7 @@
 // over. A server that states a rate limit is shared by that limit instead, so each host
 // may use it.
 func (s *Scheduler) concurrencyLimit(svc *service, srv *server) int {
-	slots := float64(srv.Slots)
+	slots := float64(s.openSlots(srv))
 	if s.policy.Handovers {
 		slots += svc.handoverSlots(srv)
 	}
@@ -138,6 +138,7 @@
 	if !bestFits && reqs.worthWaiting {
 		return nil
 	}
+	s.recordChoice(now, svc, c, r, best)
 	return best
 }
 
@@ -145,7 +146,12 @@
 // and penalties for the server's failures and its distance. Ending after the deadline
 // costs more than anything else.
 func (s *Scheduler) cost(now Time, svc *service, srv *server, r *Request) time.Duration {
-	p := srv.predict(now, svc, r)
+	return s.costAt(now, svc, srv, r, s.costSlowdown(now, svc, srv, r))
+}
+
+// costAt is the cost of r at srv with a slowdown.
+func (s *Scheduler) costAt(now Time, svc *service, srv *server, r *Request, slowdown float64) time.Duration {
+	p := srv.predictAt(now, svc, r, slowdown)
 	c := p.first + time.Duration(float64(p.total)*s.policy.TotalWeight)
 	if now+p.total > r.Deadline {
 		c += maxPredictedTime
@@ -168,7 +174,7 @@
 	if r.Retry {
 		penalty *= retryPenaltyFactor
 	}
-	return c + time.Duration(srv.failureRateAt(now)*float64(penalty)) + s.suspectCost(srv, r)
+	return c + time.Duration(srv.failureRateAt(now)*float64(penalty)) + s.suspectCost(srv, r) + s.spread(srv, c)
 }
 
 func (s *Scheduler) place(now Time, svc *service, srv *server, w *waiting) {
@@ -182,6 +188,9 @@
 	req := w.Request
 	r := srv.start(now, svc, &req)
 	srv.pacer.take(now)
+	if srv.load != nil {
+		srv.load.triedAt = now
+	}
 	if v := svc.versions; v.trial != nil {
 		v.trial.CountRequest(srv.Version == v.order.To)
 	}
--- a/internal/sched/requirements.go
+++ b/internal/sched/requirements.go
@@ -30,10 +30,13 @@
 	if fastest == nil {
 		return requirements{}
 	}
-	p := fastest.predictIdle(svc, r)
+	p := fastest.predictIdle(now, svc, r)
 	reqs := requirements{byDeadline: now+p.total <= r.Deadline}
-	if svc.Engine {
+	// Without reports all servers of a plain service are taken to be equally fast.
+	if svc.Engine || s.policy.LiveLoad {
 		reqs.byTarget = s.policy.WaitForLatencyTarget && now+p.first <= r.LatencyTarget
+	}
+	if svc.Engine {
 		reqs.limitPause = s.policy.LimitStreamPauses && p.prefill+svc.eventTime(fastest) <= r.MaxPause
 	}
 	reqs.deadlineUnreachable = svc.Engine && !reqs.byDeadline
@@ -45,7 +48,7 @@
 // streams next to r: its prediction is too rough to hold r back, and being slightly late at srv is
 // better for r than being later elsewhere.
 func (reqs requirements) metBy(now Time, svc *service, srv *server, r *Request) bool {
-	p := srv.predictIdle(svc, r)
+	p := srv.predictIdle(now, svc, r)
 	if reqs.byDeadline && now+p.total > r.Deadline || reqs.byTarget && now+p.first > r.LatencyTarget {
 		return false
 	}
@@ -70,7 +73,7 @@
 		return math.Inf(1)
 	}
 	remaining := maxPause - max(0, s.prefillFreeAt-now) - svc.eventTime(s)
-	return float64(remaining) / (svc.prefillRatio * float64(s.tokenTime))
+	return float64(remaining) / (svc.prefillRatio * float64(s.currentTokenTime(now)))
 }
 
 // candidates are the servers with room, the fastest of them and the largest prefill headroom
@@ -99,7 +102,7 @@
 func (c *candidates) update(now Time, svc *service) {
 	c.fastestFree, c.prefillHeadroom = nil, math.Inf(-1)
 	for _, srv := range c.free {
-		if c.fastestFree == nil || srv.tokenTime < c.fastestFree.tokenTime {
+		if c.fastestFree == nil || srv.currentTokenTime(now) < c.fastestFree.currentTokenTime(now) {
 			c.fastestFree = srv
 		}
 		c.prefillHeadroom = max(c.prefillHeadroom, srv.prefillHeadroom(now, svc))
@@ -121,7 +124,7 @@
 	if !reqs.worthWaiting || c.fastestFree == nil {
 		return true
 	}
-	p := c.fastestFree.predictIdle(svc, r)
+	p := c.fastestFree.predictIdle(now, svc, r)
 	return !(reqs.byDeadline && now+p.total > r.Deadline || reqs.byTarget && now+p.first > r.LatencyTarget ||
 		reqs.limitPause && float64(r.PromptTokens) > c.prefillHeadroom)
 }
@@ -146,7 +149,7 @@
 		if !open(srv) {
 			continue
 		}
-		if srv.usable(now) && srv.pacer.ready(now) && (best == nil || srv.tokenTime < best.tokenTime) {
+		if srv.usable(now) && srv.pacer.ready(now) && (best == nil || srv.currentTokenTime(now) < best.currentTokenTime(now)) {
 			best = srv
 		}
 	}
@@ -154,12 +157,13 @@
 }
 
 // predictIdle predicts r at s without other load and with nothing of its prompt cached.
-func (s *server) predictIdle(svc *service, r *Request) prediction {
+func (s *server) predictIdle(now Time, svc *service, r *Request) prediction {
 	first := svc.idleTimeToFirstEvent(s.tokenTime, r)
 	if !svc.Engine {
-		return prediction{first: first, total: first}
+		return prediction{first: first, total: first}.slowedBy(s.slowdown(now))
 	}
-	return prediction{prefill: first - s.tokenTime, first: first, total: first + time.Duration(r.OutputTokens)*s.tokenTime}
+	p := prediction{prefill: first - s.tokenTime, first: first, total: first + time.Duration(r.OutputTokens)*s.tokenTime}
+	return p.slowedBy(s.slowdown(now))
 }
 
 // idleTimeToFirstEvent is the time until the first event or the complete answer of r from an idle
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -31,6 +31,7 @@
 	bounds         rollout.Bounds
 	rolloutSteps   []rollout.Status // steps since the last call of TakeRolloutSteps
 	out            []Decision       // decisions of the current call
+	loads          loads
 }
 
 // service is a service with its queue.
@@ -253,6 +254,8 @@
 		return nil
 	}
 	s.learnVersion(now, r, o)
+	o.TokenTime = s.usualTime(now, r, o.TokenTime)
+	s.learnRejection(now, r.server, o.Result)
 	s.learnServer(now, r, o)
 	s.learnEnd(now, r, o)
 	svc := s.services[r.req.Service]
@@ -295,11 +298,17 @@
 	if o.FirstEvent == 0 || o.Result.Lost() {
 		return
 	}
-	svc.learnPrefillRatio(r, o.FirstEvent)
+	if !s.disturbed(now, r) {
+		svc.learnPrefillRatio(r, o.FirstEvent)
+	}
 	if o.Result != OK {
 		return
 	}
-	svc.timeToFirstEvent.add(o.FirstEvent)
+	if svc.Engine {
+		svc.timeToFirstEvent.add(o.FirstEvent)
+	} else {
+		svc.timeToFirstEvent.add(s.usualTime(now, r, o.FirstEvent))
+	}
 	before := svc.handoverShare()
 	svc.learnHandover(now-r.placed, o.FirstEvent)
 	if svc.handoverShare() != before {
@@ -400,6 +409,7 @@
 func (s *Scheduler) Tick(now Time) []Decision {
 	s.out = nil
 	s.expireOrphans(now)
+	s.expireLoads(now)
 	s.reviewSuspects(now)
 	s.advanceTrials(now)
 	for _, svc := range s.services {
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -18,9 +18,11 @@
 	reservedTokens  int           // KV cache tokens reserved at the engine
 	orphan          bool          // its holder is gone; it is dropped after predictedEnd
 	refunded        bool
-	class           int  // size class within its priority queue
-	countedAsServed bool // in the served count of its size class
-	isolated        bool // nothing else is placed at the server until the run shows progress
+	class           int     // size class within its priority queue
+	countedAsServed bool    // in the served count of its size class
+	isolated        bool    // nothing else is placed at the server until the run shows progress
+	slowdownAtStart float64 // of the server when the run was placed
+	elapsedAtStart  float64 // see serverload.State.Elapsed
 }
 
 // server is the scheduler's view of one backend server. Each placement is
@@ -33,9 +35,10 @@
 	reservedTokens    int  // KV cache tokens reserved by the runs
 	prefillFreeAt     Time // when prefill of the prompts placed so far is predicted to end
 	tokenTime         time.Duration
-	tokenTimeMeasured bool    // tokenTime comes from the server's own answers
-	slowSampleAt      Time    // of the first implausible sample of the token time, 0 if the newest was plausible
-	failureRate       float64 // moving average of the fraction of answers that failed, as of failureUpdatedAt
+	load              *serverLoad // as it reports it, nil until the first report that is used
+	tokenTimeMeasured bool        // tokenTime comes from the server's own answers
+	slowSampleAt      Time        // of the first implausible sample of the token time, 0 if the newest was plausible
+	failureRate       float64     // moving average of the fraction of answers that failed, as of failureUpdatedAt
 	failureUpdatedAt  Time
 	ejectedUntil      Time
 	firstEjection     time.Duration // length of the first ejection
@@ -102,15 +105,25 @@
 }
 
 func (s *server) predict(now Time, svc *service, r *Request) prediction {
+	return s.predictAt(now, svc, r, s.slowdown(now))
+}
+
+// predictAt predicts r at s with a slowdown. The pending prefill was predicted with the slowdown that
+// held at its placement.
+func (s *server) predictAt(now Time, svc *service, r *Request, slowdown float64) prediction {
 	if !svc.Engine {
 		d := svc.callTime() * time.Duration(s.running+s.Slots) / time.Duration(max(1, s.Slots))
-		return prediction{first: d, total: d}
+		return prediction{first: d, total: d}.slowedBy(slowdown)
 	}
 	prompt := r.PromptTokens - s.cache.cachedTokens(r.PromptParts)
 	var p prediction
 	p.prefill = time.Duration(float64(prompt) * svc.prefillRatio * float64(s.tokenTime))
-	p.first = max(0, s.prefillFreeAt-now) + p.prefill + s.tokenTime
+	p.first = p.prefill + s.tokenTime
 	p.total = p.first + time.Duration(r.OutputTokens)*s.tokenTime
+	p = p.slowedBy(slowdown)
+	pending := max(0, s.prefillFreeAt-now)
+	p.first += pending
+	p.total += pending
 	if now < s.coldUntil {
 		p.first *= 2
 		p.total *= 2
@@ -130,11 +143,12 @@
 	p := s.predict(now, svc, r)
 	s.prefillFreeAt = max(s.prefillFreeAt, now) + p.prefill
 	s.running++
+	s.load.add(now, s.running)
 	reservedTokens := r.PromptTokens + r.OutputTokens
 	s.reservedTokens += reservedTokens
 	s.cache.use(now, r.PromptParts)
 	s.idleConnections.acquire(r.Holder)
-	placed := &run{req: r, server: s, placed: now, predictedFirst: p.first, predictedEnd: now + min(p.total, maxPredictedTime), reservedTokens: reservedTokens}
+	placed := &run{req: r, server: s, placed: now, predictedFirst: p.first, predictedEnd: now + min(p.total, maxPredictedTime), reservedTokens: reservedTokens, slowdownAtStart: s.slowdown(now), elapsedAtStart: s.load.elapsed(now)}
 	s.runs = append(s.runs, placed)
 	return placed
 }
