--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -119,6 +119,7 @@
 	events  *event.Recorder
 	servers ServerList
 	notices *notice.Table // server notices that this host has received
+	loads   *loadReports  // load reports that this host has received
 
 	mu         sync.Mutex
 	lastID     uint64
@@ -133,7 +134,7 @@
 // NewClient creates a client. The decisions of loop must be passed to its DeliverLocal.
 func NewClient(self ident.Incarnation, zone string, loop *Loop, servers ServerList, events *event.Recorder) *Client {
 	return &Client{
-		self: self, zone: zone, loop: loop, events: events, servers: servers, notices: notice.NewTable(), pending: map[uint64]*pending{},
+		self: self, zone: zone, loop: loop, events: events, servers: servers, notices: notice.NewTable(), loads: newLoadReports(), pending: map[uint64]*pending{},
 		charges: map[string]int{},
 	}
 }
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -189,6 +189,9 @@
 			out = append(out, s.LearnSuspects(now, decodeSuspects(m.Suspects))...)
 		}
 		h.loop.learnNotices(now, s, l.holder, decodeNotices(m.Notices))
+		if len(m.Loads) > 0 {
+			h.loop.learnLoads(now, s, decodeLoads(m.Loads))
+		}
 		for _, r := range m.Running {
 			s.Adopt(now, decodeRunning(l.holder, r))
 		}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -45,6 +45,7 @@
 	onSuspects  SuspectsFunc
 	onRollouts  func([]rollout.Status)
 	quarantined map[quarantine.Fingerprint]bool // requests whose quarantine was logged
+	liveLoad    bool                            // the scheduler uses load reports
 }
 
 // NewLoop creates a loop. deliver is called on the loop's goroutine with the decisions of
@@ -54,7 +55,7 @@
 		in: ring.New[input](loopQueueSize), start: time.Now(),
 		sched: sched.New(p), deliver: deliver, events: events,
 		onRollouts: func([]rollout.Status) {},
-		onSuspects: func([]quarantine.Record, func(quarantine.Fingerprint) bool) {}, quarantined: map[quarantine.Fingerprint]bool{},
+		onSuspects: func([]quarantine.Record, func(quarantine.Fingerprint) bool) {}, quarantined: map[quarantine.Fingerprint]bool{}, liveLoad: p.LiveLoad,
 	}
 }
 
--- a/internal/dispatch/moving.go
+++ b/internal/dispatch/moving.go
@@ -20,6 +20,7 @@
 	c.link = l
 	c.sendSuspects(l)
 	c.sendNotices(l, c.notices.All(time.Now()))
+	c.sendRecentLoads(l)
 	c.move(func(via *homeLink) bool { return via != l })
 }
 
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -44,6 +44,7 @@
 	NotRun bool   // the server states that it did not run the request
 	Signed bool   // has the server's own signature
 	Notice notice.Notice
+	Load   ServerLoad
 }
 
 // Dialect reads and writes the header fields of the platform.
@@ -52,8 +53,8 @@
 	ReadRequest(h http.Header) RequestHead
 	// WriteRequest converts a caller's header to one for a backend server.
 	WriteRequest(caller http.Header, s ServerHead) http.Header
-	// ReadAnswer reads a backend server's header. Fields of its notice that cannot be
-	// parsed count as not given.
+	// ReadAnswer reads a backend server's header. Fields of its notice and its load report
+	// that cannot be parsed count as not given.
 	ReadAnswer(h http.Header) AnswerHead
 	// WriteAnswer sets the request's id in the header of an answer that this host generates.
 	WriteAnswer(h http.Header, id string)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/routing"
 	"github.com/gentianflow/gentianflow/internal/sched"
+	"github.com/gentianflow/gentianflow/internal/serverload"
 	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
@@ -36,6 +37,10 @@
 	RecordNotice(server string, n notice.Notice) (change notice.Change, changed bool)
 	// ServerNotice returns what a server has stated so far.
 	ServerNotice(server string) notice.State
+	// RecordLoad records the load report in a server's answer.
+	RecordLoad(server string, r serverload.Report)
+	// ServerLoad returns the newest load report of a server.
+	ServerLoad(server string) serverload.Received
 }
 
 const (
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -151,7 +151,7 @@
 func (t *attempt) run(ctx context.Context) nextStep {
 	x := t.x
 	t.sent = time.Now()
-	x.serverNotice = noticeFields(t.sent, x.h.Placer.ServerNotice(t.placement.Server))
+	x.serverNotice = noticeFields(t.sent, x.h.Placer.ServerNotice(t.placement.Server)) + loadFields(t.sent, x.h.Placer.ServerLoad(t.placement.Server))
 	sent, err := t.conn.Send(x.request(t.placement, t.sent), x.deadline)
 	if !sent && err != nil && !t.conn.Reused() {
 		t.conn.Close()
@@ -205,6 +205,7 @@
 	}
 	if resp.StatusCode != http.StatusMisdirectedRequest { // sent by another server incarnation
 		x.recordNotice(t.placement.Server, head.Notice)
+		x.recordLoad(t.placement.Server, head.Load)
 	}
 	if head.NotRun {
 		return t.handleNotRun(resp, head.Notice.Backoff)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -244,6 +244,7 @@
 	gauge("servers_limited", int64(notices.Limited))
 	gauge("servers_leaving_by_answer", int64(notices.Leaving))
 	gauge("servers_resting", int64(notices.BackingOff))
+	gauge("server_loads_received", int64(n.client.LoadReports()))
 	gauge("servers_list_age_ms", n.servers.Age().Milliseconds())
 	live := 0
 	for _, m := range n.members.All() {
@@ -261,6 +262,12 @@
 		gauge("scheduler_waiting", int64(s.Waiting()))
 		gauge("scheduler_running", int64(s.Running()))
 		gauge("requests_in_quarantine", int64(s.QuarantinedRequests()))
+		load := s.LoadStats()
+		gauge("server_loads_used", int64(load.Received))
+		gauge("servers_slowed", int64(load.Slowed))
+		gauge("servers_with_fewer_slots", int64(load.Reduced))
+		gauge("server_load_oldest_used_ms", load.OldestUsed.Milliseconds())
+		gauge("placements_moved_by_load", int64(load.MovedAway))
 		for _, status := range s.Rollouts() {
 			prefix := "rollout." + status.Order.Service + "." + status.Order.To
 			gauge(prefix+".requests_to_service", int64(status.Reached))
