--- a/internal/dispatch/loads_test.go
+++ b/internal/dispatch/loads_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/ring"
@@ -168,3 +170,52 @@
 		Consistently(func() int { return loadStats(loop).Slowed }, 100*time.Millisecond).Should(Equal(1))
 	})
 })
+
+var _ = Describe("the load reports of 91 hosts", func() {
+	// The home reads three messages for each request already. Reports must stay a fraction of that.
+	for _, load := range []struct {
+		name   string
+		slowed float64 // fraction of the servers that are slow in 600 ms of each second
+	}{{"all servers as usual", 0}, {"a third of the servers slow in turn", 1.0 / 3}} {
+		It("are few and short at 1,500 requests a second and 90 servers: "+load.name, func() {
+			const hosts, servers, rate, length = 91, 90, 1500, 5 * time.Second
+			rng := rand.New(rand.NewPCG(1, 1))
+			begin := time.Now()
+			tables, due := make([]*serverload.Table, hosts), make([]time.Time, hosts)
+			flushed := make([]time.Time, hosts)
+			for i := range tables {
+				tables[i] = serverload.NewTable()
+			}
+			messages, reports, bytes := 0, 0, 0
+			flush := func(h int, at time.Time) {
+				due[h], flushed[h] = time.Time{}, at
+				if records := tables[h].Take(at); len(records) > 0 {
+					messages, reports = messages+1, reports+len(records)
+					bytes += 4 + proto.Size(&wire.ToHome{Loads: encodeLoads(records)})
+				}
+			}
+			for at := begin; at.Before(begin.Add(length)); at = at.Add(time.Second / rate) {
+				for h := range hosts {
+					if !due[h].IsZero() && !due[h].After(at) {
+						flush(h, due[h])
+					}
+				}
+				h, server := rng.IntN(hosts), rng.IntN(servers)
+				slowdown := 0.9 + 0.2*rng.Float64()
+				if phase := at.Add(time.Duration(server) * 33 * time.Millisecond).Sub(begin); float64(server) < load.slowed*servers && phase%time.Second < 600*time.Millisecond {
+					slowdown *= 3
+				}
+				if tables[h].Update(at, fmt.Sprintf("i-%010x@%d", server, begin.UnixMilli()), serverload.Report{Running: rng.IntN(7), Slots: 6, Slowdown: slowdown}) {
+					due[h] = at
+					if next := flushed[h].Add(flushInterval); next.After(at) {
+						due[h] = next
+					}
+				}
+			}
+			seconds := length.Seconds()
+			fmt.Fprintf(GinkgoWriter, "%.0f messages, %.0f reports, %.0f bytes a second\n", float64(messages)/seconds, float64(reports)/seconds, float64(bytes)/seconds)
+			Expect(float64(messages) / seconds).To(BeNumerically("<", rate))
+			Expect(float64(bytes) / seconds).To(BeNumerically("<", 100_000))
+		})
+	}
+})
--- a/test/platform/site_test.go
+++ b/test/platform/site_test.go
@@ -90,6 +90,7 @@
 	dir          string
 	proxies      []*proxy // with proxied the one of the store first, with ownStores one for each host
 	storeAddress string   // address of the store that hosts are given
+	policy       string   // of the hosts' schedulers
 
 	mu       sync.Mutex // guards sent and replies, and changes of hosts and servers
 	sent     []standin.Call
@@ -105,6 +106,7 @@
 	largeFirst           bool               // the first host is larger and therefore the home
 	large                int                // number of larger hosts, the first ones: the home and the readers
 	ownStores            bool               // each host reaches the store through a proxy of its own
+	policy               string             // of the hosts' schedulers, as name=value pairs
 }
 
 // newSite starts a site and waits until each host is ready and knows all others, and there is a
@@ -117,7 +119,7 @@
 	}
 	s.api = httptest.NewServer(s.store.Handler())
 	DeferCleanup(s.stop)
-	s.storeAddress = s.api.Listener.Addr().String()
+	s.storeAddress, s.policy = s.api.Listener.Addr().String(), o.policy
 	spec := o.engine
 	var advertise func(string) string
 	if o.proxied {
@@ -186,7 +188,7 @@
 		set.Seeds = append(set.Seeds, s.hosts[i].ip)
 	}
 	Expect(set.Write(path)).To(Succeed())
-	cmd := exec.Command(program, "--metrics-port", fmt.Sprint(metricsPort))
+	cmd := exec.Command(program, "--metrics-port", fmt.Sprint(metricsPort), "--policy", s.policy)
 	cmd.Env = append(os.Environ(), "GENTIANFLOW_CONFIG="+path)
 	session, err := gexec.Start(cmd, GinkgoWriter, GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
