--- a/internal/sched/serverload_test.go
+++ b/internal/sched/serverload_test.go
@@ -467,6 +467,8 @@
 			reportAt(s, now, "e0", 0, busy(50))
 		}
 		Expect(limit(s)).To(Equal(1), "one request at a time shows whether they are free again")
+		s.Tick(1700 * ms)
+		Expect(limit(s)).To(Equal(1))
 		s.Tick(2700 * ms)
 		Expect(limit(s)).To(Equal(6))
 	})
@@ -642,3 +644,48 @@
 		Expect(atSlow).To(BeNumerically("<", 100))
 	})
 })
+
+// A server that the index loses gets no requests until the list of servers changes.
+var _ = Describe("the index of a large service with load reports", func() {
+	for seed := range uint64(3) {
+		It(fmt.Sprint("has every server with room, whatever servers report, seed ", seed), func() {
+			const servers = 200
+			s := newLiveScheduler(servers, 4)
+			svc := s.services[engine]
+			rng := rand.New(rand.NewPCG(seed, 5))
+			now, next := Time(0), uint64(0)
+			for range 3000 {
+				now += time.Duration(rng.IntN(10)) * ms
+				next++
+				s.Submit(now, stream(next, now, int(next%3)))
+				for range 3 {
+					reportAt(s, now, fmt.Sprint("e", rng.IntN(servers/10)), time.Duration(rng.IntN(100))*ms, serverload.Report{
+						Running: rng.IntN(8), Waiting: rng.IntN(3), Slots: 2 + rng.IntN(3), Slowdown: 4 * rng.Float64(),
+					})
+				}
+				s.Finish(now, Outcome{Key: Key{Holder: 1, ID: rng.Uint64N(next + 1)}, Result: []Result{OK, OK, Rejected}[rng.IntN(3)], FirstEvent: 50 * ms, TokenTime: 5 * ms})
+				if rng.IntN(10) == 0 {
+					s.Tick(now)
+				}
+				if rng.IntN(200) == 0 {
+					s.SetServers(now, someServers(rng, servers))
+				}
+				index := s.indexOf(now, svc)
+				for _, srv := range svc.servers {
+					limit := s.concurrencyLimit(svc, srv)
+					Expect(limit).To(And(BeNumerically(">=", 1), BeNumerically("<=", 4)))
+					if srv.hasRoom(now, limit) {
+						Expect(srv.entry.roomyClass).To(BeNumerically(">=", 0), "%s at %v", srv.ID, now)
+					}
+				}
+				Expect(index).NotTo(BeNil())
+			}
+			s.Tick(now + 5*time.Second)
+			Expect(s.LoadStats().Reduced).To(BeZero())
+			Expect(s.LoadStats().Slowed).To(BeZero())
+			for _, srv := range svc.servers {
+				Expect(s.concurrencyLimit(svc, srv)).To(Equal(4))
+			}
+		})
+	}
+})
--- a/test/platform/load_test.go
+++ b/test/platform/load_test.go
@@ -46,6 +46,7 @@
 		Expect(meanwhile).To(BeNumerically("<", before/3))
 		Expect(after).To(BeNumerically(">", before/2))
 		Expect(string(s.hosts[0].session.Out.Contents())).To(MatchRegexp(`server_slowed.*%s`, slow.Spec.ID))
+		Expect(string(s.hosts[1].session.Out.Contents())).To(MatchRegexp(`request_answered.* load=\d+/\d+/6/\d+ load_age=`))
 		for _, call := range calls {
 			Expect(call.reply.Status).To(Equal(http.StatusOK))
 		}
