--- a/internal/sched/requirements.go
+++ b/internal/sched/requirements.go
@@ -170,7 +170,7 @@
 // server with the given token time that has nothing of its prompt cached.
 func (svc *service) idleTimeToFirstEvent(tokenTime time.Duration, r *Request) time.Duration {
 	if !svc.Engine {
-		return svc.callTime()
+		return svc.usualCallTime()
 	}
 	return time.Duration((float64(r.PromptTokens)*svc.prefillRatio + 1) * float64(tokenTime))
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -44,6 +44,7 @@
 	queue             queue
 	retryBudget       bucket
 	timeToFirstEvent  durationEstimate // from the placement to the first event or, for a plain call, the complete answer
+	usualTimeToFirst  durationEstimate // timeToFirstEvent at the usual speed of servers that report their load
 	typical           time.Duration    // cached result of typicalTokenTime, 0 when it may have changed
 	typicalSamples    int              // token times learned since typical was computed
 	handoverTime      durationEstimate // of a plain call's placement, beyond the time that its server has the call
@@ -304,10 +305,9 @@
 	if o.Result != OK {
 		return
 	}
-	if svc.Engine {
-		svc.timeToFirstEvent.add(o.FirstEvent)
-	} else {
-		svc.timeToFirstEvent.add(s.usualTime(now, r, o.FirstEvent))
+	svc.timeToFirstEvent.add(o.FirstEvent)
+	if r.server.load != nil {
+		svc.usualTimeToFirst.add(s.usualTime(now, r, o.FirstEvent))
 	}
 	before := svc.handoverShare()
 	svc.learnHandover(now-r.placed, o.FirstEvent)
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -112,7 +112,7 @@
 // held at its placement.
 func (s *server) predictAt(now Time, svc *service, r *Request, slowdown float64) prediction {
 	if !svc.Engine {
-		d := svc.callTime() * time.Duration(s.running+s.Slots) / time.Duration(max(1, s.Slots))
+		d := svc.usualCallTime() * time.Duration(s.running+s.Slots) / time.Duration(max(1, s.Slots))
 		return prediction{first: d, total: d}.slowedBy(slowdown)
 	}
 	prompt := r.PromptTokens - s.cache.cachedTokens(r.PromptParts)
--- a/internal/sched/serverload.go
+++ b/internal/sched/serverload.go
@@ -22,9 +22,9 @@
 	// trialAge is the age of a slowdown after which one request tries the server again, if it would be
 	// on time there even if nothing had changed. From lateTrialAge on it is enough that it would be on
 	// time at the aged slowdown. With calls of 60 ms, a load of 0.5 and slow periods of 600 ms, a plain
-	// server that was three times slower got its first call 47 ms after the end on average, and 74 ms
-	// without trials; ten times slower 80 and 130 ms. With 50 ms instead of 150 ms the 90th percentile of
-	// all calls rose from 79 to 108 ms.
+	// server that was three times slower got its first call 48 ms after the end on average, and 75 ms
+	// without trials; five times slower 72 and 144 ms. With 50 ms instead of 150 ms the 90th percentile of
+	// all calls rose from 79 to 103 ms.
 	trialAge     = 150 * time.Millisecond
 	lateTrialAge = 300 * time.Millisecond
 	// ownPeakWindow is the time over which the runs of this scheduler at a server are compared with a
@@ -324,6 +324,15 @@
 	return time.Duration(float64(d) / s.runSlowdown(now, r))
 }
 
+// usualCallTime is the duration of a plain call at a server of usual speed, which a prediction
+// multiplies by the server's slowdown.
+func (svc *service) usualCallTime() time.Duration {
+	if svc.Engine || svc.usualTimeToFirst.mean == 0 {
+		return svc.callTime()
+	}
+	return svc.usualTimeToFirst.mean
+}
+
 // runSlowdown is the slowdown of its server during a run until now.
 func (s *Scheduler) runSlowdown(now Time, r *run) float64 {
 	if r.server.load == nil || now <= r.placed {
