--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -37,6 +37,7 @@
 	shareChangesSince Time
 	shareChangeCount  int
 	out               []Decision // decisions of the current call
+	loads             loads
 }
 
 // service is a service with its queue.
@@ -49,6 +50,7 @@
 	queue             queue
 	retryBudget       bucket
 	timeToFirstEvent  durationEstimate // from the placement to the first event or, for a plain call, the complete answer
+	usualTimeToFirst  durationEstimate // timeToFirstEvent at the usual speed of servers that report their load
 	typical           time.Duration    // cached result of typicalTokenTime, 0 when it may have changed
 	typicalSamples    int              // token times learned since typical was computed
 	handoverTime      durationEstimate // of a plain call's placement, beyond the time that its server has the call
@@ -262,6 +264,8 @@
 		return nil
 	}
 	s.learnVersion(now, r, o)
+	o.TokenTime = s.usualTime(now, r, o.TokenTime)
+	s.learnRejection(now, r.server, o.Result)
 	s.learnServer(now, r, o)
 	s.learnEnd(now, r, o)
 	svc := s.services[r.req.Service]
@@ -305,11 +309,16 @@
 	if o.FirstEvent == 0 || o.Result.Lost() {
 		return
 	}
-	svc.learnPrefillRatio(r, o.FirstEvent)
+	if !s.disturbed(now, r) {
+		svc.learnPrefillRatio(r, o.FirstEvent)
+	}
 	if o.Result != OK {
 		return
 	}
 	svc.timeToFirstEvent.add(o.FirstEvent)
+	if r.server.load != nil {
+		svc.usualTimeToFirst.add(s.usualTime(now, r, o.FirstEvent))
+	}
 	before := svc.handoverShare()
 	svc.learnHandover(now-r.placed, o.FirstEvent)
 	if svc.handoverShare() != before {
@@ -415,6 +424,7 @@
 func (s *Scheduler) Tick(now Time) []Decision {
 	s.out = nil
 	s.expireOrphans(now)
+	s.expireLoads(now)
 	s.reviewSuspects(now)
 	s.advanceTrials(now)
 	for _, svc := range s.services {
