--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -39,6 +39,41 @@
 	}
 }
 
+// BenchmarkDecisionForecast is BenchmarkDecision without and with forecasts and booked returns, as time passes. Each
+// round submits and finishes one request that is placed and one that is refused.
+func BenchmarkDecisionForecast(b *testing.B) {
+	for i := range 6 {
+		waiting, forecasts := []int{100, 1000, 5000}[i/2], i%2 == 1
+		b.Run(fmt.Sprintf("waiting=%d/forecasts=%t", waiting, forecasts), func(b *testing.B) {
+			s := newScheduler(90, 6)
+			s.policy.ForecastAdmission, s.policy.BookReturns = forecasts, forecasts
+			next, now := uint64(0), Time(0)
+			submit := func(priority int, patience time.Duration) {
+				next++
+				r := stream(next, now, priority)
+				r.LatencyTarget, r.Deadline, r.Fingerprint = now+patience, now+4*patience, fingerprintOf(int(next))
+				s.Submit(now, r)
+			}
+			for range 540 + waiting {
+				submit(1, time.Hour)
+			}
+			running := uint64(1)
+			for b.Loop() {
+				now += 500 * time.Microsecond
+				submit(1, time.Hour)
+				submit(2, 400*time.Millisecond)
+				for s.runs[Key{Holder: 1, ID: running}] == nil {
+					running = running%next + 1
+				}
+				finish(s, now, running, OK)
+				if now%(10*time.Millisecond) == 0 {
+					s.Tick(now)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkBlockedLane measures submitting, placing and finishing one request while a thousand requests
 // of a less urgent priority wait for the quota of their account: each search for a request to place
 // passes them.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -18,11 +18,14 @@
 	}
 	if s.policy.DemoteLate {
 		for _, pq := range svc.queue.priorityQueues {
+			pq.lateByRank = s.policy.BookReturns
 			pq.demoteLate(now, svc.timeToFirstEvent.upperBound())
+			pq.lateFirst = s.lateHaveRoom(now, svc, pq)
 		}
 	}
 	s.preferCached(now, svc, free)
 	c := s.candidates(now, svc, free)
+	s.placeReserved(now, svc, c)
 	s.fillUnderserved(now, svc, c)
 	if len(c.free) > 0 {
 		svc.queue.each(func(w *waiting) (drop, stop bool) { return s.tryPlace(now, svc, c, w), len(c.free) == 0 })
@@ -179,6 +182,7 @@
 	pq.placementRate.add(now)
 	pq.sizeStats.served[w.class].add(now, 1)
 	pq.allocated.add(now, svc.work(&w.Request))
+	s.forecastPlacement(now, svc, pq, w)
 	req := w.Request
 	r := srv.start(now, svc, &req)
 	srv.pacer.take(now)
@@ -268,29 +272,37 @@
 		s.refuseQuarantined(now, w)
 		return true
 	}
-	window := w.Deadline - w.Arrived
 	if quota := s.quotaWait(now, &w.Request); quota > 0 {
 		return s.refuseIfOverQuota(now, w, quota)
 	}
-	since := w.Arrived
-	if w.Retry {
-		// The first run has used up time; this run has the time that is left.
-		since = w.submittedAt
-		window = w.Deadline - since
-	}
-	maxWait := time.Duration(float64(window) * s.policy.MaxWaitShare)
-	if w.CallerTimeoutAt > 0 {
-		maxWait = min(maxWait, w.CallerTimeoutAt-svc.timeToFirstEvent.upperBound()-callerTimeoutMargin-since)
-	}
+	since, maxWait := s.maxWait(svc, w)
 	if now-since > maxWait {
 		why := Overload
 		if s.countUsable(now, svc) == 0 {
 			why = NoServer
 		}
+		s.forecastOverdue(svc, w)
 		s.refuse(now, w, why, s.retryAfter(now, w))
 		return true
 	}
-	return false
+	return s.refuseIfLateByForecast(now, svc, w)
+}
+
+// maxWait returns how long w may wait, and from when on.
+func (s *Scheduler) maxWait(svc *service, w *waiting) (since Time, maxWait time.Duration) {
+	since = w.Arrived
+	if w.Retry {
+		// The first run has used up time; this run has the time that is left.
+		since = w.submittedAt
+	}
+	maxWait = time.Duration(float64(w.Deadline-since) * s.policy.MaxWaitShare)
+	if w.returned == returnKept {
+		maxWait = max(maxWait, s.lastUsefulStart(svc, w)-since)
+	}
+	if w.CallerTimeoutAt > 0 {
+		maxWait = min(maxWait, w.CallerTimeoutAt-svc.timeToFirstEvent.upperBound()-callerTimeoutMargin-since)
+	}
+	return since, maxWait
 }
 
 // refuseIfOverQuota refuses w when its account's quota, available after wait, comes too
@@ -310,5 +322,10 @@
 // retryAfter is the delay after which the caller of a request that found no room in time
 // should retry.
 func (s *Scheduler) retryAfter(now Time, w *waiting) time.Duration {
+	if svc := s.services[w.Service]; svc != nil {
+		if after, ok := s.bookReturn(now, svc, w); ok {
+			return after
+		}
+	}
 	return max(s.policy.RetryAfter, time.Duration(float64(w.Deadline-now)*s.policy.RetryAfterShare))
 }
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -12,6 +12,14 @@
 	rank         Time // sort key: Arrived, plus longAnswerDelay
 	adjustedRank Time // rank with the cache and connections of the choosing server considered
 	class        int  // size class within its priority
+
+	work           time.Duration // expected, once computed; see admission.go
+	summarized     bool          // counted in the summary of its priority, among the late ones if summarizedLate
+	summarizedLate bool
+	reserved       bool // to be placed next, as its account or priority has had no placement for long
+	returned       returnKind
+	rankShift      time.Duration // by which a booked return moves its rank; see returns.go
+	notBefore      Time          // the moment that it came too early for, 0 if none
 }
 
 // priorityQueue holds the waiting requests of one priority. onTime is sorted by rank, except
@@ -28,6 +36,9 @@
 	sizeStats     sizeStats
 	// nextShareCheck is when the minimum share of this priority is checked again.
 	nextShareCheck Time
+	forecast       priorityForecast
+	lateByRank     bool // late is kept in order of rank
+	lateFirst      bool // late goes before onTime; see lateHaveRoom
 }
 
 // queue holds the waiting requests of a service, most urgent priority first.
@@ -83,7 +94,11 @@
 // returns drop. It stops when f returns stop.
 func (q *queue) each(f func(w *waiting) (drop, stop bool)) {
 	for _, pq := range q.priorityQueues {
-		if q.eachOf(&pq.onTime, f) || q.eachOf(&pq.late, f) {
+		first, second := &pq.onTime, &pq.late
+		if pq.lateFirst {
+			first, second = second, first
+		}
+		if q.eachOf(first, f) || q.eachOf(second, f) {
 			return
 		}
 	}
@@ -117,7 +132,7 @@
 	kept := pq.onTime[:0]
 	for _, w := range pq.onTime {
 		if w.LatencyTarget < now+timeToFirstEvent {
-			pq.late = append(pq.late, w)
+			pq.addLate(w)
 		} else {
 			kept = append(kept, w)
 		}
@@ -126,6 +141,16 @@
 	pq.onTime = kept
 }
 
+// addLate adds a request to late. Where refused callers return at booked moments, those that kept to
+// theirs go ahead by their first arrival; otherwise the order is that in which requests became late.
+func (pq *priorityQueue) addLate(w *waiting) {
+	at := len(pq.late)
+	for pq.lateByRank && at > 0 && pq.late[at-1].rank > w.rank {
+		at--
+	}
+	pq.late = slices.Insert(pq.late, at, w)
+}
+
 // shouldRejectEarly reports whether w, which waits in pq, will almost certainly be refused in the
 // end: the requests before it take longer than it may wait to be on time, and more arrive than
 // are placed, so that nothing is left for late ones.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -31,6 +31,11 @@
 	bounds         rollout.Bounds
 	rolloutSteps   []rollout.Status // steps since the last call of TakeRolloutSteps
 	out            []Decision       // decisions of the current call
+
+	bookings        bookings // returns of refused callers
+	forecastStats   ForecastStats
+	forecastErrors  durationEstimate
+	forecastChanges []ForecastChange // since the last call of TakeForecastChanges
 }
 
 // service is a service with its queue.
@@ -50,6 +55,7 @@
 	// prefillRatio is the time that an engine takes to prefill one prompt token, as a
 	// fraction of the time to generate one.
 	prefillRatio float64
+	forecast     serviceForecast
 }
 
 // Share is the share of the resources that a scheduler may use: all of them at the
@@ -136,17 +142,22 @@
 	pq := svc.queue.priorityQueue(r.Priority)
 	pq.arrivalRate.add(now)
 	w.class = pq.sizeStats.classify(now, svc.work(&r))
-	w.rank = s.rank(now, pq, w)
+	s.recognizeReturn(now, w)
+	s.forecastArrival(now, svc, pq, w)
+	w.rank = s.rank(now, pq, w) + w.rankShift
 	svc.queue.add(w)
 	placed := s.placeArrival(now, svc, w)
-	if !placed && s.shouldRejectEarly(now, svc, pq, w) && s.dequeue(r.Key) {
-		s.refuse(now, w, Overload, s.retryAfter(now, w))
+	if !placed {
+		s.rejectEarly(now, svc, pq, w)
 	}
 	// At another host the caller may find servers that have not asked that host to back off.
 	if !placed && s.allBackedOff(now, svc, w) && s.dequeue(r.Key) {
 		s.refuse(now, w, Overload, s.policy.RetryAfter)
 	}
 	refused := slices.ContainsFunc(s.out, func(d Decision) bool { return d.Key == r.Key })
+	if !placed && !refused {
+		s.admit(now, svc, pq, w)
+	}
 	return s.out, !placed && !refused
 }
 
@@ -165,6 +176,19 @@
 	return false
 }
 
+// rejectEarly refuses w, which has just arrived and found no room, if it will hardly be served.
+func (s *Scheduler) rejectEarly(now Time, svc *service, pq *priorityQueue, w *waiting) {
+	if s.policy.ForecastAdmission {
+		if f, refuses := s.refusesByForecast(now, svc, pq, w); refuses && s.dequeue(w.Key) {
+			s.refuseByForecast(now, svc, pq, w, f)
+		}
+		return
+	}
+	if s.shouldRejectEarly(now, svc, pq, w) && s.dequeue(w.Key) {
+		s.refuse(now, w, Overload, s.retryAfter(now, w))
+	}
+}
+
 // shouldRejectEarly reports whether w, which has just arrived, is to be refused at once.
 //
 // In a burst most requests of a priority wait for as long as they may and are then
@@ -402,7 +426,9 @@
 	s.expireOrphans(now)
 	s.reviewSuspects(now)
 	s.advanceTrials(now)
+	s.bookings.expire(now)
 	for _, svc := range s.services {
+		s.tickForecasts(now, svc)
 		if svc.queue.size > 0 {
 			s.fillTrial(now, svc)
 			s.fill(now, svc, s.serversWithRoom(now, svc, nil))
