--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -109,6 +109,7 @@
 			l.logRollouts(steps)
 			l.onRollouts(steps)
 		}
+		l.logForecasts(l.sched.TakeForecastChanges())
 		if len(out) > 0 {
 			l.deliver(out)
 		}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -58,6 +58,12 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Cause()).To(ContainSubstring("more than its limit"))
 	})
+	// Both say that no server had room; only one of them has waited.
+	It("tells a refusal by forecast from one after a wait", func() {
+		const refused = "503 overload: no server had room in time (183 waiting, 17 servers usable) waited=1ms"
+		Expect(RequestHistory{Request: []Line{{Detail: refused + " forecast=1.2s room=0.4s before=83 rate=210/s"}}}.Cause()).To(ContainSubstring("expected to take the places"))
+		Expect(RequestHistory{Request: []Line{{Detail: refused}}}.Cause()).To(ContainSubstring("waited its part"))
+	})
 	DescribeTable("names the phase that took most of the time of an answer", func(detail, phrase string) {
 		s := RequestHistory{Request: []Line{{Name: "request_answered", Detail: detail}}}
 		Expect(s.Cause()).To(ContainSubstring(phrase))
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -261,6 +261,15 @@
 		gauge("scheduler_waiting", int64(s.Waiting()))
 		gauge("scheduler_running", int64(s.Running()))
 		gauge("requests_in_quarantine", int64(s.QuarantinedRequests()))
+		forecasts := s.ForecastStats()
+		gauge("forecast.refused", int64(forecasts.Refused))
+		gauge("forecast.right", int64(forecasts.Right))
+		gauge("forecast.wrong", int64(forecasts.Wrong))
+		gauge("forecast.mean_error_ms", forecasts.MeanError.Milliseconds())
+		gauge("returns.booked", int64(forecasts.Bookings))
+		gauge("returns.kept", int64(forecasts.Kept))
+		gauge("returns.early", int64(forecasts.Early))
+		gauge("returns.late", int64(forecasts.Late))
 		for _, status := range s.Rollouts() {
 			prefix := "rollout." + status.Order.Service + "." + status.Order.To
 			gauge(prefix+".requests_to_service", int64(status.Reached))
