--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -165,7 +165,7 @@
 	{"in quarantine", "Servers ended while they ran the same request, under whatever id, so it is kept from further ones; this attempt did not run unless it says that it may have. See the servers below; gentianctl platform quarantine releases it."},
 	{"over its quota", "The account asked for more than its limit over all hosts; the request did not run."},
 	{"no usable server", "Every server of the service left, was out of reach or answered nothing; it did not run."},
-	{"forecast=", "Overload: on arrival, or while it waited, the requests before it were expected to take the places for longer than it could use; it did not run. See forecast (until its start), room (the stated Retry-After), before and rate."},
+	{"forecast=", "Overload: on arrival, the requests before it were expected to take the places for longer than it could wait; it did not run. See forecast (until its start), room (the stated Retry-After), before and rate."},
 	{"no server had room", "Overload: it waited its part of the time while more urgent or earlier requests took the places; it did not run."},
 	{"retry budget", "A run failed, and the service's retry budget was spent."},
 	{"no place to resume", "Its server failed during the stream, and no other had room in time to resume it."},
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -395,6 +395,9 @@
 	if !s.tracksForecasts() {
 		return
 	}
+	if w.work == 0 {
+		w.work = svc.work(&w.Request) // it was submitted before this host became the home
+	}
 	f := &svc.forecast
 	f.reservedCredit = min(maxReservedCredit, f.reservedCredit+reservedShare)
 	f.placed.add(w.work)
@@ -407,7 +410,7 @@
 	s.checkSamples(now, svc, pq, w)
 }
 
-// forecasts returns when w would start as a request that can be on time and as one that can't. ok is
+// forecasts returns when w, which is not in the summary, would start as a request that can be on time and as one that can't. ok is
 // false if too little is known.
 func (s *Scheduler) forecasts(now Time, svc *service, pq *priorityQueue, w *waiting) (onTime, late forecast, ok bool) {
 	rate := &svc.forecast.placed
@@ -425,9 +428,6 @@
 		arriving += urgent.forecast.arriving.valueAt(now)
 	}
 	own, ownBefore := pq.forecast.onTime.before(w.rank)
-	if w.summarized && !w.summarizedLate {
-		own, ownBefore = max(0, own-w.work.Seconds()), max(0, ownBefore-1)
-	}
 	wait := forecastWait(max(0, work)+own, arriving, rate.perSecond())
 	if own == 0 {
 		wait = min(wait, forecastWait(max(0, work), arriving, rate.perSecond()))
@@ -437,9 +437,6 @@
 	}
 	onTime = newForecast(wait, before+ownBefore, rate.placements)
 	ownLate, lateBefore := pq.forecast.late.before(w.rank)
-	if w.summarized && w.summarizedLate {
-		ownLate, lateBefore = max(0, ownLate-w.work.Seconds()), max(0, lateBefore-1)
-	}
 	arriving += pq.forecast.arriving.valueAt(now)
 	total := max(0, work) + max(0, pq.forecast.onTime.total) + ownLate
 	if w.returned == returnKept {
@@ -457,13 +454,16 @@
 	return since + maxWait
 }
 
-// refusesByForecast reports whether w, which waits, would start too late to be of use to its
+// refusesByForecast reports whether w, which has just arrived, would start too late to be of use to its
 // caller, and the forecast that shows it.
 //
 // A request that can start in time waits. One that can't goes behind all that can (see DemoteLate), so it
 // takes nothing from these; it waits if the forecast shows room for it after them before it would be
 // refused anyway. The deviation of the forecast counts in favor of the request, because a wrong refusal
-// costs a caller its attempt, and a wrong wait costs it less than a second.
+// costs a caller its attempt, and a wrong wait costs it less than a second. A request that waits is not judged
+// again: some of those before it are refused in the end rather than placed, and it starts earlier than the work
+// before it suggests. When waiting requests were judged as well, 0.80 instead of 0.87 of the least
+// urgent kind were answered, with all kinds at 2.5 times.
 func (s *Scheduler) refusesByForecast(now Time, svc *service, pq *priorityQueue, w *waiting) (f forecast, refuses bool) {
 	if !s.policy.ForecastAdmission || !s.tracksForecasts() || w.Retry || w.reserved {
 		return f, false
@@ -497,10 +497,10 @@
 }
 
 // maxOnTimeQueue is the part of their slack that the requests of a priority that can be on time may wait
-// when late ones are placed before them. At 0.6, less of the least urgent kind is answered than
-// without forecasts (0.790 against 0.805 with all kinds at 2.5 times); at 0.8, less of the next kind is in
-// time (0.48 against 0.53 with all kinds at 4 times).
-const maxOnTimeQueue = 0.7
+// when late ones are placed before them. At 0.7, a plain service at twice its capacity answers 0.688 of its
+// calls instead of 0.678, but 0.63 instead of 0.65 in time, and 0.748 of the least urgent kind
+// are in time instead of 0.756 when the most urgent kind comes at 2.5 times.
+const maxOnTimeQueue = 0.6
 
 // lateHaveRoom reports whether the late requests of a priority can be placed first without making the
 // others late: these would all be placed well within the time that the newest of them has. In a
@@ -508,8 +508,7 @@
 // the late ones would otherwise reach the ends of their deadlines behind new arrivals, although
 // nearly all of these can be on time after them.
 //
-// Only callers on their last attempt go first. With late first attempts as well, which have another one, 0.55 to 0.58
-// of the least urgent kind were answered at 4 times the load, against 0.62 without forecasts.
+// Only callers on their last attempt go first; late first attempts have another one.
 func (s *Scheduler) lateHaveRoom(now Time, svc *service, pq *priorityQueue) bool {
 	rate := &svc.forecast.placed
 	if !s.policy.ForecastAdmission || !s.tracksForecasts() || len(pq.late) == 0 || len(pq.onTime) == 0 || !rate.known() || pq.late[0].returned != returnKept {
@@ -571,21 +570,6 @@
 	}
 }
 
-// refuseIfLateByForecast refuses w, which waits and can't be on time any more, if it is now foreseen
-// to start too late, and reports whether it did. What is given up is told to its caller at once.
-func (s *Scheduler) refuseIfLateByForecast(now Time, svc *service, w *waiting) bool {
-	if !s.policy.ForecastAdmission || w.LatencyTarget >= now+svc.timeToFirstEvent.upperBound() {
-		return false
-	}
-	pq := svc.queue.priorityQueue(w.Priority)
-	f, refuses := s.refusesByForecast(now, svc, pq, w)
-	if refuses {
-		pq.forecast.leaveBacklog(w)
-		s.refuseByForecast(now, svc, pq, w, f)
-	}
-	return refuses
-}
-
 // forecastOverdue notes that w is refused since it has waited for as long as it may.
 func (s *Scheduler) forecastOverdue(svc *service, w *waiting) {
 	svc.queue.priorityQueue(w.Priority).forecast.leaveBacklog(w)
--- a/internal/sched/admission_load_test.go
+++ b/internal/sched/admission_load_test.go
@@ -410,7 +410,15 @@
 
 const overloadSeeds = 3
 
+// comparisons keeps the outcomes by load, as several specs look at the same one.
+var comparisons = map[string]comparison{}
+
 func compareOverload(o *overload) (c comparison) {
+	key := fmt.Sprint(o.name, o.ignoring)
+	if known, ok := comparisons[key]; ok {
+		return known
+	}
+	defer func() { comparisons[key] = c }()
 	for seed := range uint64(overloadSeeds) {
 		d := newOverloadSimulation(o, seed, DefaultPolicy())
 		d.run()
@@ -480,6 +488,7 @@
 				Expect(after.served()).To(BeNumerically(">", before.served()-o.maxLoss(k)), "kind %d", k)
 				Expect(after.left).To(BeNumerically("<=", before.left+after.asked/300), "runs that ended after the deadline, kind %d", k)
 			}
+			Expect(float64(c.after.total.refusals)).To(BeNumerically("<=", 10+0.97*float64(c.before.total.refusals)))
 			Expect(c.beginnings).To(Equal(c.ends), "each start of refusals has an end")
 		})
 	}
@@ -497,12 +506,21 @@
 		Expect(c.after.total.onTime()).To(BeNumerically(">", c.before.total.onTime()+0.1))
 	})
 
+	// Whoever is refused twice is lost, so the refusals are twice the lost requests plus those that were served on
+	// their return. The lost ones fall here by more than the refusals do.
+	It("loses fewer callers in a long overload of all kinds", func() {
+		for _, name := range []string{"all kinds at 2.5 times for 6 s", "all kinds at 4 times for 6 s", "three accounts at once"} {
+			c := compareOverload(findOverload(name))
+			Expect(float64(c.after.total.refused)).To(BeNumerically("<", 0.85*float64(c.before.total.refused)), name)
+		}
+	})
+
 	It("rewards those who keep to their moment over those who ignore it", func() {
 		o := findOverload("a third ignore Retry-After")
 		c := compareOverload(o)
 		Expect(c.after.ignoring.served()).To(BeNumerically("<", c.after.keeping.served()-0.03))
 		Expect(c.after.ignoring.served()).To(BeNumerically("<", c.before.ignoring.served()), "ignoring gains nothing")
-		Expect(c.after.keeping.served()).To(BeNumerically(">", c.before.keeping.served()-0.02))
+		Expect(c.after.keeping.served()).To(BeNumerically(">", c.before.keeping.served()-0.01))
 		Expect(c.after.keeping.onTime()).To(BeNumerically(">", c.before.keeping.onTime()))
 		// With everyone keeping to their moment, the callers that kept to theirs above fare no better.
 		all := *o
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -285,7 +285,7 @@
 		s.refuse(now, w, why, s.retryAfter(now, w))
 		return true
 	}
-	return s.refuseIfLateByForecast(now, svc, w)
+	return false
 }
 
 // maxWait returns how long w may wait, and from when on.
