--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -43,6 +44,9 @@
 	// maxReservedCredit, as the order of the queue must hold for the others.
 	reservedShare     = 0.1
 	maxReservedCredit = 16
+	// maxReserved bounds the reserved requests of a service. With credit for a tenth of the placements, more would
+	// not be placed in time.
+	maxReserved = 256
 	// maxTrackedAccounts bounds the accounts whose last placement is remembered.
 	maxTrackedAccounts = 16384
 	// forecastSamples is the number of refused requests of a priority that are watched at a time.
@@ -314,7 +318,7 @@
 	}
 	account := svc.forecast.account(now, w.Account)
 	starvedPriority, starvedAccount := pq.forecast.unserved.ask(now), account != nil && account.ask(now)
-	if !s.policy.ForecastAdmission || s.quotaWait(now, &w.Request) > 0 {
+	if !s.policy.ForecastAdmission || len(svc.forecast.reserved) >= maxReserved || s.quotaWait(now, &w.Request) > 0 {
 		return
 	}
 	if starvedPriority {
@@ -374,20 +378,22 @@
 // in an overload that serves a quarter of them gets nothing for four seconds on average.
 func (s *Scheduler) placeReserved(now Time, svc *service, c *candidates) {
 	f := &svc.forecast
-	kept := f.reserved[:0]
-	for _, w := range f.reserved {
-		if _, waits := svc.queue.keys[w.Key]; !waits || !w.reserved {
-			continue
-		}
-		if f.reservedCredit >= 1 && len(c.free) > 0 && s.tryPlace(now, svc, c, w) {
-			svc.queue.remove(w.Key)
-			f.reservedCredit--
-			continue
-		}
-		kept = append(kept, w)
+	if len(f.reserved) == 0 || f.reservedCredit < 1 {
+		return
 	}
-	clear(f.reserved[len(kept):])
-	f.reserved = kept
+	f.reserved = slices.DeleteFunc(f.reserved, func(w *waiting) bool {
+		if f.reservedCredit < 1 || len(c.free) == 0 || !svc.queue.has(w.Key) || !s.tryPlace(now, svc, c, w) {
+			return false
+		}
+		svc.queue.remove(w.Key)
+		f.reservedCredit--
+		return true
+	})
+}
+
+// dropReserved forgets the reserved requests that don't wait any more.
+func (f *serviceForecast) dropReserved(q *queue) {
+	f.reserved = slices.DeleteFunc(f.reserved, func(w *waiting) bool { return !q.has(w.Key) })
 }
 
 // forecastPlacement records that w has been placed.
@@ -570,11 +576,6 @@
 	}
 }
 
-// forecastOverdue notes that w is refused since it has waited for as long as it may.
-func (s *Scheduler) forecastOverdue(svc *service, w *waiting) {
-	svc.queue.priorityQueue(w.Priority).forecast.leaveBacklog(w)
-}
-
 // ForecastChange states that a priority of a service has started or stopped refusing requests by
 // forecast.
 type ForecastChange struct {
@@ -677,6 +678,7 @@
 		return
 	}
 	s.advanceForecasts(now, svc)
+	svc.forecast.dropReserved(&svc.queue)
 	s.expireSamples(now, svc)
 	s.endForecastRefusals(now, svc)
 }
--- a/internal/sched/admission_test.go
+++ b/internal/sched/admission_test.go
@@ -242,6 +242,25 @@
 		Expect(max(longest, d.now-lastPlaced)).To(BeNumerically("<", 2*time.Second))
 	})
 
+	It("reserves places for a bounded number of accounts at a time", func() {
+		d := newAdmissionLoad(forecastPolicy(), 1, 6)
+		for i := range 2000 {
+			if i%100 == 0 {
+				d.now += 200 * ms
+				d.apply(d.s.Tick(d.now))
+			}
+			r := d.request(0)
+			r.Account = fmt.Sprint("account ", i%500)
+			d.submit(r)
+			Expect(len(d.s.services[engine].forecast.reserved)).To(BeNumerically("<=", maxReserved))
+		}
+		Expect(d.s.services[engine].forecast.reserved).NotTo(BeEmpty())
+		d.now += time.Minute
+		d.apply(d.s.Tick(d.now))
+		d.apply(d.s.Tick(d.now + 10*ms))
+		Expect(d.s.services[engine].forecast.reserved).To(BeEmpty())
+	})
+
 	It("remembers a bounded number of accounts", func() {
 		var f serviceForecast
 		for i := range maxTrackedAccounts + 100 {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -281,7 +281,7 @@
 		if s.countUsable(now, svc) == 0 {
 			why = NoServer
 		}
-		s.forecastOverdue(svc, w)
+		svc.queue.priorityQueue(w.Priority).forecast.leaveBacklog(w)
 		s.refuse(now, w, why, s.retryAfter(now, w))
 		return true
 	}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -70,9 +70,15 @@
 	return q.priorityQueues[i]
 }
 
+// has reports whether a request waits here.
+func (q *queue) has(k Key) bool {
+	_, waits := q.keys[k]
+	return waits
+}
+
 // remove removes a request and returns it, nil when it does not wait here.
 func (q *queue) remove(k Key) *waiting {
-	if _, waits := q.keys[k]; !waits {
+	if !q.has(k) {
 		return nil
 	}
 	delete(q.keys, k)
