--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -8,11 +8,18 @@
 // waiting is one request in a queue.
 type waiting struct {
 	Request
-	submittedAt  Time // when it was submitted here; Arrived may be earlier
-	rank         Time // sort key: Arrived, plus longAnswerDelay and, with AccountShares, the time until the account's turn
-	adjustedRank Time // rank with the cache and connections of the choosing server considered
-	class        int  // size class within its priority
-	share        shareEntry
+	submittedAt    Time // when it was submitted here; Arrived may be earlier
+	rank           Time // sort key: Arrived, plus longAnswerDelay and, with AccountShares, the time until the account's turn
+	adjustedRank   Time // rank with the cache and connections of the choosing server considered
+	class          int  // size class within its priority
+	share          shareEntry
+	work           time.Duration // expected, once computed; see admission.go
+	summarized     bool          // counted in the summary of its priority, among the late ones if summarizedLate
+	summarizedLate bool
+	reserved       bool // to be placed next, as its account or priority has had no placement for long
+	returned       returnKind
+	rankShift      time.Duration // by which a booked return moves its rank; see returns.go
+	notBefore      Time          // the moment that it came too early for, 0 if none
 }
 
 // priorityQueue holds the waiting requests of one priority. onTime is sorted by rank, except
@@ -30,6 +37,9 @@
 	shares        *accountShares // nil until used
 	// nextShareCheck is when the minimum share of this priority is checked again.
 	nextShareCheck Time
+	forecast       priorityForecast
+	lateByRank     bool // late is kept in order of rank
+	lateFirst      bool // late goes before onTime; see lateHaveRoom
 }
 
 // queue holds the waiting requests of a service, most urgent priority first.
@@ -61,9 +71,15 @@
 	return q.priorityQueues[i]
 }
 
+// has reports whether a request waits here.
+func (q *queue) has(k Key) bool {
+	_, waits := q.keys[k]
+	return waits
+}
+
 // remove removes a request and returns it, nil when it does not wait here.
 func (q *queue) remove(k Key) *waiting {
-	if _, waits := q.keys[k]; !waits {
+	if !q.has(k) {
 		return nil
 	}
 	delete(q.keys, k)
@@ -86,7 +102,11 @@
 // returns drop. It stops when f returns stop.
 func (q *queue) each(f func(w *waiting) (drop, stop bool)) {
 	for _, pq := range q.priorityQueues {
-		if q.eachOf(&pq.onTime, f) || q.eachOf(&pq.late, f) {
+		first, second := &pq.onTime, &pq.late
+		if pq.lateFirst {
+			first, second = second, first
+		}
+		if q.eachOf(first, f) || q.eachOf(second, f) {
 			return
 		}
 	}
@@ -130,6 +150,22 @@
 	pq.onTime = kept
 }
 
+// addLate adds a request to late, in order of rank if accounts share the servers or refused callers
+// return at booked moments; otherwise the order is that in which requests became late.
+func (pq *priorityQueue) addLate(w *waiting) {
+	byRank := pq.lateByRank
+	if e := &w.share; e.charged {
+		e.late = true
+		e.queue.late += e.cost
+		byRank = true
+	}
+	at := len(pq.late)
+	for byRank && at > 0 && compareRank(pq.late[at-1], w) > 0 {
+		at--
+	}
+	pq.late = slices.Insert(pq.late, at, w)
+}
+
 // shouldRejectEarly reports whether w, which waits in pq, will almost certainly be refused in the
 // end: the requests before it take longer than it may wait to be on time, and more arrive than
 // are placed, so that nothing is left for late ones.
--- a/internal/sched/serverload_test.go
+++ b/internal/sched/serverload_test.go
@@ -218,7 +218,7 @@
 	return n
 }
 
-func plainCall(now Time) Request {
+func lookupCall(now Time) Request {
 	return Request{Service: plain, Account: "acc", LatencyTarget: now + 300*ms, Deadline: now + 1500*ms}
 }
 
@@ -263,7 +263,7 @@
 			with, without := both(func(live bool) *unevenSimulation {
 				d := unevenCalls(1, live)
 				d.servers["p0"].slowdown = slowBetween(3, time.Second, 6*time.Second)
-				d.arrivals(load*24/callWork.Seconds(), 7*time.Second, plainCall)
+				d.arrivals(load*24/callWork.Seconds(), 7*time.Second, lookupCall)
 				d.run(9 * time.Second)
 				return d
 			})
@@ -288,7 +288,7 @@
 				for live, sum := range map[bool]*float64{true: &with, false: &without} {
 					d := unevenCalls(seed, live)
 					d.servers["p0"].slowdown = slowBetween(3, time.Second, 6*time.Second)
-					d.arrivals(load*24/callWork.Seconds(), 7*time.Second, plainCall)
+					d.arrivals(load*24/callWork.Seconds(), 7*time.Second, lookupCall)
 					d.run(12 * time.Second)
 					*sum += d.onTime() / seeds
 				}
@@ -304,7 +304,7 @@
 	play := func(seed uint64, factor float64) *unevenSimulation {
 		d := unevenCalls(seed, true)
 		d.servers["p0"].slowdown = slowBetween(factor, from, to)
-		d.arrivals(0.5*24/callWork.Seconds(), 4*time.Second, plainCall)
+		d.arrivals(0.5*24/callWork.Seconds(), 4*time.Second, lookupCall)
 		d.run(5 * time.Second)
 		return d
 	}
@@ -349,7 +349,7 @@
 					return 1
 				}
 			}
-			d.arrivals(0.45*24/callWork.Seconds(), 8*time.Second, plainCall)
+			d.arrivals(0.45*24/callWork.Seconds(), 8*time.Second, lookupCall)
 			d.run(10 * time.Second)
 			return d
 		})
@@ -581,7 +581,7 @@
 			for _, v := range d.servers {
 				v.slowdown = slowBetween(3, time.Second, 4*time.Second)
 			}
-			d.arrivals(60, 4*time.Second, plainCall)
+			d.arrivals(60, 4*time.Second, lookupCall)
 			d.run(6 * time.Second)
 			return d.s.services[plain].usualCallTime()
 		}
@@ -611,7 +611,7 @@
 				for i := range servers {
 					reportAt(s, 2*time.Second, fmt.Sprint("p", i), age, serverload.Report{Slots: 6, Slowdown: []float64{0.5, 1, 1, 1, 1, 3}[i]})
 				}
-				r := plainCall(2 * time.Second)
+				r := lookupCall(2 * time.Second)
 				r.Key, r.Arrived = Key{Holder: host, ID: 1}, 2*time.Second
 				out, _ := s.Submit(2*time.Second, r)
 				chosen[out[0].Server]++
--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -542,19 +542,6 @@
 	return n
 }
 
-// addLate adds a request to pq.late, at the end unless accounts share the servers.
-func (pq *priorityQueue) addLate(w *waiting) {
-	at := len(pq.late)
-	if e := &w.share; e.charged {
-		e.late = true
-		e.queue.late += e.cost
-		for at > 0 && compareRank(pq.late[at-1], w) > 0 {
-			at--
-		}
-	}
-	pq.late = slices.Insert(pq.late, at, w)
-}
-
 // explainShare describes for logs what the account's share meant for w, empty without shares.
 func (s *Scheduler) explainShare(now Time, svc *service, w *waiting) string {
 	q := w.share.queue
