--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -220,7 +220,12 @@
 // the state of a run that continues. timeToFirst is the time from dispatch to the first
 // event and tokenInterval the time per output token; both are 0 if unknown.
 func (c *Client) Finish(id uint64, result sched.Result, timeToFirst, tokenInterval time.Duration) {
-	o := sched.Outcome{Key: sched.Key{Holder: uint64(c.self), ID: id}, Result: result, FirstEvent: timeToFirst, TokenTime: tokenInterval}
+	c.FinishStream(id, result, sched.RunTimes{FirstEvent: timeToFirst, TokenTime: tokenInterval})
+}
+
+// FinishStream is Finish for the run of a stream, with all times that were observed.
+func (c *Client) FinishStream(id uint64, result sched.Result, t sched.RunTimes) {
+	o := sched.Outcome{Key: sched.Key{Holder: uint64(c.self), ID: id}, Result: result, FirstEvent: t.FirstEvent, TokenTime: t.TokenTime, LongestGap: t.LongestGap}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pending[id]
@@ -231,7 +236,7 @@
 		delete(c.pending, id)
 	}
 	if result == sched.ServerEnded && p.via != nil {
-		c.learnLoss(p, timeToFirst > 0)
+		c.learnLoss(p, t.FirstEvent > 0)
 	}
 	if p.via != nil {
 		p.via.finish(o)
@@ -243,15 +248,16 @@
 	c.pushLocal(func(now sched.Time, s *sched.Scheduler) []sched.Decision { return s.Finish(now, o) })
 }
 
-// learnEstimates adopts the home's estimates of server speeds.
-func (c *Client) learnEstimates(estimates []*wire.Pace) {
-	if len(estimates) == 0 {
+// learnEstimates adopts the home's estimates of server speeds and stream pauses.
+func (c *Client) learnEstimates(m *wire.ToHolder) {
+	if len(m.Paces) == 0 && len(m.Pauses) == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pushLocal(func(now sched.Time, s *sched.Scheduler) []sched.Decision {
-		s.ImportLearned(now, decodePaces(estimates))
+		s.ImportLearned(now, decodePaces(m.Paces))
+		s.ImportPauses(now, decodePauses(m.Pauses))
 		return nil
 	})
 }
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -54,6 +54,7 @@
 	return &wire.Outcome{
 		Id: o.ID, Result: uint32(o.Result),
 		FirstUs: uint32(o.FirstEvent.Microseconds()), PaceUs: uint32(o.TokenTime.Microseconds()),
+		GapUs: uint32(o.LongestGap.Microseconds()),
 	}
 }
 
@@ -61,6 +62,7 @@
 	return sched.Outcome{
 		Key: sched.Key{Holder: holder, ID: m.Id}, Result: sched.Result(m.Result),
 		FirstEvent: time.Duration(m.FirstUs) * time.Microsecond, TokenTime: time.Duration(m.PaceUs) * time.Microsecond,
+		LongestGap: time.Duration(m.GapUs) * time.Microsecond,
 	}
 }
 
@@ -96,6 +98,22 @@
 	return out
 }
 
+func encodePauses(learned []sched.PauseEstimate) []*wire.StreamPause {
+	var out []*wire.StreamPause
+	for _, l := range learned {
+		out = append(out, &wire.StreamPause{Service: l.Service, EventTimesPermille: uint32(1000 * l.EventTimes), Samples: uint32(l.Samples)})
+	}
+	return out
+}
+
+func decodePauses(pauses []*wire.StreamPause) []sched.PauseEstimate {
+	var out []sched.PauseEstimate
+	for _, p := range pauses {
+		out = append(out, sched.PauseEstimate{Service: p.Service, EventTimes: float64(p.EventTimesPermille) / 1000, Samples: int(p.Samples)})
+	}
+	return out
+}
+
 // addDecision adds a decision to the message for its holder.
 func addDecision(m *wire.ToHolder, d sched.Decision) {
 	if d.Reason != 0 {
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -92,12 +92,12 @@
 // Leads reports whether this host schedules for all hosts.
 func (h *Home) Leads() bool { return h.leads.Load() }
 
-// estimatesPeriod is how often the home sends its estimates of server speeds to the hosts
-// that may take over. With 630 servers this is 7 KB a second for each host.
+// estimatesPeriod is how often the home sends its estimates of server speeds and stream pauses
+// to the hosts that may take over. With 630 servers this is 7 KB a second for each host.
 const estimatesPeriod = 2 * time.Second
 
-// SendEstimates sends the estimates of server speeds to the hosts that may take over, while this
-// host leads and until ctx ends.
+// SendEstimates sends the estimates of server speeds and stream pauses to the hosts that may take
+// over, while this host leads and until ctx ends.
 func (h *Home) SendEstimates(ctx context.Context) {
 	tick := time.NewTicker(estimatesPeriod)
 	defer tick.Stop()
@@ -110,19 +110,19 @@
 		if !h.leads.Load() {
 			continue
 		}
-		h.loop.Do(func(_ sched.Time, s *sched.Scheduler) { h.sendEstimates(h.nextHomes(), s.Learned()) })
+		h.loop.Do(func(_ sched.Time, s *sched.Scheduler) { h.sendEstimates(h.nextHomes(), s.Learned(), s.LearnedPauses()) })
 	}
 }
 
-func (h *Home) sendEstimates(holders []uint64, learned []sched.Learned) {
-	if len(learned) == 0 {
+func (h *Home) sendEstimates(holders []uint64, learned []sched.Learned, pauses []sched.PauseEstimate) {
+	if len(learned) == 0 && len(pauses) == 0 {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, holder := range holders {
 		if l := h.links[holder]; l != nil {
-			l.send(&wire.ToHolder{Paces: encodePaces(learned)})
+			l.send(&wire.ToHolder{Paces: encodePaces(learned), Pauses: encodePauses(pauses)})
 		}
 	}
 }
--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -273,11 +273,13 @@
 		m := &wire.ToHolder{}
 		Expect(e.conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
 		Expect(wire.Read(e.r, m)).To(Succeed())
-		loop.Do(func(_ sched.Time, s *sched.Scheduler) { h.sendEstimates([]uint64{self}, s.Learned()) })
+		loop.Do(func(_ sched.Time, s *sched.Scheduler) {
+			h.sendEstimates([]uint64{self}, s.Learned(), s.LearnedPauses())
+		})
 		Expect(wire.Read(e.r, m)).To(Succeed())
 
 		c, next := startHost(neverLeaving, "a")
-		c.learnEstimates(m.Paces)
+		c.learnEstimates(m)
 		var learned []sched.Learned
 		next.Query(context.Background(), func(s *sched.Scheduler) { learned = s.Learned() })
 		Expect(learned).To(ConsistOf(sched.Learned{Server: "a", TokenTime: 11 * time.Millisecond}))
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -132,7 +132,7 @@
 		if m.Pong != 0 || m.Leads {
 			f.updateLeading(l, m.Leads)
 		}
-		f.client.learnEstimates(m.Paces)
+		f.client.learnEstimates(m)
 		f.client.learnSuspects(m.Suspects)
 		f.client.learnRollouts(m.Rollouts)
 		f.client.markQueued(m.Queued, l)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,8 @@
 	// Finish reports how the run of a placement ended, or the progress of a run that
 	// continues.
 	Finish(id uint64, result sched.Result, timeToFirst, tokenTime time.Duration)
+	// FinishStream is Finish with all times that were observed of a stream's run.
+	FinishStream(id uint64, result sched.Result, t sched.RunTimes)
 	// RecordServerFault reports that a server failed a request which another server then
 	// answered.
 	RecordServerFault(server string)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -54,11 +54,14 @@
 		if n > 0 {
 			complete := bytes.LastIndex(buf, endOfEvent) + len(endOfEvent)
 			if complete >= len(endOfEvent) {
+				arrived := time.Now()
+				t.gaps.record(arrived)
 				if werr := x.forwardEvents(resp, buf[:complete]); werr != nil {
 					return t.handleLost(ctx, werr)
 				}
 				buf = append(buf[:0], buf[complete:]...)
 				now := time.Now()
+				t.gaps.written(now.Sub(arrived))
 				if firstAt.IsZero() {
 					t.started.Store(true)
 					firstAt, nextReport = now, now.Add(tokenTimeReportDelay)
@@ -82,11 +85,37 @@
 		if !firstAt.IsZero() {
 			perToken = tokenTime(time.Since(firstAt), x.stream.events-earlierEvents, tokensPerEvent)
 		}
-		x.h.Placer.Finish(t.placement.ID, sched.OK, t.timeToFirst, perToken)
+		x.h.Placer.FinishStream(t.placement.ID, sched.OK, sched.RunTimes{FirstEvent: t.timeToFirst, TokenTime: perToken, LongestGap: t.gaps.longest})
 		return x.endStream(resp, buf)
 	}
 }
 
+// maxWriteTime is how long writing events to the caller may take for the gap after them to be
+// measured. Until the write ends, the next events are not read.
+const maxWriteTime = 10 * time.Millisecond
+
+// gapMeter measures the longest gap between two events of a run. Gaps for which the caller is the
+// cause, because it was slow to read, are left out.
+type gapMeter struct {
+	previous time.Time // arrival of the previous event, zero if the next gap isn't measured
+	longest  time.Duration
+}
+
+// record notes the arrival of events.
+func (g *gapMeter) record(at time.Time) {
+	if !g.previous.IsZero() {
+		g.longest = max(g.longest, at.Sub(g.previous))
+	}
+	g.previous = at
+}
+
+// written notes how long the events recorded last took to be written to the caller.
+func (g *gapMeter) written(took time.Duration) {
+	if took > maxWriteTime {
+		g.previous = time.Time{}
+	}
+}
+
 // readMore appends the available data to buf, and grows buf when it is full.
 func readMore(r io.Reader, buf *[]byte) (int, error) {
 	b := *buf
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -58,6 +58,7 @@
 	stopCallerWatch func() bool // stops closing conn when the caller leaves or the deadline passes
 	sent            time.Time
 	timeToFirst     time.Duration     // to the first event or the complete answer
+	gaps            gapMeter          // between the events of a stream
 	stallTimer      *time.Timer       // runs the stall check; nil for plain calls
 	phase           atomic.Int32      // inProgress, then stalled, revoked or ended
 	started         atomic.Bool       // the first event has arrived
@@ -298,7 +299,7 @@
 		x.h.Pool.CloseIdle(t.server())
 	}
 	if x.r.Context().Err() != nil {
-		x.h.Placer.Finish(t.placement.ID, sched.CallerLeft, 0, 0)
+		x.h.Placer.FinishStream(t.placement.ID, sched.CallerLeft, sched.RunTimes{LongestGap: t.gaps.longest})
 		x.recordEvent(event.RequestLeft, "while the request ran")
 		return done
 	}
@@ -307,7 +308,7 @@
 		if x.stream.events == 0 {
 			result = sched.Broken // nothing arrived before the deadline
 		}
-		x.h.Placer.Finish(t.placement.ID, result, 0, 0)
+		x.h.Placer.FinishStream(t.placement.ID, result, sched.RunTimes{LongestGap: t.gaps.longest})
 		x.tried = append(x.tried, t.placement.Server)
 		x.giveUp(ctx, context.DeadlineExceeded)
 		return done
--- a/internal/experiment/day.go
+++ b/internal/experiment/day.go
@@ -292,7 +292,7 @@
 	if now <= r.submittedAt+kind.Deadline {
 		out.answeredSizes = append(out.answeredSizes, r.size())
 	}
-	o := sched.Outcome{Key: sched.Key{Holder: holder, ID: id}, Result: sched.OK, FirstEvent: r.firstEvent}
+	o := sched.Outcome{Key: sched.Key{Holder: holder, ID: id}, Result: sched.OK, FirstEvent: r.firstEvent, LongestGap: r.maxPause}
 	if now > r.submittedAt+kind.Deadline {
 		o.Result = sched.CallerLeft
 	}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -261,6 +261,13 @@
 		gauge("scheduler_waiting", int64(s.Waiting()))
 		gauge("scheduler_running", int64(s.Running()))
 		gauge("requests_in_quarantine", int64(s.QuarantinedRequests()))
+		for _, p := range s.PauseStats() {
+			prefix := "pauses." + p.Service
+			gauge(prefix+".bound_permille", int64(1000*p.Bound))
+			gauge(prefix+".classes_learned", int64(p.Classes))
+			gauge(prefix+".runs_learned", p.Samples)
+			gauge(prefix+".runs_ignored", p.Ignored)
+		}
 		for _, status := range s.Rollouts() {
 			prefix := "rollout." + status.Order.Service + "." + status.Order.To
 			gauge(prefix+".requests_to_service", int64(status.Reached))
--- a/internal/sched/requirements.go
+++ b/internal/sched/requirements.go
@@ -34,7 +34,7 @@
 	reqs := requirements{byDeadline: now+p.total <= r.Deadline}
 	if svc.Engine {
 		reqs.byTarget = s.policy.WaitForLatencyTarget && now+p.first <= r.LatencyTarget
-		reqs.limitPause = s.policy.LimitStreamPauses && p.prefill+svc.eventTime(fastest) <= r.MaxPause
+		reqs.limitPause = s.policy.LimitStreamPauses && p.prefill <= svc.maxPrefill(fastest, r.MaxPause)
 	}
 	reqs.deadlineUnreachable = svc.Engine && !reqs.byDeadline
 	reqs.worthWaiting = reqs.byDeadline || reqs.byTarget || reqs.limitPause
@@ -58,7 +58,8 @@
 // Engines prefill prompts in chunks between the tokens of the running streams. During a
 // prefill a stream gets one token per chunk: on an engine that is four times slower than the
 // others, a long prompt pauses all its streams for longer than their callers accept. The
-// time of the entire pending prefill is the upper bound for the pause before one event.
+// time of the entire pending prefill is the upper bound for the pause before one event. A
+// lower bound may be learned; see pauses.go.
 func (s *server) prefillHeadroom(now Time, svc *service) float64 {
 	maxPause := time.Duration(math.MaxInt64)
 	for _, r := range s.runs {
@@ -69,7 +70,11 @@
 	if maxPause == math.MaxInt64 {
 		return math.Inf(1)
 	}
-	remaining := maxPause - max(0, s.prefillFreeAt-now) - svc.eventTime(s)
+	maxPrefill := svc.maxPrefill(s, maxPause)
+	if maxPrefill == math.MaxInt64 {
+		return math.Inf(1)
+	}
+	remaining := maxPrefill - max(0, s.prefillFreeAt-now)
 	return float64(remaining) / (svc.prefillRatio * float64(s.tokenTime))
 }
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -50,6 +50,7 @@
 	// prefillRatio is the time that an engine takes to prefill one prompt token, as a
 	// fraction of the time to generate one.
 	prefillRatio float64
+	pauses       pauseModel
 }
 
 // Share is the share of the resources that a scheduler may use: all of them at the
@@ -292,6 +293,7 @@
 	if o.TokenTime > 0 {
 		svc.learnedTokenTime()
 	}
+	s.learnPause(now, svc, r, o)
 	if o.FirstEvent == 0 || o.Result.Lost() {
 		return
 	}
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -21,6 +21,11 @@
 	class           int  // size class within its priority queue
 	countedAsServed bool // in the served count of its size class
 	isolated        bool // nothing else is placed at the server until the run shows progress
+	prefillEnd      Time // when the prefill of its prompt is predicted to end
+	// prefillBeside is the most prefill of later prompts that was pending at once beside the run,
+	// first at prefillBesideAt.
+	prefillBeside   time.Duration
+	prefillBesideAt Time
 }
 
 // server is the scheduler's view of one backend server. Each placement is
@@ -129,12 +134,13 @@
 func (s *server) start(now Time, svc *service, r *Request) *run {
 	p := s.predict(now, svc, r)
 	s.prefillFreeAt = max(s.prefillFreeAt, now) + p.prefill
+	s.noteBeside(now)
 	s.running++
 	reservedTokens := r.PromptTokens + r.OutputTokens
 	s.reservedTokens += reservedTokens
 	s.cache.use(now, r.PromptParts)
 	s.idleConnections.acquire(r.Holder)
-	placed := &run{req: r, server: s, placed: now, predictedFirst: p.first, predictedEnd: now + min(p.total, maxPredictedTime), reservedTokens: reservedTokens}
+	placed := &run{req: r, server: s, placed: now, predictedFirst: p.first, predictedEnd: now + min(p.total, maxPredictedTime), reservedTokens: reservedTokens, prefillEnd: s.prefillFreeAt}
 	s.runs = append(s.runs, placed)
 	return placed
 }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -140,6 +140,14 @@
 	Result     Result
 	FirstEvent time.Duration // from dispatch to the first event, 0 if unknown
 	TokenTime  time.Duration // time per output token, 0 if unknown
+	LongestGap time.Duration // between two events of the run, 0 if unknown
+}
+
+// RunTimes are the times that a holder observes of a run, 0 where unknown.
+type RunTimes struct {
+	FirstEvent time.Duration // from dispatch to the first event
+	TokenTime  time.Duration // per output token
+	LongestGap time.Duration // between two events
 }
 
 // AdoptedRun is an unfinished run that another scheduler placed.
