--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -63,3 +63,36 @@
 		finish(s, now, id, OK)
 	}
 }
+
+// BenchmarkPauseModel measures submitting, placing and finishing one stream with a limit of pauses, by
+// the pending prefill and with the pause model.
+func BenchmarkPauseModel(b *testing.B) {
+	for _, waiting := range []int{0, 1000} {
+		for _, learn := range []bool{false, true} {
+			b.Run(fmt.Sprintf("waiting=%d/learn=%t", waiting, learn), func(b *testing.B) {
+				s := newScheduler(90, 6)
+				s.policy.LearnPauses = learn
+				next := uint64(0)
+				now := Time(0)
+				submit := func() {
+					next++
+					r := stream(next, now, int(next%3))
+					r.Deadline, r.LatencyTarget, r.MaxPause = time.Hour, time.Hour, 300*ms
+					s.Submit(now, r)
+				}
+				for range 90*6 + waiting {
+					submit()
+				}
+				running := uint64(1)
+				for b.Loop() {
+					now += time.Millisecond
+					submit()
+					for s.runs[Key{Holder: 1, ID: running}] == nil {
+						running = running%next + 1
+					}
+					s.Finish(now, Outcome{Key: Key{Holder: 1, ID: running}, Result: OK, LongestGap: 40 * ms})
+				}
+			})
+		}
+	}
+}
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -89,6 +89,9 @@
 	// LearnPauses limits the pauses of streams by what holders observe rather than by the time of the
 	// entire pending prefill; see pauses.go.
 	LearnPauses bool
+	// SteadyPrefillRatio limits the rate at which the prefill ratio of a service changes, however
+	// many samples arrive; see prefillratio.go.
+	SteadyPrefillRatio bool
 	// AccountShares orders the waiting requests of a priority by fair shares of their accounts;
 	// see shares.go. QuotaWeights weights the shares by the accounts' quotas.
 	AccountShares bool
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -49,8 +49,9 @@
 	recurrentPlacedAt Time             // when a recurrent suspect was last placed; see suspects.go
 	// prefillRatio is the time that an engine takes to prefill one prompt token, as a
 	// fraction of the time to generate one.
-	prefillRatio float64
-	pauses       pauseModel
+	prefillRatio   float64
+	prefillRatioAt Time // of the newest sample
+	pauses         pauseModel
 }
 
 // Share is the share of the resources that a scheduler may use: all of them at the
@@ -297,7 +298,7 @@
 	if o.FirstEvent == 0 || o.Result.Lost() {
 		return
 	}
-	svc.learnPrefillRatio(r, o.FirstEvent)
+	svc.learnPrefillRatio(now, s.policy.SteadyPrefillRatio, r, o.FirstEvent)
 	if o.Result != OK {
 		return
 	}
--- a/internal/sched/settings.go
+++ b/internal/sched/settings.go
@@ -96,6 +96,7 @@
 		onOff("handovers", "servers of plain services get extra placements to cover the time of handovers", func(p *Policy) *bool { return &p.Handovers }),
 		duration("time-out", time.Minute, "0", "length of the first ejection of a server that does not answer", func(p *Policy) *time.Duration { return &p.EjectionTime }),
 		onOff("pause-model", "pauses of streams beside a prompt are predicted from those that holders observe", func(p *Policy) *bool { return &p.LearnPauses }),
+		onOff("prefill-steady", "the learned time to prefill a prompt changes by a limited rate, however many answers arrive", func(p *Policy) *bool { return &p.SteadyPrefillRatio }),
 		onOff("account-shares", "the accounts of a priority share the servers' time fairly while requests wait", func(p *Policy) *bool { return &p.AccountShares }),
 		onOff("share-weights", "the shares of accounts are weighted by their quotas", func(p *Policy) *bool { return &p.QuotaWeights }),
 		onOff("live-load", "placements follow the load that servers report", func(p *Policy) *bool { return &p.LiveLoad }),
