--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,6 +76,7 @@
 	leaving atomic.Bool  // answers close their connections
 	closed  atomic.Bool  // new requests are refused
 	active  atomic.Int64 // requests without a final answer
+	pauses  hostPauses
 }
 
 // NewHandler returns a handler for callers.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -55,7 +55,7 @@
 			complete := bytes.LastIndex(buf, endOfEvent) + len(endOfEvent)
 			if complete >= len(endOfEvent) {
 				arrived := time.Now()
-				t.gaps.record(arrived)
+				t.gaps.record(arrived, &x.h.pauses)
 				if werr := x.forwardEvents(resp, buf[:complete]); werr != nil {
 					return t.handleLost(ctx, werr)
 				}
@@ -94,16 +94,16 @@
 // measured. Until the write ends, the next events are not read.
 const maxWriteTime = 10 * time.Millisecond
 
-// gapMeter measures the longest gap between two events of a run. Gaps for which the caller is the
-// cause, because it was slow to read, are left out.
+// gapMeter measures the longest gap between two events of a run. Gaps for which the server is not the
+// cause are left out: those in which the caller was slow to read, or this host was paused.
 type gapMeter struct {
 	previous time.Time // arrival of the previous event, zero if the next gap isn't measured
 	longest  time.Duration
 }
 
 // record notes the arrival of events.
-func (g *gapMeter) record(at time.Time) {
-	if !g.previous.IsZero() {
+func (g *gapMeter) record(at time.Time, pauses *hostPauses) {
+	if !g.previous.IsZero() && !pauses.pausedBetween(g.previous, at) {
 		g.longest = max(g.longest, at.Sub(g.previous))
 	}
 	g.previous = at
--- a/internal/sched/pauses_load_test.go
+++ b/internal/sched/pauses_load_test.go
@@ -58,8 +58,12 @@
 	stepping map[string]bool
 	open     map[uint64]*pauseRequest
 	period   time.Duration // between two samples
-	next     uint64
-	rate     float64 // requests a second
+
+	holderPause time.Duration // of the first of ten holders
+	pausesEvery time.Duration // between the starts of two pauses
+	learnedAt   Time          // when a bound was first known
+	next        uint64
+	rate        float64 // requests a second
 
 	asked, answered, onTime, lost int
 	paused                        int // answered with a pause beyond the limit
@@ -85,6 +89,7 @@
 	events    int
 	firstAt   Time
 	lastAt    Time
+	arrivesAt Time // of the newest event that is on its way or was read
 	longest   time.Duration
 }
 
@@ -187,12 +192,23 @@
 			if ev.Ended {
 				d.inFlight++
 			}
-			d.at(now+networkTime, func(now Time) { d.deliver(now, ev) })
+			d.at(d.arrival(now+networkTime, ev.ID), func(now Time) { d.deliver(now, ev) })
 		}
 		d.step(server)
 	})
 }
 
+// arrival returns when an event that reaches its holder at a time is read there. While a holder is
+// paused, it reads nothing. Events of a stream are read in order.
+func (d *pauseLoad) arrival(t Time, id uint64) Time {
+	r := d.open[id]
+	if r.Holder == 1 && d.holderPause > 0 {
+		t += max(0, d.holderPause-(t+d.pausesEvery/2)%d.pausesEvery)
+	}
+	r.arrivesAt = max(t, r.arrivesAt+time.Nanosecond)
+	return r.arrivesAt
+}
+
 func (d *pauseLoad) deliver(now Time, ev emulator.Event) {
 	r := d.open[ev.ID]
 	if r.events++; r.events == 1 {
@@ -223,6 +239,9 @@
 		o.TokenTime = (now - r.firstAt) / time.Duration((r.events-1)*d.s.services[engine].Stride)
 	}
 	d.apply(now, d.s.Finish(now, o))
+	if d.learnedAt == 0 && d.s.services[engine].pauses.bound > 0 {
+		d.learnedAt = now
+	}
 }
 
 // sample records the slots in use, and how long a slot has been idle that a waiting request may take.
@@ -299,8 +318,8 @@
 func (d *pauseLoad) meanWaiting() float64 { return d.waited / float64(d.samples) }
 
 func (d *pauseLoad) String() string {
-	return fmt.Sprintf("used %.3f waiting %.0f asked %d answered %d on time %d %v paused %d lost %d longest idle %v in flight %.3f kept %v; model %+v prefill ratio 1/%.0f to 1/%.0f",
-		d.usedShare(), d.meanWaiting(), d.asked, d.answered, d.onTime, d.onTimeBy, d.paused, d.lost, d.longestIdle, d.flying/float64(d.samples), d.keptBy, d.s.PauseStats(), 1/slices.Min(d.ratios), 1/slices.Max(d.ratios))
+	return fmt.Sprintf("used %.3f waiting %.0f asked %d answered %d on time %d %v paused %d lost %d longest idle %v learned at %v in flight %.3f kept %v; model %+v prefill ratio 1/%.0f to 1/%.0f",
+		d.usedShare(), d.meanWaiting(), d.asked, d.answered, d.onTime, d.onTimeBy, d.paused, d.lost, d.longestIdle, d.learnedAt, d.flying/float64(d.samples), d.keptBy, d.s.PauseStats(), 1/slices.Min(d.ratios), 1/slices.Max(d.ratios))
 }
 
 // played are the loads that were played. Several specs compare with the same one.
@@ -341,6 +360,7 @@
 
 			with := playPauses(seed, nominalEngine(), "pause-model=1", rate)
 			Expect(with.meanWaiting()).To(BeNumerically(">", 500))
+			Expect(with.learnedAt).To(BeNumerically("<", sampledFrom))
 			Expect(with.usedShare()).To(BeNumerically(">", 0.9))
 			Expect(with.paused).To(BeNumerically("<=", without.paused))
 			Expect(with.answered).To(BeNumerically(">", without.answered))
@@ -358,6 +378,37 @@
 		Expect(d.longestIdle).To(BeNumerically("<=", 20*ms))
 	})
 
+	// Holders leave out their own pauses, but not those of the link to a server. Guards against a
+	// bound that is raised by gaps which one of ten holders reports for all its streams, up to 400 ms
+	// and 4 to 8 event times more than the engines cause.
+	It("doesn't learn the pause of a link", func() {
+		for _, policy := range []string{"pause-model=1", "pause-model=1,prefill-steady=1"} {
+			without := playPauses(1, nominalEngine(), policy, rate)
+			d := newPauseLoad(1, nominalEngine(), policy, rate)
+			d.holderPause, d.pausesEvery = 400*ms, 5*time.Second
+			d.run()
+			fmt.Fprintf(GinkgoWriter, "paused link %q: %v\n", policy, d)
+			Expect(d.paused).To(BeNumerically(">", 50), "streams over the link")
+			Expect(d.usedShare()).To(BeNumerically(">", 0.9))
+			Expect(d.s.services[engine].pauses.bound).To(BeNumerically("<", 1.5*without.s.services[engine].pauses.bound))
+		}
+	})
+
+	// With a pause in every second, too many gaps are false for a bound, and the entire pending
+	// prefill counts as one pause again. Callers must not be worse off than without the model, but
+	// for the tenth of the streams that the link itself pauses.
+	It("falls back to the rule by the pending prefill if a link pauses in every second", func() {
+		for _, steady := range []string{"", "prefill-steady=1"} {
+			without := playPauses(1, nominalEngine(), steady, rate)
+			d := newPauseLoad(1, nominalEngine(), "pause-model=1,"+steady, rate)
+			d.holderPause, d.pausesEvery = 400*ms, time.Second
+			d.run()
+			fmt.Fprintf(GinkgoWriter, "link paused in every second %q: %v\n", steady, d)
+			Expect(d.answered).To(BeNumerically(">", 0.95*float64(without.answered)))
+			Expect(d.onTime).To(BeNumerically(">", 0.9*float64(without.onTime)))
+		}
+	})
+
 	// Shows which rules keep slots idle while requests wait. Only the limit of pauses keeps more
 	// than one slot in a hundred idle, because of the pending prefill and because the prefill ratio
 	// that predicts it is learned unsteadily. Without the limit the others keep none: requests that
