--- a/internal/sched/pauses_load_test.go
+++ b/internal/sched/pauses_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -59,6 +60,7 @@
 	open     map[uint64]*pauseRequest
 	period   time.Duration // between two samples
 
+	configure   func(now Time, s *Scheduler)
 	holderPause time.Duration // of the first of ten holders
 	pausesEvery time.Duration // between the starts of two pauses
 	learnedAt   Time          // when a bound was first known
@@ -86,6 +88,7 @@
 	submitted Time // the caller's first attempt
 	retried   bool
 	placedAt  Time
+	server    string
 	events    int
 	firstAt   Time
 	lastAt    Time
@@ -100,14 +103,17 @@
 		s: New(p), rng: rand.New(rand.NewPCG(seed, 11)), engines: map[string]*emulator.Engine{}, stepping: map[string]bool{},
 		open: map[uint64]*pauseRequest{}, rate: rate, period: tickPeriod, idleSince: map[string]Time{}, placedAt: map[string]Time{}, keptBy: map[string]int{},
 	}
-	d.s.SetServices(0, []Service{{Name: engine, Engine: true, KVTokens: 60_000, Stride: spec.TokensPerEvent}})
 	var list []Server
 	for i := range pauseEngines {
 		id := fmt.Sprintf("e%02d", i)
 		d.engines[id] = emulator.New(spec.Slower([]float64{1 / 0.6, 1 / 1.7}[i%2]))
 		list = append(list, Server{ID: id, Service: engine, Slots: spec.Slots})
 	}
-	d.s.SetServers(0, list)
+	d.configure = func(now Time, s *Scheduler) {
+		s.SetServices(now, []Service{{Name: engine, Engine: true, KVTokens: 60_000, Stride: spec.TokensPerEvent}})
+		s.SetServers(now, list)
+	}
+	d.configure(0, d.s)
 	return d
 }
 
@@ -160,7 +166,7 @@
 	for _, o := range out {
 		r := d.open[o.ID]
 		if o.Reason == 0 {
-			r.placedAt, d.placedAt[o.Server] = now, now
+			r.placedAt, d.placedAt[o.Server], r.server = now, now, o.Server
 			d.inFlight++
 			d.at(now+networkTime, func(now Time) {
 				d.inFlight--
@@ -244,6 +250,32 @@
 	}
 }
 
+// replaceHome lets another scheduler take over. The holders report their runs and submit the other
+// requests again.
+func (d *pauseLoad) replaceHome(now Time, withEstimates bool) {
+	old := d.s
+	d.s = New(old.policy)
+	d.configure(now, d.s)
+	d.s.ImportLearned(now, old.Learned())
+	if withEstimates {
+		d.s.ImportPauses(now, old.LearnedPauses())
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.open)) {
+		if r := d.open[id]; r.server != "" {
+			d.s.Adopt(now, AdoptedRun{
+				Key: r.Key, Service: engine, Server: r.server, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
+				Elapsed: now - r.placedAt, MaxPause: r.MaxPause,
+			})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.open)) {
+		if r := d.open[id]; r != nil && r.server == "" {
+			out, _ := d.s.Submit(now, r.Request)
+			d.apply(now, out)
+		}
+	}
+}
+
 // sample records the slots in use, and how long a slot has been idle that a waiting request may take.
 func (d *pauseLoad) sample(now Time) {
 	svc := d.s.services[engine]
@@ -409,6 +441,27 @@
 		}
 	})
 
+	// Guards against a successor that starts without the bound: it would leave slots idle until it has
+	// learned. Without the estimates it still learns within 2.5 s.
+	It("has a bound at once after the home was lost if the successor got the estimates", func() {
+		const lostAt = 4 * time.Second
+		for _, withEstimates := range []bool{true, false} {
+			d := newPauseLoad(1, nominalEngine(), "pause-model=1,prefill-steady=1", rate)
+			known := false
+			d.at(lostAt, func(now Time) {
+				d.replaceHome(now, withEstimates)
+				known = len(d.s.LearnedPauses()) == 1
+				d.learnedAt = 0
+			})
+			d.run()
+			fmt.Fprintf(GinkgoWriter, "home lost, estimates %t: %v\n", withEstimates, d)
+			Expect(known).To(Equal(withEstimates))
+			Expect(d.learnedAt).To(BeNumerically("<", lostAt+2500*ms))
+			Expect(d.usedShare()).To(BeNumerically(">", 0.9))
+			Expect(d.paused).To(BeZero())
+		}
+	})
+
 	// Shows which rules keep slots idle while requests wait. Only the limit of pauses keeps more
 	// than one slot in a hundred idle, because of the pending prefill and because the prefill ratio
 	// that predicts it is learned unsteadily. Without the limit the others keep none: requests that
