--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,8 @@
 	// RecordOutput sets how many output tokens the run has generated. It must be called before
 	// Finish to count.
 	RecordOutput(id uint64, tokens int)
+	// FinishStream is Finish with all times that were observed of a stream's run.
+	FinishStream(id uint64, result sched.Result, t sched.RunTimes)
 	// RecordServerFault reports that a server failed a request which another server then
 	// answered.
 	RecordServerFault(server string)
@@ -91,6 +93,7 @@
 	closed  atomic.Bool  // new requests are refused
 	active  atomic.Int64 // requests without a final answer
 	bytes   atomic.Int64 // of bodies of requests and answers that were forwarded
+	pauses  hostPauses
 }
 
 // NewHandler returns a handler for callers.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -62,6 +62,7 @@
 	n.tasks.Go(func() { n.loop.Run(run) })
 	n.tasks.Go(func() { n.follower.Run(run) })
 	n.tasks.Go(func() { n.home.SendEstimates(run) })
+	n.tasks.Go(func() { n.entry.WatchPauses(run) })
 	n.tasks.Go(func() { n.join(run) })
 	n.tasks.Go(func() { n.quarantined.run(run) })
 	n.tasks.Go(func() { n.rollouts.run(run) })
@@ -286,6 +287,13 @@
 		gauge("returns.kept", int64(forecasts.Kept))
 		gauge("returns.early", int64(forecasts.Early))
 		gauge("returns.late", int64(forecasts.Late))
+		for _, p := range s.PauseStats() {
+			prefix := "pauses." + p.Service
+			gauge(prefix+".bound_permille", int64(1000*p.Bound))
+			gauge(prefix+".classes_learned", int64(p.Classes))
+			gauge(prefix+".runs_learned", p.Samples)
+			gauge(prefix+".runs_ignored", p.Ignored)
+		}
 		for _, status := range s.Rollouts() {
 			prefix := "rollout." + status.Order.Service + "." + status.Order.To
 			gauge(prefix+".requests_to_service", int64(status.Reached))
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -142,6 +142,14 @@
 	TokenTime  time.Duration // time per output token, 0 if unknown
 	// OutputTokens is how many output tokens the run has generated, 0 if unknown.
 	OutputTokens int
+	LongestGap   time.Duration // between two events of the run, 0 if unknown
+}
+
+// RunTimes are the times that a holder observes of a run, 0 where unknown.
+type RunTimes struct {
+	FirstEvent time.Duration // from dispatch to the first event
+	TokenTime  time.Duration // per output token
+	LongestGap time.Duration // between two events
 }
 
 // AdoptedRun is an unfinished run that another scheduler placed.
