--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -108,8 +108,6 @@
 	server   string
 	done     chan sched.Decision
 	revoke   func(*Refused) // called when the placement is revoked, may be nil
-	// outputTokens is how many output tokens the run has generated, 0 if unknown.
-	outputTokens int
 }
 
 // Client requests placements on behalf of this host, from the home (the host that runs the
@@ -219,33 +217,22 @@
 	})
 }
 
-// RecordOutput sets how many output tokens the run of a placement has generated. Finish reports
-// it to the scheduler.
-func (c *Client) RecordOutput(id uint64, tokens int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if p := c.pending[id]; p != nil {
-		p.outputTokens = tokens
-	}
-}
-
 // Finish reports how the run of a placement ended, or, with the results Progress and Stalled,
 // the state of a run that continues. timeToFirst is the time from dispatch to the first
 // event and tokenInterval the time per output token; both are 0 if unknown.
 func (c *Client) Finish(id uint64, result sched.Result, timeToFirst, tokenInterval time.Duration) {
-	c.FinishStream(id, result, sched.RunTimes{FirstEvent: timeToFirst, TokenTime: tokenInterval})
+	c.FinishStream(id, result, sched.RunReport{FirstEvent: timeToFirst, TokenTime: tokenInterval})
 }
 
-// FinishStream is Finish for the run of a stream, with all times that were observed.
-func (c *Client) FinishStream(id uint64, result sched.Result, t sched.RunTimes) {
-	o := sched.Outcome{Key: sched.Key{Holder: uint64(c.self), ID: id}, Result: result, FirstEvent: t.FirstEvent, TokenTime: t.TokenTime, LongestGap: t.LongestGap}
+// FinishStream is Finish for the run of a stream, with all that was observed.
+func (c *Client) FinishStream(id uint64, result sched.Result, t sched.RunReport) {
+	o := sched.Outcome{Key: sched.Key{Holder: uint64(c.self), ID: id}, Result: result, FirstEvent: t.FirstEvent, TokenTime: t.TokenTime, LongestGap: t.LongestGap, OutputTokens: t.OutputTokens}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pending[id]
 	if p == nil {
 		return
 	}
-	o.OutputTokens = p.outputTokens
 	if result != sched.Progress && result != sched.Stalled {
 		delete(c.pending, id)
 	}
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -27,8 +27,7 @@
 		c.deliver([]sched.Decision{{Key: sched.Key{Holder: self, ID: 1}, Server: "a", Address: "a"}}, l)
 		p := <-done
 		l.out.Drain(nil)
-		c.RecordOutput(p.ID, 35)
-		c.Finish(p.ID, sched.OK, time.Millisecond, 0)
+		c.FinishStream(p.ID, sched.OK, sched.RunReport{FirstEvent: time.Millisecond, OutputTokens: 35})
 		o := decodeOutcome(self, l.out.Drain(nil)[0].Outcomes[0])
 		Expect(o.OutputTokens).To(Equal(35))
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,11 +27,8 @@
 	// Finish reports how the run of a placement ended, or the progress of a run that
 	// continues.
 	Finish(id uint64, result sched.Result, timeToFirst, tokenTime time.Duration)
-	// RecordOutput sets how many output tokens the run has generated. It must be called before
-	// Finish to count.
-	RecordOutput(id uint64, tokens int)
-	// FinishStream is Finish with all times that were observed of a stream's run.
-	FinishStream(id uint64, result sched.Result, t sched.RunTimes)
+	// FinishStream is Finish with all that was observed of a stream's run.
+	FinishStream(id uint64, result sched.Result, t sched.RunReport)
 	// RecordServerFault reports that a server failed a request which another server then
 	// answered.
 	RecordServerFault(server string)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -57,7 +57,7 @@
 				arrived := time.Now()
 				t.gaps.record(arrived, &x.h.pauses)
 				if werr := x.forwardEvents(resp, buf[:complete]); werr != nil {
-					x.h.Placer.RecordOutput(t.placement.ID, (x.stream.events-earlierEvents)*tokensPerEvent)
+					t.outputTokens = (x.stream.events - earlierEvents) * tokensPerEvent
 					return t.handleLost(ctx, werr)
 				}
 				buf = append(buf[:0], buf[complete:]...)
@@ -78,7 +78,7 @@
 		if err == nil {
 			continue
 		}
-		x.h.Placer.RecordOutput(t.placement.ID, (x.stream.events-earlierEvents)*tokensPerEvent)
+		t.outputTokens = (x.stream.events - earlierEvents) * tokensPerEvent
 		if !errors.Is(err, io.EOF) {
 			return t.handleLost(ctx, err)
 		}
@@ -87,7 +87,7 @@
 		if !firstAt.IsZero() {
 			perToken = tokenTime(time.Since(firstAt), x.stream.events-earlierEvents, tokensPerEvent)
 		}
-		x.h.Placer.FinishStream(t.placement.ID, sched.OK, sched.RunTimes{FirstEvent: t.timeToFirst, TokenTime: perToken, LongestGap: t.gaps.longest})
+		x.h.Placer.FinishStream(t.placement.ID, sched.OK, sched.RunReport{FirstEvent: t.timeToFirst, TokenTime: perToken, LongestGap: t.gaps.longest, OutputTokens: t.outputTokens})
 		return x.endStream(resp, buf)
 	}
 }
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -58,6 +58,7 @@
 	stopCallerWatch func() bool // stops closing conn when the caller leaves or the deadline passes
 	sent            time.Time
 	timeToFirst     time.Duration     // to the first event or the complete answer
+	outputTokens    int               // of a stream whose run has ended
 	gaps            gapMeter          // between the events of a stream
 	stallTimer      *time.Timer       // runs the stall check; nil for plain calls
 	phase           atomic.Int32      // inProgress, then stalled, revoked or ended
@@ -300,7 +301,7 @@
 		x.h.Pool.CloseIdle(t.server())
 	}
 	if x.r.Context().Err() != nil {
-		x.h.Placer.FinishStream(t.placement.ID, sched.CallerLeft, sched.RunTimes{LongestGap: t.gaps.longest})
+		x.h.Placer.FinishStream(t.placement.ID, sched.CallerLeft, sched.RunReport{LongestGap: t.gaps.longest, OutputTokens: t.outputTokens})
 		x.recordEvent(event.RequestLeft, "while the request ran")
 		return done
 	}
@@ -309,7 +310,7 @@
 		if x.stream.events == 0 {
 			result = sched.Broken // nothing arrived before the deadline
 		}
-		x.h.Placer.FinishStream(t.placement.ID, result, sched.RunTimes{LongestGap: t.gaps.longest})
+		x.h.Placer.FinishStream(t.placement.ID, result, sched.RunReport{LongestGap: t.gaps.longest, OutputTokens: t.outputTokens})
 		x.tried = append(x.tried, t.placement.Server)
 		x.giveUp(ctx, context.DeadlineExceeded)
 		return done
@@ -348,12 +349,13 @@
 // has ended: the address of an ended process refuses new connections at once. It runs in
 // its own goroutine so that the caller does not wait for it.
 func (t *attempt) reportBroken() {
-	x, ran, timeToFirst := t.x, time.Since(t.sent), t.timeToFirst
+	x, ran := t.x, time.Since(t.sent)
+	report := sched.RunReport{FirstEvent: t.timeToFirst, OutputTokens: t.outputTokens}
 	if !upstream.RefusesConnections(t.placement.Address, stallDialTimeout) {
-		x.h.Placer.Finish(t.placement.ID, sched.Broken, timeToFirst, 0)
+		x.h.Placer.FinishStream(t.placement.ID, sched.Broken, report)
 		return
 	}
-	x.h.Placer.Finish(t.placement.ID, sched.ServerEnded, timeToFirst, 0)
+	x.h.Placer.FinishStream(t.placement.ID, sched.ServerEnded, report)
 	x.h.Meter.ServerEnded()
 	x.h.Events.Record(event.ServerEnded, event.Fields{
 		Request: x.head.ID, Service: x.service, Server: t.placement.Server,
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -145,11 +145,12 @@
 	LongestGap   time.Duration // between two events of the run, 0 if unknown
 }
 
-// RunTimes are the times that a holder observes of a run, 0 where unknown.
-type RunTimes struct {
-	FirstEvent time.Duration // from dispatch to the first event
-	TokenTime  time.Duration // per output token
-	LongestGap time.Duration // between two events
+// RunReport is what a holder observes of a stream's run, 0 where unknown.
+type RunReport struct {
+	FirstEvent   time.Duration // from dispatch to the first event
+	TokenTime    time.Duration // per output token
+	LongestGap   time.Duration // between two events
+	OutputTokens int           // that the run has generated
 }
 
 // AdoptedRun is an unfinished run that another scheduler placed.
