--- a/internal/sched/requirements.go
+++ b/internal/sched/requirements.go
@@ -32,8 +32,8 @@
 	}
 	p := fastest.predictIdle(now, svc, r)
 	reqs := requirements{byDeadline: now+p.total <= r.Deadline}
-	// Without reports all servers of a plain service are taken to be equally fast.
-	if svc.Engine || s.policy.LiveLoad {
+	// Unless they state otherwise, all servers of a plain service are taken to be equally fast.
+	if svc.Engine || svc.statesSlowdown {
 		reqs.byTarget = s.policy.WaitForLatencyTarget && now+p.first <= r.LatencyTarget
 	}
 	if svc.Engine {
--- a/internal/sched/returns.go
+++ b/internal/sched/returns.go
@@ -34,9 +34,6 @@
 	// slowest servers take nearly three times as long as typical ones. With 1.25, 0.008 of the requests of a
 	// kind ended after their deadlines.
 	runTimeMargin = 3
-	// keptWaitShare is the fraction of its time that a caller who kept to its moment may wait. One that
-	// isn't served is told so while half of its time is left.
-	keptWaitShare = 0.5
 	// honoredShare is the fraction of their remaining time for which callers honor a Retry-After.
 	honoredShare = 1.0 / 3
 )
@@ -203,12 +200,10 @@
 	}
 }
 
-// keptWait is how long w, which returned at its moment, may wait. Its caller has no other attempt, so no
-// time is left for one.
-func (s *Scheduler) keptWait(svc *service, w *waiting) time.Duration {
-	left := w.Deadline - w.Arrived
-	run := time.Duration(runTimeMargin * float64(svc.runTime(&w.Request)))
-	return min(left-run, time.Duration(float64(left)*keptWaitShare))
+// lastUsefulStart is until when w, which returned at its moment, may wait: its caller has no other
+// attempt, so only the time for its run is kept.
+func (s *Scheduler) lastUsefulStart(svc *service, w *waiting) Time {
+	return w.Deadline - time.Duration(runTimeMargin*float64(svc.runTime(&w.Request)))
 }
 
 // runTime is how long r takes at an engine of typical speed without other load.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -62,6 +62,7 @@
 	// prefillRatio is the time that an engine takes to prefill one prompt token, as a
 	// fraction of the time to generate one.
 	prefillRatio   float64
+	statesSlowdown bool // a server has stated how long work takes there; see serverload.go
 	prefillRatioAt Time // of the newest sample
 	pauses         pauseModel
 	forecast       serviceForecast
--- a/internal/sched/serverload.go
+++ b/internal/sched/serverload.go
@@ -135,7 +135,13 @@
 			srv.load = &serverLoad{own: ownPeak{since: now, previous: srv.running, current: srv.running}}
 		}
 		wasSlowed := srv.slowdown(now) >= slowedRatio
-		others := r.Requests() - srv.load.own.max(now, srv.running)
+		others := 0
+		if r.Slowdown > 0 { // only such servers share their machines
+			others = r.Requests() - srv.load.own.max(now, srv.running)
+			if srv.serving != nil {
+				srv.serving.statesSlowdown = true
+			}
+		}
 		if !srv.load.state.Learn(now, now-max(0, r.Age), r.Report, others, srv.Slots) {
 			continue
 		}
