--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -307,7 +307,7 @@
 	}
 	maxWait = time.Duration(float64(w.Deadline-since) * s.policy.MaxWaitShare)
 	if w.returned == returnKept {
-		maxWait = max(maxWait, s.lastUsefulStart(svc, w)-since)
+		maxWait = max(maxWait, s.keptWait(svc, w))
 	}
 	if w.CallerTimeoutAt > 0 {
 		maxWait = min(maxWait, w.CallerTimeoutAt-svc.timeToFirstEvent.upperBound()-callerTimeoutMargin-since)
--- a/internal/sched/returns.go
+++ b/internal/sched/returns.go
@@ -34,6 +34,9 @@
 	// slowest servers take nearly three times as long as typical ones. With 1.25, 0.008 of the requests of a
 	// kind ended after their deadlines.
 	runTimeMargin = 3
+	// keptWaitShare is the fraction of its time that a caller who kept to its moment may wait if no forecast
+	// has admitted it: one that isn't served is told so while half of its time is left.
+	keptWaitShare = 0.5
 	// honoredShare is the fraction of their remaining time for which callers honor a Retry-After.
 	honoredShare = 1.0 / 3
 )
@@ -200,10 +203,15 @@
 	}
 }
 
-// lastUsefulStart is until when w, which returned at its moment, may wait: its caller has no other
-// attempt, so only the time for its run is kept.
-func (s *Scheduler) lastUsefulStart(svc *service, w *waiting) Time {
-	return w.Deadline - time.Duration(runTimeMargin*float64(svc.runTime(&w.Request)))
+// keptWait is how long w, which returned at its moment, may wait. Its caller has no other attempt, so only
+// the time for its run is kept.
+func (s *Scheduler) keptWait(svc *service, w *waiting) time.Duration {
+	left := w.Deadline - w.Arrived
+	wait := left - time.Duration(runTimeMargin*float64(svc.runTime(&w.Request)))
+	if !s.policy.ForecastAdmission {
+		wait = min(wait, time.Duration(float64(left)*keptWaitShare))
+	}
+	return wait
 }
 
 // runTime is how long r takes at an engine of typical speed without other load.
