--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -58,6 +58,9 @@
 	return defaultLength
 }
 
+// overloadPolicy switches on the decisions under overload that are off by default.
+const overloadPolicy = "prefill-steady=1,pause-model=1,account-shares=1,live-load=1,admission-forecast=1,return-booking=1"
+
 // soak injects random faults into a site, drawn from a seed. A lasting fault ends by itself or
 // is undone after later ones have begun, so faults overlap.
 type soak struct {
@@ -87,6 +90,7 @@
 	{"change quotas and keys", (*soak).changeAccounts},
 	{"make a server misbehave", (*soak).addServerFault},
 	{"have a server send a notice", (*soak).addServerNotice},
+	{"slow a server down", (*soak).slowServer},
 	{"replace a server", (*soak).replaceServer},
 	{"disturb connections", (*soak).disturbConnections},
 	{"disturb connections", (*soak).disturbConnections}, // twice, as it is the most common fault
@@ -229,6 +233,14 @@
 	return fmt.Sprintf("%s %+v", srv.Spec.ID, f)
 }
 
+// slowServer makes a server slow for about as long as a neighbor on its machine takes its processor.
+func (k *soak) slowServer() string {
+	srv := k.servers[k.rng.IntN(len(k.servers))]
+	factor := 2 + 8*k.rng.Float64()
+	srv.Slow(factor, 600*time.Millisecond)
+	return fmt.Sprintf("%s %.1f times", srv.Spec.ID, factor)
+}
+
 // addServerNotice has a server state a limit, or reject requests and ask for a backoff.
 func (k *soak) addServerNotice() string {
 	srv := k.servers[k.rng.IntN(len(k.servers))]
@@ -345,7 +357,7 @@
 		for _, seed := range soakSeeds() {
 			By(fmt.Sprint("seed ", seed))
 			k := &soak{rng: rand.New(rand.NewPCG(seed, 0))}
-			k.site = newSite(siteOptions{hosts: 4, engines: 3, apps: 3, proxied: true})
+			k.site = newSite(siteOptions{hosts: 4, engines: 3, apps: 3, proxied: true, policy: overloadPolicy})
 			k.duringLoad(8*time.Millisecond, func() {
 				time.Sleep(300 * time.Millisecond)
 				k.run(soakLength())
