--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -8,7 +8,18 @@
 
 // BenchmarkDecision measures submitting, placing and finishing one request, with different numbers
 // of servers and of waiting requests.
-func BenchmarkDecision(b *testing.B) {
+func BenchmarkDecision(b *testing.B) { benchmarkDecision(b, DefaultPolicy()) }
+
+// BenchmarkDecisionOverload is BenchmarkDecision with all decisions under overload switched on.
+func BenchmarkDecisionOverload(b *testing.B) {
+	p := DefaultPolicy()
+	if err := p.Set("prefill-steady=1,pause-model=1,account-shares=1,live-load=1,admission-forecast=1,return-booking=1"); err != nil {
+		b.Fatal(err)
+	}
+	benchmarkDecision(b, p)
+}
+
+func benchmarkDecision(b *testing.B, p Policy) {
 	for _, size := range []struct {
 		servers, waiting int
 		full             float64 // fraction of the slots that are in use
@@ -17,6 +28,7 @@
 	} {
 		b.Run(fmt.Sprintf("servers=%d/waiting=%d/full=%g", size.servers, size.waiting, size.full), func(b *testing.B) {
 			s := newScheduler(size.servers, 6)
+			s.policy = p
 			next := uint64(0)
 			submit := func() {
 				next++
