--- a/internal/dispatch/loads.go
+++ b/internal/dispatch/loads.go
@@ -37,8 +37,7 @@
 // RecordLoad processes the load report of a server in an answer that this host received.
 func (c *Client) RecordLoad(server string, r serverload.Report) {
 	now := time.Now()
-	first := c.loads.table.Update(now, server, r)
-	if !first || !c.loop.liveLoad {
+	if !c.loads.table.Update(now, server, r) || !c.loop.liveLoad {
 		return
 	}
 	c.loads.mu.Lock()
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -207,7 +207,9 @@
 	}
 	if resp.StatusCode != http.StatusMisdirectedRequest { // sent by another server incarnation
 		x.recordNotice(t.placement.Server, head.Notice)
-		x.recordLoad(t.placement.Server, head.Load)
+		if head.Signed || head.NotRun {
+			x.recordLoad(t.placement.Server, head.Load)
+		}
 	}
 	if head.NotRun {
 		return t.handleNotRun(resp, head.Notice.Backoff)
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -148,6 +148,7 @@
 	f.finish -= cost
 	s.leave(f, cost)
 	s.endBusyPeriod()
+	s.dropPassed()
 }
 
 // leave takes one waiting request out of a flow. The sum of costs is reset when it was the last
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -62,7 +62,9 @@
 	n.tasks.Go(func() { n.loop.Run(run) })
 	n.tasks.Go(func() { n.follower.Run(run) })
 	n.tasks.Go(func() { n.home.SendEstimates(run) })
-	n.tasks.Go(func() { n.entry.WatchPauses(run) })
+	if n.settings.Policy.LearnPauses {
+		n.tasks.Go(func() { n.entry.WatchPauses(run) })
+	}
 	n.tasks.Go(func() { n.join(run) })
 	n.tasks.Go(func() { n.quarantined.run(run) })
 	n.tasks.Go(func() { n.rollouts.run(run) })
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -19,6 +19,9 @@
 	for _, svc := range s.services {
 		svc.retryBudget.rescale(now, factor)
 	}
+	if s.share.Servers < 1 && share.Servers >= 1 {
+		s.loads.fullShareAt = now
+	}
 	s.share = share
 	for _, srv := range s.servers {
 		s.applyNotice(now, srv)
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -77,6 +77,20 @@
 	return waits
 }
 
+// find returns a waiting request, nil when it does not wait here.
+func (q *queue) find(k Key) (found *waiting) {
+	if !q.has(k) {
+		return nil
+	}
+	q.each(func(w *waiting) (drop, stop bool) {
+		if w.Key == k {
+			found = w
+		}
+		return false, found != nil
+	})
+	return found
+}
+
 // remove removes a request and returns it, nil when it does not wait here.
 func (q *queue) remove(k Key) *waiting {
 	if !q.has(k) {
--- a/internal/sched/returns.go
+++ b/internal/sched/returns.go
@@ -45,10 +45,11 @@
 type returnKind uint8
 
 const (
-	newArrival  returnKind = iota
-	returnKept             // at its booked moment
-	returnEarly            // before its booked moment
-	returnLate             // after it; otherwise an ordinary arrival
+	newArrival        returnKind = iota
+	returnKept                   // at its booked moment
+	returnEarly                  // before its booked moment
+	returnLate                   // after it; otherwise an ordinary arrival
+	returnWithoutRoom            // at its moment, for which no room was foreseen; otherwise an ordinary arrival
 )
 
 // calendar holds the work that is booked for each step of the near future.
@@ -174,8 +175,9 @@
 // A caller that keeps to its moment is ranked as of its first arrival. One that comes
 // earlier is ranked as of its moment, behind all that arrive until then, so it gains nothing over
 // one that waits. Its booking stays for another caller with an identical request, but frees its room.
-// A caller for which no room was foreseen is ranked as of its first arrival among those that can't be on
-// time: ahead of the new arrivals it would take the slots of requests that can still be on time.
+// A caller for which no room was foreseen keeps the latency target of its first attempt, whenever it comes.
+// That target has passed as a rule: served ahead of new arrivals, it would be late and make one of them
+// late as well.
 func (s *Scheduler) recognizeReturn(now Time, w *waiting) {
 	if !s.policy.BookReturns || !s.tracksForecasts() || w.Retry || !w.Fingerprint.Known() {
 		return
@@ -183,13 +185,13 @@
 	s.bookings.expire(now)
 	k, kind := s.bookings.find(w.Fingerprint, w.Arrived)
 	w.returned = kind
+	if k != nil && !k.hasRoom {
+		w.LatencyTarget = min(w.LatencyTarget, k.latencyTarget)
+	}
 	switch kind {
 	case returnKept:
 		s.forecastStats.Kept++
 		w.rankShift = k.arrived - w.Arrived
-		if !k.hasRoom {
-			w.LatencyTarget = min(w.LatencyTarget, k.latencyTarget)
-		}
 		s.bookings.remove(k)
 	case returnEarly:
 		s.forecastStats.Early++
@@ -203,6 +205,16 @@
 	}
 }
 
+// resubmits makes w, which replaces an earlier submission of the same attempt, the same return as that
+// one, whose booking has been used.
+func (w *waiting) resubmits(earlier *waiting) {
+	if earlier == nil || earlier.returned == newArrival {
+		return
+	}
+	w.returned, w.rankShift, w.notBefore = earlier.returned, earlier.rankShift, earlier.notBefore
+	w.LatencyTarget = min(w.LatencyTarget, earlier.LatencyTarget)
+}
+
 // keptWait is how long w, which returned at its moment, may wait. Its caller has no other attempt, so only
 // the time for its run is kept.
 func (s *Scheduler) keptWait(svc *service, w *waiting) time.Duration {
--- a/internal/sched/returns_test.go
+++ b/internal/sched/returns_test.go
@@ -48,6 +48,40 @@
 		Expect(since+maxWait).To(BeNumerically(">", r.Deadline-2*time.Second), "its caller has no other attempt")
 	})
 
+	// Those who kept to their moments would otherwise be late ones while those who came early or late
+	// counted as on time and went before them.
+	DescribeTable("without foreseen room has the latency target of its first attempt, whenever it comes",
+		func(arrived Time, kind returnKind) {
+			s := newScheduler(1, 6)
+			s.policy.BookReturns, s.policy.AccountShares = true, true
+			f := fingerprintOf(1)
+			s.bookings.add(&booking{fingerprint: f, calendar: &calendar{}, moment: time.Second, madeAt: 500 * ms, arrived: 400 * ms, latencyTarget: 900 * ms})
+			w := &waiting{Request: stream(1, arrived, 0)}
+			w.Fingerprint, w.Arrived, w.LatencyTarget = f, arrived, arrived+800*ms
+			s.recognizeReturn(arrived, w)
+			Expect(w.returned).To(Equal(kind))
+			Expect(w.LatencyTarget).To(Equal(900 * ms))
+		},
+		Entry("early", 800*ms, returnEarly),
+		Entry("at its moment", time.Second, returnKept),
+		Entry("late", 1500*ms, returnLate),
+	)
+
+	// A holder that lost its link submits its requests again. The booking has been used by then, and the
+	// caller would be an ordinary arrival with no attempt left.
+	It("stays a return when its holder submits it again", func() {
+		d, r, refusal := overloaded()
+		r = again(d, r, d.now+refusal.RetryAfter)
+		Expect(d.submit(r)).To(BeTrue())
+		before := *waitingIn(d, r.Key)
+		d.now += 20 * ms
+		Expect(d.submit(r)).To(BeTrue())
+		after := waitingIn(d, r.Key)
+		Expect(after.returned).To(Equal(returnKept))
+		Expect(after.rankShift).To(Equal(before.rankShift))
+		Expect(d.s.ForecastStats().Kept).To(Equal(1))
+	})
+
 	It("before its moment is ranked as of that moment, and refused until then", func() {
 		d, r, refusal := overloaded()
 		moment := d.now + refusal.RetryAfter
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -129,9 +129,12 @@
 // the earlier one.
 func (s *Scheduler) Submit(now Time, r Request) (out []Decision, waits bool) {
 	s.out = nil
-	s.discard(now, r.Key)
 	svc := s.services[r.Service]
 	w := &waiting{Request: r, submittedAt: now}
+	if svc != nil {
+		w.resubmits(svc.queue.find(r.Key))
+	}
+	s.discard(now, r.Key)
 	switch {
 	case svc == nil:
 		s.refuse(now, w, NoService, s.policy.RetryAfter)
@@ -154,7 +157,9 @@
 		pq.arrivalRate.add(now)
 	}
 	w.class = pq.sizeStats.classify(now, svc.work(&r))
-	s.recognizeReturn(now, w)
+	if w.returned == newArrival {
+		s.recognizeReturn(now, w)
+	}
 	s.forecastArrival(now, svc, pq, w)
 	w.rank = s.enterShares(now, svc, pq, w, s.rank(now, pq, w)+w.rankShift)
 	svc.queue.add(w)
--- a/internal/sched/serverload.go
+++ b/internal/sched/serverload.go
@@ -44,6 +44,7 @@
 // serverLoad is what is known of a server's load from its reports.
 type serverLoad struct {
 	state      serverload.State
+	usual      serverload.Usual // of an engine
 	own        ownPeak
 	triedAt    Time // when a request was last placed there
 	slowedAt   Time // of the last event about it
@@ -90,6 +91,7 @@
 // loads is what a scheduler keeps about the load reports of all servers.
 type loads struct {
 	now         Time      // of the last Tick or report
+	fullShareAt Time      // when this scheduler got the whole share of the servers
 	reduced     []*server // with fewer slots than listed
 	eventsSince Time      // beginning of the second in which events are counted
 	events      int
@@ -134,12 +136,15 @@
 		if srv.load == nil {
 			srv.load = &serverLoad{own: ownPeak{since: now, previous: srv.running, current: srv.running}}
 		}
-		wasSlowed := srv.slowdown(now) >= slowedRatio
+		wasSlowed := srv.load.state.Fresh(now) && srv.load.state.Stated() >= slowedRatio
 		others := 0
 		if r.Slowdown > 0 { // only such servers share their machines
-			others = r.Requests() - srv.load.own.max(now, srv.running)
-			if srv.serving != nil {
-				srv.serving.statesSlowdown = true
+			others = s.requestsOfOthers(now, srv, r)
+			if svc := srv.serving; svc != nil {
+				svc.statesSlowdown = true
+				if svc.Engine {
+					r.Slowdown = srv.load.usual.Relative(now-max(0, r.Age), r.Slowdown)
+				}
 			}
 		}
 		if !srv.load.state.Learn(now, now-max(0, r.Age), r.Report, others, srv.Slots) {
@@ -154,6 +159,16 @@
 	return slowed
 }
 
+// requestsOfOthers is how many requests at srv a report shows beyond those of this scheduler. It is unknown, and
+// 0, for a report that is older than the peak of the own runs, and until a new home has seen the reports of
+// a second: holders report their runs to it while it learns of the load.
+func (s *Scheduler) requestsOfOthers(now Time, srv *server, r serverload.Record) int {
+	if s.share.Servers < 1 || r.Age > ownPeakWindow || now-s.loads.fullShareAt < serverload.MaxAge {
+		return 0
+	}
+	return r.Requests() - srv.load.own.max(now, srv.running)
+}
+
 // mayRecordSlowed reports whether an event about a slowed server is due, and counts it. A host that
 // follows a home leaves the event to it.
 func (s *Scheduler) mayRecordSlowed(now Time, srv *server) bool {
@@ -344,11 +359,9 @@
 	if r.server.load == nil || now <= r.placed {
 		return 1
 	}
+	// A report that arrives after the placement of a run may change what was done before it.
 	done := r.server.load.state.Elapsed(now) - r.elapsedAtStart
-	if done <= 0 {
-		return 1
-	}
-	return float64(now-r.placed) / done
+	return serverload.Bounded(float64(now-r.placed) / max(1, done))
 }
 
 // disturbed reports whether the slowdown of a run's server changed after the run was placed.
--- a/internal/sched/shares.go
+++ b/internal/sched/shares.go
@@ -419,7 +419,7 @@
 				x.overSeen(now, w.Account)
 			}
 			w.rank = now + turn
-			if turn == 0 {
+			if turn == 0 && !e.queue.overQuota {
 				e.pending = false
 				x.pending--
 			}
--- a/internal/serverload/report.go
+++ b/internal/serverload/report.go
@@ -71,9 +71,12 @@
 	if r.Slowdown <= 0 || math.IsNaN(r.Slowdown) {
 		return 1
 	}
-	return min(maxSlowdown, max(minSlowdown, r.Slowdown))
+	return Bounded(r.Slowdown)
 }
 
+// Bounded returns a slowdown within the bounds of what is believed.
+func Bounded(slowdown float64) float64 { return min(maxSlowdown, max(minSlowdown, slowdown)) }
+
 // SlowdownAt is what the slowdown of a report of the given age counts as.
 func (r Report) SlowdownAt(age time.Duration) float64 {
 	return 1 + (r.slowdown()-1)*Weight(age)
--- a/internal/serverload/state.go
+++ b/internal/serverload/state.go
@@ -16,8 +16,6 @@
 	known   bool
 	elapsed float64 // integral of the server's speed until at, in nanoseconds at its usual speed
 
-	usual usualTime // that work takes at the server
-
 	firstSeen Time // when the oldest of the reports that show fewer free slots arrived
 	occupied  int  // the fewest slots that these reports show as not available
 }
@@ -30,10 +28,6 @@
 	if now-at >= MaxAge || s.known && at < s.at || !r.Valid() {
 		return false
 	}
-	if r.Slowdown > 0 {
-		s.usual.add(at, r.Slowdown)
-		r.Slowdown /= s.usual.value()
-	}
 	occupied := max(0, others)
 	if r.Slots > 0 {
 		occupied += max(0, listedSlots-r.Slots)
@@ -67,7 +61,7 @@
 // At is when the newest report was received.
 func (s *State) At() Time { return s.at }
 
-// Report returns the newest report, with the slowdown relative to the usual one of the server.
+// Report returns the newest report.
 func (s *State) Report() Report { return s.report }
 
 // Slowdown is how long work is taken to last there now, as a multiple of the usual time.
--- a/internal/serverload/table.go
+++ b/internal/serverload/table.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -75,7 +76,8 @@
 		return
 	}
 	t.prunedAt = now
-	maps.DeleteFunc(t.servers, func(_ string, e *entry) bool { return now.Sub(e.newest.At) > retention && !e.queued })
+	maps.DeleteFunc(t.servers, func(_ string, e *entry) bool { return now.Sub(e.newest.At) > retention })
+	t.queued = slices.DeleteFunc(t.queued, func(server string) bool { return t.servers[server] == nil })
 }
 
 // Get returns the newest report of a server.
--- a/internal/serverload/usual.go
+++ b/internal/serverload/usual.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// usualTime learns what a server states in its usual state. Servers on machines of unlike speed state
-// unlike figures all the time: work that always takes 170% of a nominal time isn't slowed, as its usual
-// duration is learned from the answers.
-type usualTime struct {
+// Usual learns what an engine states in its usual state. Engines on machines of unlike speed state unlike
+// figures all the time: work that always takes 170% of a nominal time isn't slowed, as the engine's own
+// token time is learned from its answers.
+type Usual struct {
 	samples [usualSamples]float64
 	n       int
 	next    int
@@ -17,15 +17,26 @@
 
 const (
 	// usualSamples and usualSpacing cover at least 4 s. The usual figure is a low quantile of the samples,
-	// so a slow period of up to three quarters of that time doesn't become usual.
+	// so slow periods that fill more than half of the time don't become usual.
 	usualSamples  = 16
 	usualSpacing  = 250 * time.Millisecond
-	usualQuantile = 4 // one in usualQuantile samples is lower
+	usualQuantile = 8 // one in usualQuantile samples is lower
 	// minUsual bounds what a false report can make usual; engines of one service state 60 to 170%.
 	minUsual = 0.05
 )
 
-func (u *usualTime) add(at Time, stated float64) {
+// Relative returns a stated slowdown as a multiple of the usual one. A figure of the nominal time or more is at
+// least 1: after a long slow period, the nominal time must not look fast.
+func (u *Usual) Relative(at Time, stated float64) float64 {
+	u.add(at, stated)
+	relative := stated / u.value()
+	if stated >= 1 {
+		return max(1, relative)
+	}
+	return relative
+}
+
+func (u *Usual) add(at Time, stated float64) {
 	if u.n > 0 && at-u.at < usualSpacing {
 		return
 	}
@@ -37,7 +48,7 @@
 
 // value is the usual figure. Samples that are not known yet count as the nominal time, so that a server
 // whose first reports come in a slow moment doesn't count as fast later.
-func (u *usualTime) value() float64 {
+func (u *Usual) value() float64 {
 	sorted := u.samples
 	for i := u.n; i < usualSamples; i++ {
 		sorted[i] = 1
