--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -468,8 +468,7 @@
 // refused anyway. The deviation of the forecast counts in favor of the request, because a wrong refusal
 // costs a caller its attempt, and a wrong wait costs it less than a second. A request that waits is not judged
 // again: some of those before it are refused in the end rather than placed, and it starts earlier than the work
-// before it suggests. When waiting requests were judged as well, 0.80 instead of 0.87 of the least
-// urgent kind were answered, with all kinds at 2.5 times.
+// before it suggests.
 func (s *Scheduler) refusesByForecast(now Time, svc *service, pq *priorityQueue, w *waiting) (f forecast, refuses bool) {
 	if !s.policy.ForecastAdmission || !s.tracksForecasts() || w.Retry || w.reserved {
 		return f, false
@@ -503,9 +502,7 @@
 }
 
 // maxOnTimeQueue is the part of their slack that the requests of a priority that can be on time may wait
-// when late ones are placed before them. At 0.7, a plain service at twice its capacity answers 0.688 of its
-// calls instead of 0.678, but 0.63 instead of 0.65 in time, and 0.748 of the least urgent kind
-// are in time instead of 0.756 when the most urgent kind comes at 2.5 times.
+// when late ones are placed before them. The rest of it covers what arrives meanwhile.
 const maxOnTimeQueue = 0.6
 
 // lateHaveRoom reports whether the late requests of a priority can be placed first without making the
@@ -545,7 +542,7 @@
 	return false
 }
 
-// detail explains a refusal by forecast in logs.
+// forecastDetail explains a refusal by forecast in logs.
 func (s *Scheduler) forecastDetail(svc *service, f forecast, room time.Duration) string {
 	return fmt.Sprintf("forecast=%.1fs room=%.1fs before=%d rate=%.0f/s", f.wait.Seconds(), room.Seconds(), f.before, svc.forecast.placed.countPerSecond())
 }
--- a/internal/sched/admission_test.go
+++ b/internal/sched/admission_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// admissionScheduler returns a scheduler with forecasts and bookings whose service has had a queue for
+// admissionLoad is a scheduler with forecasts and bookings whose service has had a queue for
 // long enough: it places 20 streams a second, one each 50 ms, and more are refused or wait.
 type admissionLoad struct {
 	s       *Scheduler
--- a/internal/sched/pauses.go
+++ b/internal/sched/pauses.go
@@ -211,17 +211,17 @@
 		return
 	}
 	// A run that ended during the prefill beside it has seen only a part of it.
-	beside := min(r.prefillBeside, now-max(r.prefillBesideAt, r.prefillEnd))
+	beside := min(r.concurrentPrefill, now-max(r.concurrentPrefillAt, r.prefillEnd))
 	eventTime := float64(svc.eventTime(r.server))
 	svc.pauses.add(now, r.placed, float64(beside)/eventTime, float64(o.LongestGap)/eventTime-1)
 }
 
-// noteBeside records the prefill that is pending beside the runs of s. Engines prefill in the
+// noteConcurrentPrefill records the prefill that is pending beside the runs of s. Engines prefill in the
 // order of arrival, so only prompts that were placed later delay the events of a stream.
-func (s *server) noteBeside(now Time) {
+func (s *server) noteConcurrentPrefill(now Time) {
 	for _, r := range s.runs {
-		if beside := s.prefillFreeAt - max(now, r.prefillEnd); beside > r.prefillBeside {
-			r.prefillBeside, r.prefillBesideAt = beside, now
+		if beside := s.prefillFreeAt - max(now, r.prefillEnd); beside > r.concurrentPrefill {
+			r.concurrentPrefill, r.concurrentPrefillAt = beside, now
 		}
 	}
 }
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -9,7 +9,7 @@
 type waiting struct {
 	Request
 	submittedAt    Time // when it was submitted here; Arrived may be earlier
-	rank           Time // sort key: Arrived, plus longAnswerDelay and, with AccountShares, the time until the account's turn
+	rank           Time // sort key: Arrived, plus longAnswerDelay and rankShift; the expected turn of its account while that has not come
 	adjustedRank   Time // rank with the cache and connections of the choosing server considered
 	class          int  // size class within its priority
 	share          shareEntry
--- a/internal/sched/returns.go
+++ b/internal/sched/returns.go
@@ -31,8 +31,7 @@
 	// moment 5 s ahead there are 8,000.
 	maxBookings = 8192
 	// runTimeMargin multiplies the typical time of a run that the last attempt of a caller must have left: the
-	// slowest servers take nearly three times as long as typical ones. With 1.25, 0.008 of the requests of a
-	// kind ended after their deadlines.
+	// slowest servers take nearly three times as long as typical ones.
 	runTimeMargin = 3
 	// keptWaitShare is the fraction of its time that a caller who kept to its moment may wait if no forecast
 	// has admitted it: one that isn't served is told so while half of its time is left.
@@ -45,11 +44,10 @@
 type returnKind uint8
 
 const (
-	newArrival        returnKind = iota
-	returnKept                   // at its booked moment
-	returnEarly                  // before its booked moment
-	returnLate                   // after it; otherwise an ordinary arrival
-	returnWithoutRoom            // at its moment, for which no room was foreseen; otherwise an ordinary arrival
+	newArrival  returnKind = iota
+	returnKept             // at its booked moment
+	returnEarly            // before its booked moment
+	returnLate             // after it; otherwise an ordinary arrival
 )
 
 // calendar holds the work that is booked for each step of the near future.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -25,10 +25,10 @@
 	slowdownAtStart float64 // of the server when the run was placed
 	elapsedAtStart  float64 // see serverload.State.Elapsed
 	prefillEnd      Time    // when the prefill of its prompt is predicted to end
-	// prefillBeside is the most prefill of later prompts that was pending at once beside the run,
-	// first at prefillBesideAt.
-	prefillBeside   time.Duration
-	prefillBesideAt Time
+	// concurrentPrefill is the most prefill of later prompts that was pending at once beside the run,
+	// first at concurrentPrefillAt.
+	concurrentPrefill   time.Duration
+	concurrentPrefillAt Time
 }
 
 // server is the scheduler's view of one backend server. Each placement is
@@ -148,7 +148,7 @@
 func (s *server) start(now Time, svc *service, r *Request) *run {
 	p := s.predict(now, svc, r)
 	s.prefillFreeAt = max(s.prefillFreeAt, now) + p.prefill
-	s.noteBeside(now)
+	s.noteConcurrentPrefill(now)
 	s.running++
 	s.load.add(now, s.running)
 	reservedTokens := r.PromptTokens + r.OutputTokens
--- a/internal/sched/serverload.go
+++ b/internal/sched/serverload.go
@@ -21,10 +21,7 @@
 	slowedEventsPerSecond = 32
 	// trialAge is the age of a slowdown after which one request tries the server again, if it would be
 	// on time there even if nothing had changed. From lateTrialAge on it is enough that it would be on
-	// time at the aged slowdown. With calls of 60 ms, a load of 0.5 and slow periods of 600 ms, a plain
-	// server that was three times slower got its first call 48 ms after the end on average, and 75 ms
-	// without trials; five times slower 72 and 144 ms. With 50 ms instead of 150 ms the 90th percentile of
-	// all calls rose from 79 to 103 ms.
+	// time at the aged slowdown. Earlier trials are slowed themselves too often, as slow periods last some 600 ms.
 	trialAge     = 150 * time.Millisecond
 	lateTrialAge = 300 * time.Millisecond
 	// ownPeakWindow is the time over which the runs of this scheduler at a server are compared with a
