--- a/internal/sched/requirements.go
+++ b/internal/sched/requirements.go
@@ -61,8 +61,8 @@
 // Engines prefill prompts in chunks between the tokens of the running streams. During a
 // prefill a stream gets one token per chunk: on an engine that is four times slower than the
 // others, a long prompt pauses all its streams for longer than their callers accept. The
-// time of the entire pending prefill is the upper bound for the pause before one event. A
-// lower bound may be learned; see pauses.go.
+// time of the entire pending prefill is the upper bound for the pause before one event, unless
+// a smaller one has been learned; see pauses.go.
 func (s *server) prefillHeadroom(now Time, svc *service) float64 {
 	maxPause := time.Duration(math.MaxInt64)
 	for _, r := range s.runs {
