--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -56,109 +56,6 @@
 	forecastReportDelay = time.Second
 )
 
-// workRate is an exponentially decaying amount of work per second, in seconds of server time.
-type workRate struct {
-	value float64
-	at    Time
-}
-
-func (r *workRate) add(now Time, work time.Duration) {
-	r.value = max(0, r.valueAt(now)+work.Seconds()/rateDecay.Seconds())
-	r.at = now
-}
-
-func (r *workRate) valueAt(now Time) float64 {
-	return r.value * math.Exp(-float64(now-r.at)/float64(rateDecay))
-}
-
-// placedRate is a decaying average of the work placed per second, over the time in which requests
-// waited. While none wait, the rate is that of the arrivals and says nothing about the servers.
-type placedRate struct {
-	work, placements, waited float64 // waited in seconds
-	at                       Time
-	waiting                  bool // requests have been waiting since at
-}
-
-// advance accounts for the time until now, from which on requests wait or not.
-func (r *placedRate) advance(now Time, waiting bool) {
-	if dt := now - r.at; r.waiting && dt > 0 {
-		f := math.Exp(-float64(dt) / float64(placedRateDecay))
-		r.work, r.placements = r.work*f, r.placements*f
-		r.waited = r.waited*f + (1-f)*placedRateDecay.Seconds()
-	}
-	r.at, r.waiting = now, waiting
-}
-
-func (r *placedRate) add(work time.Duration) {
-	if r.waiting {
-		r.work += work.Seconds()
-		r.placements++
-	}
-}
-
-// perSecond returns the work placed per second, 0 if unknown.
-func (r *placedRate) perSecond() float64 {
-	if r.waited <= 0 {
-		return 0
-	}
-	return r.work / r.waited
-}
-
-// countPerSecond returns the requests placed per second, 0 if unknown.
-func (r *placedRate) countPerSecond() float64 {
-	if r.waited <= 0 {
-		return 0
-	}
-	return r.placements / r.waited
-}
-
-// known reports whether enough has been placed while requests waited for a forecast.
-func (r *placedRate) known() bool {
-	return r.waited >= minRateTime.Seconds() && r.placements >= minRatePlacements
-}
-
-const (
-	// backlogBuckets and backlogStep divide the ranks of waiting requests, from backlogPast before the
-	// summary to 2.4 s after it. Ranks outside count in the first and the last bucket.
-	backlogBuckets = 256
-	backlogStep    = 25 * time.Millisecond
-	backlogPast    = 4 * time.Second
-)
-
-// backlog is the work of requests by rank, a Fenwick tree: adding and the sum up to a rank take eight
-// steps whatever the number of requests.
-type backlog struct {
-	base   Time
-	work   [backlogBuckets + 1]float64
-	counts [backlogBuckets + 1]int
-	total  float64
-	size   int
-}
-
-func (b *backlog) bucket(rank Time) int {
-	return 1 + min(backlogBuckets-1, max(0, int((rank-b.base)/backlogStep)))
-}
-
-func (b *backlog) reset(now Time) { *b = backlog{base: now - backlogPast} }
-
-func (b *backlog) add(rank Time, work float64, n int) {
-	for i := b.bucket(rank); i <= backlogBuckets; i += i & -i {
-		b.work[i] += work
-		b.counts[i] += n
-	}
-	b.total += work
-	b.size += n
-}
-
-// before returns the work and number of the requests up to a rank.
-func (b *backlog) before(rank Time) (work float64, n int) {
-	for i := b.bucket(rank); i > 0; i -= i & -i {
-		work += b.work[i]
-		n += b.counts[i]
-	}
-	return max(0, work), max(0, n)
-}
-
 // priorityForecast is what the forecasts of a priority are made from.
 type priorityForecast struct {
 	onTime, late backlog    // of requests that don't wait for a quota, as of the last summary and since
@@ -225,7 +122,7 @@
 
 func newForecast(seconds float64, before int, placements float64) forecast {
 	f := forecast{wait: secondsWithin(seconds), before: before}
-	// The works of the requests before it vary, by about their mean, and so do those from which the rate was measured.
+	// The work of the requests before it varies, by about its mean, and so does that from which the rate is known.
 	deviation := math.Sqrt(1/float64(max(1, before)) + 1/max(1, placements))
 	f.uncertainty = secondsWithin(f.wait.Seconds() * deviation)
 	return f
@@ -605,70 +502,6 @@
 	}
 }
 
-// forecastSample is a refused request whose place in the queue is kept, to find out whether the forecast
-// was right.
-type forecastSample struct {
-	rank       Time
-	refusedAt  Time
-	onTimeTill Time // latest start to be on time
-	usefulTill Time // latest useful start
-	wait       time.Duration
-}
-
-// takeSample keeps the place of w, which is refused by a forecast, unless enough others are watched.
-func (s *Scheduler) takeSample(now Time, svc *service, pq *priorityQueue, w *waiting, f forecast) {
-	p := &pq.forecast
-	if p.untilSample--; p.untilSample > 0 || len(p.samples) >= forecastSamples {
-		return
-	}
-	p.untilSample = forecastSamples / 4
-	p.samples = append(p.samples, forecastSample{
-		rank: w.rank, refusedAt: now, wait: f.wait,
-		onTimeTill: w.LatencyTarget - svc.timeToFirstEvent.upperBound(), usefulTill: s.latestUsefulStart(svc, w),
-	})
-}
-
-// checkSamples compares the forecasts of refused requests with w, which has been placed: a request that
-// goes before w in the queue would have started by now. One that could not be on time any more goes
-// before w only if w can't be either. The work of the refused requests themselves is missing from the
-// queue, so a refusal counted as wrong would not always have been avoidable for all of them.
-func (s *Scheduler) checkSamples(now Time, svc *service, pq *priorityQueue, w *waiting) {
-	p := &pq.forecast
-	if len(p.samples) == 0 || w.reserved {
-		return
-	}
-	wIsLate := w.LatencyTarget < now+svc.timeToFirstEvent.upperBound()
-	kept := p.samples[:0]
-	for _, sample := range p.samples {
-		switch {
-		case now > sample.usefulTill:
-			s.forecastStats.Right++
-		case w.rank > sample.rank && (wIsLate || now <= sample.onTimeTill):
-			s.forecastStats.Wrong++
-			s.forecastErrors.add((sample.wait - (now - sample.refusedAt)).Abs())
-		default:
-			kept = append(kept, sample)
-		}
-	}
-	p.samples = kept
-}
-
-// expireSamples counts the forecasts of refused requests that could not have started in useful time.
-func (s *Scheduler) expireSamples(now Time, svc *service) {
-	for _, pq := range svc.queue.priorityQueues {
-		p := &pq.forecast
-		kept := p.samples[:0]
-		for _, sample := range p.samples {
-			if now > sample.usefulTill {
-				s.forecastStats.Right++
-			} else {
-				kept = append(kept, sample)
-			}
-		}
-		p.samples = kept
-	}
-}
-
 // tickForecasts handles the passing of time for the forecasts and the calendars of a service.
 func (s *Scheduler) tickForecasts(now Time, svc *service) {
 	if !s.tracksForecasts() {
