sched: an event and a gauge for servers that are ejected

The timeline of the incident could not tell which report took a server from all hosts, whose it was and for how long: the scheduler logged no ejection. Event 621 server_ejected names the reporting host, the result of its run and the duration; gauge servers_ejected counts.

Behaviour is unchanged.

--- a/cmd/gentianhost/main.go
+++ b/cmd/gentianhost/main.go
@@ -7,12 +7,10 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
@@ -71,7 +69,7 @@
 		logging.Wait()
 	}()
 	logger := log.With(log.NewLogfmtLogger(output), "ts", log.DefaultTimestampUTC, "host", set.Host)
-	n, err := node.New(set, adapter(set.Store), logger)
+	n, err := node.New(set, platform.NewAdapter(set.Store), logger)
 	if err != nil {
 		return cli.Exit(err.Error(), exitFailure)
 	}
@@ -87,21 +85,3 @@
 	}()
 	return n.Run(ctx)
 }
-
-// adapter returns a node.Platform made of the platform's store at the address and
-// its data and header formats.
-func adapter(address string) node.Platform {
-	s := platform.NewStore(address)
-	return node.Platform{
-		Tables: s, Writer: s, Conditional: s, Dialect: platform.Headers{},
-		OperatorTable: platform.OperatorTable, ServerTable: platform.ServerTable, HostTable: platform.HostTable,
-		QuarantineTable: platform.QuarantineTable,
-		StatusTable:     platform.StatusTable, RolloutTable: platform.RolloutTable,
-		DecodeOrder: platform.DecodeOrder, RolloutStatus: platform.RolloutStatus,
-		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
-		LookupHandler: func(f func(zone string) ([]string, time.Duration, bool)) http.Handler {
-			return platform.LookupHandler(f)
-		},
-		ReadyHandler: platform.ReadyHandler,
-	}
-}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -112,6 +112,7 @@
 			l.onRollouts(steps)
 		}
 		l.logForecasts(l.sched.TakeForecastChanges())
+		l.logEjections(l.sched.TakeEjections())
 		if len(out) > 0 {
 			l.deliver(out)
 		}
--- a/internal/entry/stall.go
+++ b/internal/entry/stall.go
@@ -6,7 +6,6 @@
 
 	"github.com/gentianflow/gentianflow/internal/routing"
 	"github.com/gentianflow/gentianflow/internal/sched"
-	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 // Read timeouts while a server runs a request, and the check that tells a server that is
@@ -55,7 +54,7 @@
 	retryable := t.x.mayRetry()
 	t.stallTimer = time.AfterFunc(stallCheckDelay, func() {
 		for range stallDialAttempts {
-			if upstream.AcceptsConnections(t.placement.Address, stallDialTimeout) {
+			if t.x.h.Pool.AcceptsConnections(t.placement.Address, stallDialTimeout) {
 				return
 			}
 		}
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -353,7 +353,7 @@
 func (t *attempt) reportBroken() {
 	x, ran := t.x, time.Since(t.sent)
 	report := sched.RunReport{FirstEvent: t.timeToFirst, OutputTokens: t.outputTokens}
-	if !upstream.RefusesConnections(t.placement.Address, stallDialTimeout) {
+	if !x.h.Pool.RefusesConnections(t.placement.Address, stallDialTimeout) {
 		x.h.Placer.FinishStream(t.placement.ID, sched.Broken, report)
 		return
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -109,6 +109,7 @@
 	ServerLeaves      Code = 618
 	SendHeldBack      Code = 619
 	ServerSlowed      Code = 620
+	ServerEjected     Code = 621
 
 	StoreDown      Code = 701
 	StoreUp        Code = 702
@@ -200,6 +201,7 @@
 	ServerLeaves:   {"server_leaves", Info, "A backend server announced in an answer that it leaves; detail states whether another host reported it."},
 	SendHeldBack:   {"send_held_back", Info, "A request was not sent to the server of its placement and requests another placement, because a server notice that arrived since then forbids it; detail gives the notice."},
 	ServerSlowed:   {"server_slowed", Info, "A backend server reported that work takes more than twice as long there as usual; detail gives the figures."},
+	ServerEjected:  {"server_ejected", Warn, "The scheduler stops sending to a backend server for a while; detail gives the host whose report caused it, how the run ended and for how long."},
 	ServerEnded:    {"server_ended", Warn, "A backend server ended while it ran a request: the answer broke off and the server refuses connections; detail gives the fingerprint of the request."},
 
 	RolloutOrdered: {"rollout_ordered", Info, "This host carries out an order to move a service to a version; detail gives the version and the time limit."},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 func New(settings Settings, platform Platform, logger log.Logger) (*Node, error) {
 	n := &Node{
 		settings: settings, platform: platform, incarnation: ident.NewIncarnation(), metrics: metrics.NewRegistry(),
-		pool: upstream.NewPool(), relays: store.NewRelays(), joined: make(chan struct{}),
+		pool: upstream.NewPool(settings.ConnectServer), relays: store.NewRelays(), joined: make(chan struct{}),
 	}
 	n.events = event.NewRecorder(settings.Host, n.incarnation.String(), timelineEvents, logger)
 	limitMemory(settings.MemoryBytes)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -81,9 +81,19 @@
 	n.events.Record(event.ProcessStarted, event.Fields{Detail: "incarnation " + n.incarnation.String() + " callers " + n.settings.EntryAddress})
 	<-ctx.Done()
 	n.shutDown()
+	n.closeListeners()
 	return nil
 }
 
+// closeListeners closes the listeners and connections that are left after the shutdown.
+func (n *Node) closeListeners() {
+	for _, srv := range n.httpServers {
+		_ = srv.Close()
+	}
+	_ = n.control.Close()
+	n.peers.Close()
+}
+
 // watch follows a table. Whether this host reads the store itself or follows one of the readers
 // depends on its rank.
 func (n *Node) watch(ctx context.Context, table string, apply func(store.Update)) {
@@ -269,6 +279,7 @@
 		gauge("scheduler_waiting", int64(s.Waiting()))
 		gauge("scheduler_running", int64(s.Running()))
 		gauge("requests_in_quarantine", int64(s.QuarantinedRequests()))
+		gauge("servers_ejected", int64(s.CountEjected()))
 		shares := s.ShareStats()
 		gauge("share_accounts", int64(shares.Accounts))
 		gauge("share_accounts_waiting", int64(shares.Waiting))
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -13,6 +13,7 @@
 
 	"github.com/gentianflow/gentianflow/internal/rollout"
 	"github.com/gentianflow/gentianflow/internal/sched"
+	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 // Settings are the platform's settings for this process and the operators' policy.
@@ -41,4 +42,6 @@
 	// LookupByCapacity makes look-ups choose hosts by availability zone, capacity and load, and this
 	// host refuse requests that would exhaust its memory or descriptors. It is the same on all hosts.
 	LookupByCapacity bool
+	// ConnectServer, if set, opens the connections to backend servers in place of TCP.
+	ConnectServer upstream.DialFunc
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -42,6 +42,8 @@
 	forecastStats     ForecastStats
 	forecastErrors    durationEstimate
 	forecastChanges   []ForecastChange // since the last call of TakeForecastChanges
+	ejections         []Ejection       // since the last call of TakeEjections
+	tickedAt          Time             // when Tick was last called
 }
 
 // service is a service with its queue.
@@ -369,7 +371,11 @@
 	if svc := s.services[r.req.Service]; svc != nil && o.TokenTime > 0 && !r.server.plausible(now, r.placed, o.TokenTime, svc.typicalTokenTime()) {
 		o.TokenTime = 0
 	}
+	ejectedUntil := r.server.ejectedUntil
 	r.server.learn(now, o)
+	if r.server.ejectedUntil != ejectedUntil {
+		s.recordEjection(now, r.server, o)
+	}
 	if svc := r.server.serving; svc != nil && svc.large() && o.Result == OK {
 		svc.index.connected(o.Holder, r.server)
 	}
@@ -454,7 +460,7 @@
 // orphaned runs, advances trials of new versions and places requests at servers that have
 // room again.
 func (s *Scheduler) Tick(now Time) []Decision {
-	s.out = nil
+	s.out, s.tickedAt = nil, now
 	s.expireOrphans(now)
 	s.expireLoads(now)
 	s.reviewSuspects(now)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -126,6 +126,15 @@
 	UnattributedError
 )
 
+// String names the result for logs.
+func (r Result) String() string {
+	names := [...]string{"unused", "ok", "caller_left", "unreachable", "rejected", "replaced", "server_error", "broken", "unresponsive", "progress", "stalled", "server_ended", "unattributed_error"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
 // NotRun reports whether the request did not run, so that its quota units are refunded.
 func (r Result) NotRun() bool {
 	return r == Unused || r == Unreachable || r == Rejected || r == Replaced
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -211,22 +211,21 @@
 var keepAliveProbes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
 
 // dial opens a connection. It fails with NoServer; nothing was sent.
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := connect(ctx, address)
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := p.connect(ctx, address)
 	return conn, failure.Wrap(failure.NoServer, err, "connect to %s", address)
 }
 
-// connect opens a connection and returns errors of package net.
-func connect(ctx context.Context, address string) (net.Conn, error) {
+func connectTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAliveConfig: keepAliveProbes}
 	return d.DialContext(ctx, "tcp", address)
 }
 
 // AcceptsConnections reports whether a server accepts a new connection.
-func AcceptsConnections(address string, timeout time.Duration) bool {
+func (p *Pool) AcceptsConnections(address string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	conn, err := dial(ctx, address)
+	conn, err := p.dial(ctx, address)
 	if err != nil {
 		return false
 	}
@@ -236,10 +235,10 @@
 
 // RefusesConnections reports whether nothing listens at a server's address: the process has
 // ended, but its machine still responds. A machine that is down or cut off does not respond.
-func RefusesConnections(address string, timeout time.Duration) bool {
+func (p *Pool) RefusesConnections(address string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	conn, err := connect(ctx, address)
+	conn, err := p.connect(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,12 +32,21 @@
 // connections in use is bounded by the placements that the scheduler grants. mu guards
 // idle.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[Server][]*Conn
+	connect DialFunc
+	mu      sync.Mutex
+	idle    map[Server][]*Conn
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[Server][]*Conn{}} }
+// DialFunc opens a connection to the address of a server. It returns errors of package net.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// NewPool returns an empty pool. A nil connect dials over TCP.
+func NewPool(connect DialFunc) *Pool {
+	if connect == nil {
+		connect = connectTCP
+	}
+	return &Pool{connect: connect, idle: map[Server][]*Conn{}}
+}
 
 // Get returns a connection to a server: the newest idle one without pending input, or
 // else a new one, whose dial is bounded by ctx. It fails with NoServer.
@@ -57,7 +67,7 @@
 		}
 		c.Close()
 	}
-	conn, err := dial(ctx, s.Address)
+	conn, err := p.dial(ctx, s.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -95,7 +95,7 @@
 				fmt.Fprint(conn, okAnswer)
 			}
 		})
-		p := NewPool()
+		p := NewPool(nil)
 		body, c, resp, err := roundTrip(p, s.server(), post("payload"), anyAnswer)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(Equal("ok"))
@@ -119,7 +119,7 @@
 			s.read(r)
 			_ = conn.Close()
 		})
-		p := NewPool()
+		p := NewPool(nil)
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
 			_, c, resp, err := roundTrip(p, s.server(), post(""), anyAnswer)
 			Expect(err).NotTo(HaveOccurred())
@@ -149,7 +149,7 @@
 					ended <- struct{}{}
 				}
 			})
-			p := NewPool()
+			p := NewPool(nil)
 			_, c, resp, err := roundTrip(p, s.server(), post(""), anyAnswer)
 			Expect(err).NotTo(HaveOccurred())
 			c.Release(resp)
@@ -170,7 +170,7 @@
 				fmt.Fprint(conn, okAnswer)
 			}
 		})
-		p := NewPool()
+		p := NewPool(nil)
 		_, first, resp1, err := roundTrip(p, s.server(), post(""), anyAnswer)
 		Expect(err).NotTo(HaveOccurred())
 		_, second, resp2, err := roundTrip(p, s.server(), post(""), anyAnswer)
@@ -196,7 +196,7 @@
 			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold"+
 				"HTTP/1.1 200 OK\r\nX-Id: new\r\nContent-Length: 3\r\n\r\nnew")
 		})
-		body, _, _, err := roundTrip(NewPool(), s.server(), post(""), func(h http.Header) bool { return h.Get("X-Id") == "new" })
+		body, _, _, err := roundTrip(NewPool(nil), s.server(), post(""), func(h http.Header) bool { return h.Get("X-Id") == "new" })
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(Equal("new"))
 	})
@@ -208,7 +208,7 @@
 				fmt.Fprint(conn, text)
 				_ = conn.Close()
 			})
-			_, _, _, err := roundTrip(NewPool(), s.server(), post(""), anyAnswer)
+			_, _, _, err := roundTrip(NewPool(nil), s.server(), post(""), anyAnswer)
 			Expect(err == nil).To(Equal(whole))
 		},
 		Entry("with a length", okAnswer, true),
@@ -228,7 +228,7 @@
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			_ = conn.Close()
 		})
-		_, _, _, err := roundTrip(NewPool(), s.server(), post(""), anyAnswer)
+		_, _, _, err := roundTrip(NewPool(nil), s.server(), post(""), anyAnswer)
 		Expect(err).To(HaveOccurred())
 	})
 
@@ -242,7 +242,7 @@
 			}
 			time.Sleep(time.Second) // reads nothing more
 		})
-		p := NewPool()
+		p := NewPool(nil)
 		body, c, resp, err := roundTrip(p, s.server(), post(strings.Repeat("x", 16<<20)), anyAnswer)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(Equal("no"))
@@ -255,7 +255,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		address := l.Addr().String()
 		_ = l.Close()
-		_, _, _, err = roundTrip(NewPool(), Server{Address: address}, post(""), anyAnswer)
+		_, _, _, err = roundTrip(NewPool(nil), Server{Address: address}, post(""), anyAnswer)
 		Expect(NotSent(err)).To(BeTrue())
 	})
 })
