test/platform: hosts that lose their links to the servers, failing

Hosts in the test process whose links to single servers can be cut: connections hang, are refused while open ones live on, or are reset.

A run that breaks with its host's links counts as the end of its server.

--- a/test/platform/site_test.go
+++ b/test/platform/site_test.go
@@ -63,11 +63,23 @@
 	name    string
 	ip      string
 	session *gexec.Session
-	store   string      // address at which it reaches the store; empty means the site's
-	cores   float64     // processor cores; 0 means the default
-	zone    string      // empty means the zone of all hosts
-	flags   []string    // of its program
-	claimed atomic.Bool // by a fault of the soak, so that no other one uses the host
+	store   string     // address at which it reaches the store; empty means the site's
+	cores   float64    // processor cores; 0 means the default
+	zone    string     // empty means the zone of all hosts
+	flags   []string   // of its program
+	log     *logBuffer // with inProcess, what it logs
+	links   *links     // with inProcess, to the servers
+	// shutDown, with inProcess, stops the host gracefully and waits until it has stopped.
+	shutDown func()
+	claimed  atomic.Bool // by a fault of the soak, so that no other one uses the host
+}
+
+// logged returns what the host has logged.
+func (h *host) logged() []byte {
+	if h.log != nil {
+		return h.log.Contents()
+	}
+	return h.session.Out.Contents()
 }
 
 // stopped reports whether a signal has stopped the process, which is process state T.
@@ -92,7 +104,8 @@
 	dir          string
 	proxies      []*proxy // with proxied the one of the store first, with ownStores one for each host
 	storeAddress string   // address of the store that hosts are given
-	policy       string   // of the hosts' schedulers
+	inProcess    bool
+	policy       string // of the hosts' schedulers
 
 	mu       sync.Mutex // guards sent and replies, and changes of hosts and servers
 	sent     []standin.Call
@@ -109,6 +122,7 @@
 	large                int                // number of larger hosts, the first ones: the home and the readers
 	ownStores            bool               // each host reaches the store through a proxy of its own
 	byCapacity           bool               // hosts run with --lookup-by-capacity and lie in all zones in turn
+	inProcess            bool               // hosts run in the test process, and their links to servers can be cut
 	policy               string             // of the hosts' schedulers, as name=value pairs
 }
 
@@ -122,7 +136,7 @@
 	}
 	s.api = httptest.NewServer(s.store.Handler())
 	DeferCleanup(s.stop)
-	s.storeAddress, s.policy = s.api.Listener.Addr().String(), o.policy
+	s.storeAddress, s.policy, s.inProcess = s.api.Listener.Addr().String(), o.policy, o.inProcess
 	spec := o.engine
 	var advertise func(string) string
 	if o.proxied {
@@ -175,7 +189,7 @@
 
 // isHome reports whether a host has logged that it is the home: that its share of all quotas
 // and rate limits is 1.
-func isHome(h *host) bool { return strings.Contains(string(h.session.Out.Contents()), "limits=1.00") }
+func isHome(h *host) bool { return strings.Contains(string(h.logged()), "limits=1.00") }
 
 func (s *site) zone(i int) string {
 	return []string{"fukuoka-hall", "kumamoto-hall", "kagoshima-hall"}[i%3]
@@ -196,6 +210,10 @@
 		set.Seeds = append(set.Seeds, s.hosts[i].ip)
 	}
 	Expect(set.Write(path)).To(Succeed())
+	if s.inProcess {
+		s.startInProcess(h, path)
+		return
+	}
 	cmd := exec.Command(program, append(h.flags, "--metrics-port", fmt.Sprint(metricsPort), "--policy", s.policy)...)
 	cmd.Env = append(os.Environ(), "GENTIANFLOW_CONFIG="+path)
 	session, err := gexec.Start(cmd, GinkgoWriter, GinkgoWriter)
@@ -204,6 +222,13 @@
 }
 
 func (s *site) stop() {
+	var stopping sync.WaitGroup
+	for _, h := range s.hosts {
+		if h.shutDown != nil {
+			stopping.Go(h.shutDown)
+		}
+	}
+	stopping.Wait()
 	for _, h := range slices.Concat(s.hosts, s.removed) {
 		if h.session != nil {
 			h.session.Signal(syscall.SIGCONT).Kill()
