--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -341,11 +341,11 @@
 		return done
 	}
 	if ctx.Err() != nil || !time.Now().Before(x.deadline) {
-		result := sched.CallerLeft
-		if x.stream.events == 0 {
-			result = sched.Broken // nothing arrived before the deadline
+		if x.stream.events == 0 { // nothing arrived before the deadline
+			go t.reportSilent()
+		} else {
+			x.h.Placer.FinishStream(t.placement.ID, sched.CallerLeft, sched.RunReport{LongestGap: t.gaps.longest, OutputTokens: t.outputTokens})
 		}
-		x.h.Placer.FinishStream(t.placement.ID, result, sched.RunReport{LongestGap: t.gaps.longest, OutputTokens: t.outputTokens})
 		x.tried = append(x.tried, t.placement.Server)
 		x.giveUp(ctx, context.DeadlineExceeded)
 		return done
@@ -372,6 +372,15 @@
 	return done
 }
 
+// reportSilent reports a run of which nothing arrived before the deadline.
+func (t *attempt) reportSilent() {
+	result := sched.Broken
+	if t.check() == reach.PathLost {
+		result = sched.PathLost
+	}
+	t.x.h.Placer.Finish(t.placement.ID, result, 0, 0)
+}
+
 // revoke ends a run without an event so far: its request was put in quarantine.
 func (t *attempt) revoke(revocation *dispatch.Refused) {
 	if t.started.Load() {
--- a/internal/member/load_test.go
+++ b/internal/member/load_test.go
@@ -116,3 +116,30 @@
 		Expect(t.Loads()).To(HaveLen(2))
 	})
 })
+
+var _ = Describe("hosts that have lost their paths to backend servers", func() {
+	It("are learned from their own entries, reported on, and left out of samples", func() {
+		t, other := tableOf(3), tableOf(3)
+		lost := entryOf(1)
+		lost.Beat, lost.PathsLost = lost.Beat+1, true
+		t.RecordContact(lost)
+		Expect(t.SampleWithPaths(10)).To(HaveLen(1))
+		m, _ := t.Get(ident.Incarnation(lost.Incarnation))
+		Expect(m.PathsLost).To(BeTrue())
+		other.ApplyReport(t.members[ident.Incarnation(lost.Incarnation)].toWire())
+		Expect(other.SampleWithPaths(10)).To(HaveLen(1))
+	})
+
+	// A host whose paths are back must be asked again, also by hosts that it doesn't probe itself.
+	It("announce with a new beat when they have them again", func() {
+		t := tableOf(1)
+		before := t.selfToWire().Beat
+		t.SetPathsLost(true)
+		t.SetPathsLost(true)
+		Expect(t.selfToWire().Beat).To(Equal(before + 1))
+		Expect(t.selfToWire().PathsLost).To(BeTrue())
+		t.SetPathsLost(false)
+		Expect(t.selfToWire().Beat).To(Equal(before + 2))
+		Expect(t.Self().PathsLost).To(BeFalse())
+	})
+})
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -81,8 +81,15 @@
 	loads := d.members.Loads()
 	home, _ := dispatch.HomeOf(d.members)
 	hosts := make([]addresses.Host, 0, len(loads))
+	withPaths := 0
 	for _, m := range loads {
-		if m.CallerAddress != "" {
+		if !m.PathsLost {
+			withPaths++
+		}
+	}
+	leaveOut := withPaths >= minWithPaths(len(loads))
+	for _, m := range loads {
+		if m.CallerAddress != "" && !(leaveOut && m.PathsLost) {
 			hosts = append(hosts, addresses.Host{
 				ID: uint64(m.Incarnation), Address: m.CallerAddress, Zone: m.Zone,
 				Capacity: m.Capacity, LinkMbps: m.LinkMbps, Load: m.Load, LoadAge: now.Sub(m.LoadAt),
--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -104,3 +104,20 @@
 		Expect(d.zoneShare("zone-2")).To(BeNumerically("==", 1))
 	})
 })
+
+var _ = Describe("addresses of hosts that have lost their paths to servers", func() {
+	members := func(n, lost int) (list []member.Member) {
+		for i := range n {
+			list = append(list, member.Member{State: member.Alive, CallerAddress: fmt.Sprint(i), PathsLost: i < lost})
+		}
+		return list
+	}
+	DescribeTable("are left out while most hosts have theirs",
+		func(n, lost, expected int) { Expect(lookupAddresses(members(n, lost))).To(HaveLen(expected)) },
+		Entry("one of seven", 7, 1, 6),
+		Entry("three of six", 6, 3, 3),
+		Entry("four of seven", 7, 4, 7),
+		Entry("all", 7, 7, 7),
+		Entry("the only one", 1, 1, 1),
+	)
+})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -376,15 +376,27 @@
 // Callers keep no more than maxLookupAddresses. With a fixed order, 8 hosts of a fleet of 72
 // would get no callers, and the others would get more than their share.
 func lookupAddresses(members []member.Member) []string {
-	var list []string
+	var list, withPaths []string
 	for _, m := range members {
-		if m.State == member.Alive && m.CallerAddress != "" {
-			list = append(list, m.CallerAddress)
+		if m.State != member.Alive || m.CallerAddress == "" {
+			continue
+		}
+		list = append(list, m.CallerAddress)
+		if !m.PathsLost {
+			withPaths = append(withPaths, m.CallerAddress)
 		}
 	}
+	if len(withPaths) >= minWithPaths(len(list)) {
+		list = withPaths
+	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(len(list), maxLookupAddresses)]
 }
 
+// minWithPaths returns how many of n hosts must have paths to backend servers for look-ups to leave
+// the others out. Below half, the others would get more than twice their callers, while hosts
+// without paths serve through them.
+func minWithPaths(n int) int { return (n + 1) / 2 }
+
 // ready reports whether callers should use this host.
 func (n *Node) ready() bool { return !n.leaving.Load() && n.routes.Get() != nil }
--- a/internal/reach/connector.go
+++ b/internal/reach/connector.go
@@ -58,7 +58,7 @@
 	ServerReached(server string)
 }
 
-// Connector opens connections to servers. mu guards paths, reachedAt and cut.
+// Connector opens connections to servers. mu guards paths, checks, reachedAt and cut.
 type Connector struct {
 	pool     *upstream.Pool
 	tunnels  Tunnels // nil: there are no other hosts
@@ -68,6 +68,7 @@
 
 	mu        sync.Mutex
 	paths     *Paths
+	checks    map[upstream.Server]*check
 	reachedAt time.Time // when a connection over an own path last succeeded
 	cut       bool      // as last reported to the observer
 	wake      chan struct{}
@@ -78,7 +79,7 @@
 func NewConnector(pool *upstream.Pool, tunnels Tunnels, others func(n int, except string) []upstream.Server, observer Observer, events *event.Recorder) *Connector {
 	return &Connector{
 		pool: pool, tunnels: tunnels, others: others, observer: observer, events: events,
-		paths: NewPaths(), wake: make(chan struct{}, 1),
+		paths: NewPaths(), checks: map[upstream.Server]*check{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -147,8 +148,38 @@
 	}
 }
 
-// Check finds out what is at fault after a connection to a server broke or fell silent.
+// Check finds out what is at fault after a connection to a server broke or fell silent. Checks of the same
+// server at the same time, as when all its streams break, are one.
 func (c *Connector) Check(ctx context.Context, s upstream.Server) Verdict {
+	c.mu.Lock()
+	running := c.checks[s]
+	if running == nil {
+		running = &check{done: make(chan struct{})}
+		c.checks[s] = running
+		go func() {
+			running.verdict = c.check(context.WithoutCancel(ctx), s)
+			c.mu.Lock()
+			delete(c.checks, s)
+			c.mu.Unlock()
+			close(running.done)
+		}()
+	}
+	c.mu.Unlock()
+	select {
+	case <-running.done:
+		return running.verdict
+	case <-ctx.Done():
+		return Unknown
+	}
+}
+
+// check is a running check. verdict is set before done is closed.
+type check struct {
+	done    chan struct{}
+	verdict Verdict
+}
+
+func (c *Connector) check(ctx context.Context, s upstream.Server) Verdict {
 	refused := true // by what other hosts find, if the own path is lost
 	if c.Usable(s.ID) {
 		dialCtx, cancel := context.WithTimeout(ctx, checkTimeout)
@@ -162,6 +193,8 @@
 	}
 	var t Testimony
 	if c.tunnels != nil {
+		ctx, cancel := context.WithTimeout(ctx, checkTimeout+tunnelTime)
+		defer cancel()
 		_, _, t = c.tunnels.Open(ctx, TunnelRequest{Server: s, Timeout: checkTimeout, Check: true})
 	}
 	return c.settle(s, refused, t)
@@ -188,14 +221,18 @@
 // Connect opens a connection over this host's own path. It returns errors of package net.
 func (c *Connector) Connect(ctx context.Context, s upstream.Server) (net.Conn, error) {
 	conn, err := c.pool.Dial(ctx, s.Address)
-	if err == nil {
-		c.mu.Lock()
-		c.reachedAt = time.Now()
-		c.paths.Connected(s.ID)
-		c.reportCut()
-		c.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.reachedAt = time.Now()
+	wasDown := c.paths.Connected(s.ID)
+	c.reportCut()
+	c.mu.Unlock()
+	if wasDown && c.observer != nil {
+		c.observer.ServerReached(s.ID)
 	}
-	return conn, err
+	return conn, nil
 }
 
 // Usable reports whether the path to a server is believed to work.
@@ -314,14 +351,10 @@
 		_ = conn.Close() // nothing was sent
 	}
 	c.mu.Lock()
-	change := c.paths.Probed(time.Now(), s.ID, err == nil)
-	c.reportCut()
+	isRestored := c.paths.Probed(time.Now(), s.ID, err == nil)
 	c.mu.Unlock()
-	switch {
-	case change == PathRestored:
+	if isRestored {
 		c.events.Record(event.PathRestored, event.Fields{Server: s.ID, Detail: s.Address})
-	case change == ServerReached && c.observer != nil:
-		c.observer.ServerReached(s.ID)
 	}
 }
 
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -78,10 +78,12 @@
 // Cut reports whether this host seems to be cut off from all servers.
 func (p *Paths) Cut() bool { return len(p.lostInARow) >= cutThreshold }
 
-// Connected records a successful connection over the path to a server.
-func (p *Paths) Connected(server string) {
+// Connected records a successful connection over the path to a server, and reports whether the server
+// was down before. A lost path is used again only after Probed.
+func (p *Paths) Connected(server string) (wasDown bool) {
 	clear(p.lostInARow)
-	if have := p.paths[server]; have != nil && have.state != lost {
+	if have := p.paths[server]; have != nil && have.state == down {
+		wasDown = true
 		delete(p.paths, server)
 	}
 	for id, have := range p.paths {
@@ -89,6 +91,7 @@
 			delete(p.paths, id)
 		}
 	}
+	return wasDown
 }
 
 // Lose records that this host does not reach a server that others reach, and reports whether that
@@ -148,43 +151,23 @@
 	return due, next
 }
 
-// Change is what a probe showed.
-type Change uint8
-
-const (
-	// Unchanged: the path is in the state that it had.
-	Unchanged Change = iota
-	// PathRestored: a lost path works again.
-	PathRestored
-	// ServerReached: a server that no host reached answers again.
-	ServerReached
-)
-
-// Probed records the outcome of a probe.
-func (p *Paths) Probed(now time.Time, server string, reached bool) Change {
+// Probed records the outcome of a probe, and reports whether a lost path is used again from now on.
+func (p *Paths) Probed(now time.Time, server string, reached bool) (isRestored bool) {
 	have := p.paths[server]
-	if have == nil {
-		return Unchanged
+	if have == nil || have.state != lost {
+		return false
 	}
 	if !reached {
 		have.succeeded = 0
-		return Unchanged
+		return false
 	}
-	state := have.state
-	p.Connected(server)
 	if have.succeeded++; have.succeeded < have.needed {
 		have.nextProbe, have.interval = now.Add(firstProbe), firstProbe
-		return Unchanged
+		return false
 	}
 	delete(p.paths, server)
-	switch state {
-	case lost:
-		p.restored[server] = restored{now, have.needed}
-		return PathRestored
-	case down:
-		return ServerReached
-	}
-	return Unchanged
+	p.restored[server] = restored{now, have.needed}
+	return true
 }
 
 // Retain forgets the servers that are not listed.
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -16,7 +16,8 @@
 	"net"
 	"sync"
 
-	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/cockroachdb/errors"
+
 	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/wire"
 )
@@ -39,7 +40,7 @@
 		}
 		m := &wire.TunnelData{}
 		if err := wire.Read(c.Reader, m); err != nil {
-			return 0, failure.Wrap(failure.ServerLost, io.ErrUnexpectedEOF, "tunnel through %s: %s", c.Peer.Host, err)
+			return 0, errors.Wrapf(io.ErrUnexpectedEOF, "tunnel through %s: %s", c.Peer.Host, err)
 		}
 		c.unread, c.ended = m.Data, m.End
 	}
