Brittle servers: what they must reject is kept below what they state

The adapter reads it into the server's notice, which travels as limits do. For such a server the scheduler places no more than its slots (it may let nobody wait), keeps the rejections of the last second and the placements that may yet be rejected below three quarters of N, and goes on at once into slots that the server has itself vacated since its newest rejection, so that servers aren't left idle. The first event of a stream is reported at once as a sign of room. Hosts that schedule alone: few hosts use a brittle server, each more of its slots, since each learns by a rejection of its own.

--- a/internal/dispatch/notices.go
+++ b/internal/dispatch/notices.go
@@ -62,6 +62,9 @@
 		if limit, changed := c.LimitChange(); changed {
 			l.events.Record(event.ServerLimit, event.Fields{Server: c.Server, Detail: limit + " reported by another host"})
 		}
+		if text, changed := c.BrittlenessChange(); changed {
+			l.events.Record(event.ServerBrittle, event.Fields{Server: c.Server, Detail: text + " reported by another host"})
+		}
 		if c.StartsLeaving() {
 			l.events.Record(event.ServerLeaves, event.Fields{Server: c.Server, Detail: "reported by another host"})
 		}
@@ -81,6 +84,7 @@
 	for _, r := range records {
 		out = append(out, &wire.Notice{
 			Server: r.Server, AgeMs: millis(r.Age), Limited: r.Limit.Valid, Limit: r.Limit.PerSecond, Leaving: r.Leaving, RestMs: millis(r.Backoff + time.Millisecond - 1),
+			Brittle: r.MaxRejections.Valid, MaxRejections: r.MaxRejections.PerSecond,
 		})
 	}
 	return out
@@ -91,7 +95,7 @@
 	for _, m := range list {
 		out = append(out, notice.Record{
 			Server: m.Server, Age: fromMillis(m.AgeMs),
-			Notice: notice.Notice{Limit: notice.Limit{Valid: m.Limited, PerSecond: m.Limit}, Leaving: m.Leaving, Backoff: fromMillis(m.RestMs)},
+			Notice: notice.Notice{Limit: notice.Limit{Valid: m.Limited, PerSecond: m.Limit}, MaxRejections: notice.Limit{Valid: m.Brittle, PerSecond: m.MaxRejections}, Leaving: m.Leaving, Backoff: fromMillis(m.RestMs)},
 		})
 	}
 	return out
--- a/internal/entry/notice.go
+++ b/internal/entry/notice.go
@@ -18,6 +18,10 @@
 		f.Detail = limit
 		x.h.Events.Record(event.ServerLimit, f)
 	}
+	if text, changed := change.BrittlenessChange(); changed {
+		f.Detail = text
+		x.h.Events.Record(event.ServerBrittle, f)
+	}
 	if change.StartsLeaving() {
 		f.Detail = "in an answer to this host"
 		x.h.Events.Record(event.ServerLeaves, f)
@@ -30,6 +34,9 @@
 	if s.Limit.Valid {
 		text += " limit=" + s.Limit.String()
 	}
+	if s.MaxRejections.Valid {
+		text += " brittle=" + s.MaxRejections.String()
+	}
 	if s.Leaving {
 		text += " leaving"
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -115,6 +115,7 @@
 	PathLost          Code = 622
 	PathRestored      Code = 623
 	ServerReached     Code = 624
+	ServerBrittle     Code = 625
 
 	StoreDown      Code = 701
 	StoreUp        Code = 702
@@ -212,6 +213,7 @@
 	PathLost:       {"path_lost", Warn, "This host does not reach a backend server that other hosts reach; its requests for the server go through other hosts."},
 	PathRestored:   {"path_restored", Info, "This host reaches a backend server again."},
 	ServerReached:  {"server_reached", Info, "A backend server that did not answer is reached again, and the scheduler uses it again at once."},
+	ServerBrittle:  {"server_brittle", Info, "A backend server changed or withdrew what it states about the rejections that it bears (a second, from all hosts; beyond them it fails); detail gives the old and the new number."},
 	ServerEnded:    {"server_ended", Warn, "A backend server ended while it ran a request: the answer broke off and the server refuses connections; detail gives the fingerprint of the request."},
 
 	RolloutOrdered: {"rollout_ordered", Info, "This host carries out an order to move a service to a version; detail gives the version and the time limit."},
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -9,8 +9,11 @@
 
 // Notice is what one answer states about its server.
 type Notice struct {
-	Limit   Limit
-	Leaving bool // the server accepts no new requests
+	Limit Limit
+	// MaxRejections is stated by a brittle server: one that has to reject more requests in a second,
+	// for lack of room, fails.
+	MaxRejections Limit
+	Leaving       bool // the server accepts no new requests
 	// Backoff is how long the server asks the host that it rejected with this answer to send
 	// it no requests, 0 if it asks for none.
 	Backoff time.Duration
@@ -23,7 +26,7 @@
 // the server's entry in the server list, and that entry may lapse for a moment.
 const UnlistedRetention = time.Minute
 
-// Limit is the rate of requests that a server accepts from all hosts together. The zero
+// Limit is a rate of requests over all hosts together. The zero
 // value means no limit.
 type Limit struct {
 	Valid     bool
@@ -56,5 +59,11 @@
 	return "limit=" + c.After.Limit.String() + " was=" + c.Before.Limit.String(), c.After.Limit != c.Before.Limit
 }
 
+// BrittlenessChange reports whether the rejections that the server bears have changed, and describes
+// the change for logs.
+func (c Change) BrittlenessChange() (text string, changed bool) {
+	return "rejections=" + c.After.MaxRejections.String() + " was=" + c.Before.MaxRejections.String(), c.After.MaxRejections != c.Before.MaxRejections
+}
+
 // StartsLeaving reports whether the server states for the first time that it is leaving.
 func (c Change) StartsLeaving() bool { return c.After.Leaving && !c.Before.Leaving }
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -205,10 +205,13 @@
 func (x *serverIndex) close(now Time, srv *server) {
 	const never = Time(math.MaxInt64)
 	opensAt := never
-	ends := [...]Time{srv.ejectedUntil, srv.pausedUntil, 0}
+	ends := [...]Time{srv.ejectedUntil, srv.pausedUntil, 0, 0}
 	if !srv.pacer.ready(now) {
 		ends[2] = srv.pacer.next
 	}
+	if !srv.toleratesRejection(now) {
+		ends[3] = srv.toleratesAt(now)
+	}
 	for _, end := range ends {
 		if end > now {
 			opensAt = min(opensAt, end)
--- a/internal/sched/notices.go
+++ b/internal/sched/notices.go
@@ -96,6 +96,7 @@
 	} else {
 		srv.pacer = pacer{}
 	}
+	s.applyBrittleness(srv, current.MaxRejections)
 	s.reindex(now, srv)
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -98,10 +98,17 @@
 // may use it.
 func (s *Scheduler) concurrencyLimit(svc *service, srv *server) int {
 	slots := float64(s.openSlots(srv))
-	if s.policy.Handovers {
+	if s.policy.Handovers && !srv.rejections.limited {
 		slots += svc.handoverSlots(srv)
 	}
-	share := s.policy.ConcurrencyFactor * s.share.Servers * slots
+	factor := s.policy.ConcurrencyFactor
+	if srv.rejections.limited {
+		if s.share.Servers < 1 {
+			return s.standaloneLimit(srv, slots)
+		}
+		factor = min(1, factor) // it may let none wait
+	}
+	share := factor * s.share.Servers * slots
 	n := int(share)
 	if srv.hashFraction < share-float64(n) || n == 0 && srv.pacer.limited() {
 		n++
@@ -192,6 +199,7 @@
 	req := w.Request
 	r := srv.start(now, svc, &req)
 	srv.pacer.take(now)
+	srv.takeSlot(r)
 	if srv.load != nil {
 		srv.load.triedAt = now
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -309,6 +309,7 @@
 	s.learnVersion(now, r, o)
 	o.TokenTime = s.usualTime(now, r, o.TokenTime)
 	s.learnRejection(now, r.server, o.Result)
+	s.learnSlots(now, r, o.Result)
 	s.learnServer(now, r, o)
 	s.learnEnd(now, r, o)
 	svc := s.services[r.req.Service]
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -21,6 +21,7 @@
 	class           int  // size class within its priority queue
 	countedAsServed bool // in the served count of its size class
 	charge          shareCharge
+	accepted        bool    // the server has begun to answer, so it will not reject the request
 	isolated        bool    // nothing else is placed at the server until the run shows progress
 	slowdownAtStart float64 // of the server when the run was placed
 	elapsedAtStart  float64 // see serverload.State.Elapsed
@@ -62,6 +63,7 @@
 	leaving           bool              // it was known to shut down before it ended
 	brokenAnswers     []quarantine.Loss // recent answers that were cut off
 	pacer             pacer
+	rejections        rejections
 	backoffs          map[uint64]Time // by holder, until when nothing is sent for that holder
 	serving           *service        // the service that places requests here, nil if unlisted or on trial
 	entry             indexEntry      // its place in the index of serving
@@ -89,7 +91,7 @@
 	if s.isolatedRuns > 0 || s.nextEjection > s.firstEjection && s.running > 0 {
 		return false
 	}
-	return s.usable(now) && now >= s.pausedUntil && s.running < maxRunning && s.pacer.ready(now)
+	return s.usable(now) && now >= s.pausedUntil && s.running < maxRunning && s.pacer.ready(now) && s.toleratesRejection(now)
 }
 
 // eligible reports whether s may be sent r: r was not tried there, and s has not asked the
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -241,10 +242,10 @@
 	return fmt.Sprintf("%s %.1f times", srv.Spec.ID, factor)
 }
 
-// addServerNotice has a server state a limit, or reject requests and ask for a backoff.
+// addServerNotice has a server state a limit, reject requests and ask for a backoff, or be brittle.
 func (k *soak) addServerNotice() string {
 	srv := k.servers[k.rng.IntN(len(k.servers))]
-	notices := []standin.Notice{{Limit: "1"}, {Limit: "5"}, {Rest: "0.5"}, {Rest: "2"}}
+	notices := []standin.Notice{{Limit: "1"}, {Limit: "5"}, {Rest: "0.5"}, {Rest: "2"}, {Brittle: "4"}, {Brittle: "1"}}
 	n := notices[k.rng.IntN(len(notices))]
 	srv.SetNotice(n)
 	k.undo = append(k.undo, func() { srv.SetNotice(standin.Notice{}) })
@@ -322,6 +323,15 @@
 	k.background.Wait()
 }
 
+// checkFalls checks that brittle servers were not made to fail too often.
+func (k *soak) checkFalls(seed uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, srv := range slices.Concat(k.servers, k.replaced) {
+		Expect(float64(srv.Falls())).To(BeNumerically("<=", allowedFalls(1)), "seed %d, %s", seed, srv.Spec.ID)
+	}
+}
+
 // waitForRecovery waits until each host answers each kind of call with success.
 func (k *soak) waitForRecovery(seed uint64) {
 	for _, h := range k.hostList() {
@@ -365,6 +375,7 @@
 			k.waitForRecovery(seed)
 			k.restartHostsInTurn()
 			k.checkPromises()
+			k.checkFalls(seed)
 			ok, all := k.answered()
 			fmt.Printf("soak: seed %d: %d of %d answered whole\n", seed, ok, all)
 			k.stop()
