--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,6 +84,8 @@
 	Get(ctx context.Context, s upstream.Server, timeout time.Duration) (conn *upstream.Conn, via string, err error)
 	// Check finds out what is at fault after a connection to a server broke or fell silent.
 	Check(ctx context.Context, s upstream.Server) reach.Verdict
+	// Answered records an answer of a server over this host's own path.
+	Answered()
 	// CloseIdle closes the idle connections to a server.
 	CloseIdle(s upstream.Server)
 }
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -242,6 +242,9 @@
 // handleAnswer handles an answer whose header has arrived.
 func (t *attempt) handleAnswer(ctx context.Context, resp *http.Response) nextStep {
 	x := t.x
+	if t.via == "" {
+		x.h.Servers.Answered()
+	}
 	head := x.h.Dialect.ReadAnswer(resp.Header)
 	if !mayAskBackoff(resp.StatusCode) {
 		head.Notice.Backoff = 0
--- a/internal/reach/connector.go
+++ b/internal/reach/connector.go
@@ -59,7 +59,7 @@
 	ServerReached(server string)
 }
 
-// Connector opens connections to servers. mu guards paths, checks, reachedAt and cut.
+// Connector opens connections to servers. mu guards paths, checks, connectedAt and cut.
 type Connector struct {
 	pool     *upstream.Pool
 	tunnels  Tunnels // nil: there are no other hosts
@@ -67,12 +67,14 @@
 	observer Observer
 	events   *event.Recorder
 
-	mu        sync.Mutex
-	paths     *Paths
-	checks    map[upstream.Server]*check
-	reachedAt time.Time // when a connection over an own path last succeeded
-	cut       bool      // as last reported to the observer
-	wake      chan struct{}
+	mu     sync.Mutex
+	paths  *Paths
+	checks map[upstream.Server]*check
+	// connectedAt is when a connection over an own path last succeeded. Answers don't count: open
+	// connections may live on while new ones fail.
+	connectedAt time.Time
+	cut         bool // as last reported to the observer
+	wake        chan struct{}
 }
 
 // NewConnector returns a Connector. others returns up to n listed servers, in random order. tunnels,
@@ -215,7 +217,7 @@
 		}
 	}
 	c.mu.Lock()
-	cut := c.paths.Cut() || t.Asked > 0 && time.Since(c.reachedAt) > reachedMemory
+	cut := c.paths.Cut(time.Now()) || t.Asked > 0 && time.Since(c.connectedAt) > reachedMemory
 	c.mu.Unlock()
 	v := judge(refused, cut, t)
 	switch {
@@ -237,8 +239,8 @@
 		return nil, err
 	}
 	c.mu.Lock()
-	c.reachedAt = time.Now()
-	wasDown := c.paths.Connected(s.ID)
+	c.connectedAt = time.Now()
+	wasDown := c.paths.Connected(c.connectedAt, s.ID)
 	c.reportCut()
 	c.mu.Unlock()
 	if wasDown && c.observer != nil {
@@ -247,18 +249,25 @@
 	return conn, nil
 }
 
+// Answered records an answer of a server over this host's own path.
+func (c *Connector) Answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paths.Answered(time.Now())
+}
+
 // Usable reports whether the path to a server is believed to work.
 func (c *Connector) Usable(server string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tunnels == nil || c.paths.Usable(server)
+	return c.tunnels == nil || c.paths.Usable(time.Now(), server)
 }
 
 // ReachesOthers reports whether this host reaches servers other than s: it did a moment ago, or it does
 // now.
 func (c *Connector) ReachesOthers(ctx context.Context, s upstream.Server) bool {
 	c.mu.Lock()
-	recent := time.Since(c.reachedAt) < reachedMemory
+	recent := time.Since(c.connectedAt) < reachedMemory
 	c.mu.Unlock()
 	if recent {
 		return true
@@ -308,7 +317,7 @@
 
 // reportCut reports a change of whether this host is cut off from all servers. The caller holds mu.
 func (c *Connector) reportCut() {
-	if cut := c.paths.Cut(); cut != c.cut {
+	if cut := c.paths.Cut(time.Now()); cut != c.cut {
 		c.cut = cut
 		if c.observer != nil {
 			c.observer.PathsLost(cut)
@@ -328,7 +337,7 @@
 func (c *Connector) LostPaths() (n int, cut bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.paths.Lost(), c.paths.Cut()
+	return c.paths.Lost(), c.paths.Cut(time.Now())
 }
 
 // Run probes paths that are not known to work, until ctx ends. No caller's request is used for it.
@@ -344,6 +353,7 @@
 		}
 		c.mu.Lock()
 		due, next := c.paths.Due(time.Now(), maxProbesAtOnce)
+		c.reportCut()
 		c.mu.Unlock()
 		var probes sync.WaitGroup
 		for _, p := range due {
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -22,9 +22,11 @@
 	minProbes  = 2
 	maxProbes  = 8
 	flapPeriod = 10 * time.Second
-	// cutThreshold is the number of different servers whose paths must be lost in a row, without a
-	// successful connection to any server, for the host to count as cut off from all.
+	// A host counts as cut off from all servers when it has lost the paths to cutThreshold of them in a
+	// row and has had neither a connection nor an answer over another path for cutDelay. Without the
+	// delay, a host that is cut from some servers only would take itself for cut off again and again.
 	cutThreshold = 2
+	cutDelay     = time.Second
 )
 
 // pathState is what is known of a path that is not known to work.
@@ -59,8 +61,9 @@
 type Paths struct {
 	paths    map[string]*path // by server
 	restored map[string]restored
-	// lostInARow are the servers whose paths were lost since the newest successful connection.
+	// lostInARow are the servers whose paths were lost since reachedAt, when a path last worked.
 	lostInARow map[string]bool
+	reachedAt  time.Time
 }
 
 // NewPaths returns Paths of a host that reaches all servers.
@@ -69,20 +72,28 @@
 }
 
 // Usable reports whether a connection to a server is to be tried over the path.
-func (p *Paths) Usable(server string) bool {
+func (p *Paths) Usable(now time.Time, server string) bool {
 	if have := p.paths[server]; have != nil && have.state == lost {
 		return false
 	}
-	return !p.Cut()
+	return !p.Cut(now)
 }
 
 // Cut reports whether this host seems to be cut off from all servers.
-func (p *Paths) Cut() bool { return len(p.lostInARow) >= cutThreshold }
+func (p *Paths) Cut(now time.Time) bool {
+	return len(p.lostInARow) >= cutThreshold && now.Sub(p.reachedAt) >= cutDelay
+}
+
+// Answered records an answer over a path of this host.
+func (p *Paths) Answered(now time.Time) {
+	clear(p.lostInARow)
+	p.reachedAt = now
+}
 
 // Connected records a successful connection over the path to a server, and reports whether the server
 // was down before. A lost path is used again only after Probed.
-func (p *Paths) Connected(server string) (wasDown bool) {
-	clear(p.lostInARow)
+func (p *Paths) Connected(now time.Time, server string) (wasDown bool) {
+	p.Answered(now)
 	if have := p.paths[server]; have != nil && have.state == down {
 		wasDown = true
 		delete(p.paths, server)
