--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -18,6 +18,8 @@
 	LateFirst    Outcome = "late: first event"
 	LatePause    Outcome = "late: pause"
 	NoRoom       Outcome = "refused: no room"
+	NoPath       Outcome = "refused: no path"
+	NoServer     Outcome = "refused: no server"
 	OverQuota    Outcome = "refused: quota"
 	NotAllowed   Outcome = "not allowed"
 	OtherRefusal Outcome = "refused: other"
@@ -26,7 +28,7 @@
 )
 
 // Outcomes lists the outcomes in the order of their columns.
-var Outcomes = []Outcome{InTime, LateWait, LateFirst, LatePause, NoRoom, OverQuota, OtherRefusal, LostAtServer, CallerLeft, NotAllowed}
+var Outcomes = []Outcome{InTime, LateWait, LateFirst, LatePause, NoRoom, NoPath, NoServer, OverQuota, OtherRefusal, LostAtServer, CallerLeft, NotAllowed}
 
 // Tally counts outcomes of requests.
 type Tally struct {
@@ -106,7 +108,9 @@
 	phrase  string
 	outcome Outcome
 }{
+	{"no_path", NoPath},
 	{"no server had room", NoRoom},
+	{"no usable server", NoServer},
 	{"over its quota", OverQuota},
 	{"may have run", LostAtServer},
 	{"belongs to no account", NotAllowed},
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -202,6 +202,22 @@
 		Eventually(carrier.server.Active).Should(BeZero())
 	})
 
+	// A host that shuts down would cut off the answers that it carries for others.
+	It("is waited for by the host that carries it, as long as that may", func() {
+		carrier := startCarrier(2, "z")
+		conn := open(newTestOpener(carrier), listen(echo))
+		wait := func(limit time.Duration) time.Duration {
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			defer cancel()
+			begin := time.Now()
+			carrier.server.Wait(ctx)
+			return time.Since(begin)
+		}
+		Expect(wait(100 * time.Millisecond)).To(BeNumerically(">=", 100*time.Millisecond))
+		time.AfterFunc(100*time.Millisecond, func() { _ = conn.Close() })
+		Expect(wait(10 * time.Second)).To(BeNumerically("<", 2*time.Second))
+	})
+
 	It("is closed under a pending read", func() {
 		conn := open(newTestOpener(startCarrier(2, "z")), listen(func(net.Conn) {}))
 		time.AfterFunc(50*time.Millisecond, func() { _ = conn.Close() })
