reach: a witness must reach another server of the same service

A host that had lost its links to one service but not to others testified against that service's servers. The own path now has 40 ms before a tunnel is opened: connections between regions take 25. The list of servers gave the control connections by the wrong key, so a server could be compared with itself; found in reading.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,7 +202,7 @@
 		Table: n.members, OwnZone: n.settings.AvailabilityZone, ZoneOf: n.servers.zoneOf,
 		Home: func() (member.Member, bool) { return dispatch.HomeOf(n.members) },
 	})
-	n.connector = reach.NewConnector(n.pool, n.opener, n.servers.sample, pathObserver{n}, n.events)
+	n.connector = reach.NewConnector(n.pool, n.opener, n.servers, pathObserver{n}, n.events)
 	n.tunnels = tunnel.NewServer(n.connector, n.servers.hasAddress, n.metrics)
 	deps := entry.Dependencies{
 		Routes: &n.routes, Placer: n.client, Servers: n.connector, Dialect: n.platform.Dialect,
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -330,19 +330,36 @@
 	return srv.Zone
 }
 
-// sample returns up to n listed servers other than one, in no particular order.
-func (s *servers) sample(n int, except string) (out []upstream.Server) {
+// Service implements reach.Servers.
+func (s *servers) Service(id string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, srv := range s.known {
-		if len(out) == n {
-			break
+	srv, _ := s.byID(id)
+	return srv.Service
+}
+
+// Others implements reach.Servers.
+func (s *servers) Others(id string, n int) (out []upstream.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	srv, _ := s.byID(id)
+	var ofOthers []upstream.Server
+	for _, other := range s.known { // in random order
+		switch {
+		case other.ID == id || other.Draining:
+		case other.Service == srv.Service:
+			out = append(out, upstream.Server{ID: other.ID, Address: other.Address})
+		case len(ofOthers) < n:
+			ofOthers = append(ofOthers, upstream.Server{ID: other.ID, Address: other.Address})
 		}
-		if id != except && !srv.Draining {
-			out = append(out, upstream.Server{ID: id, Address: srv.Address})
+		if len(out) == n {
+			return out
 		}
 	}
-	return out
+	if len(out) > 0 {
+		return out
+	}
+	return ofOthers
 }
 
 // Leaving implements dispatch.ServerList. It reports whether an incarnation is draining or
--- a/internal/reach/connector.go
+++ b/internal/reach/connector.go
@@ -16,7 +16,7 @@
 const (
 	// directStart is how long the own path has before a tunnel is opened as well: many times what a
 	// connection takes, and little of the shortest latency target.
-	directStart = 25 * time.Millisecond
+	directStart = 40 * time.Millisecond
 	// lateTime is how long after the end of the time for a connection attempt a request still waits
 	// for its outcome.
 	lateTime = 10 * time.Millisecond
@@ -51,6 +51,14 @@
 	Open(ctx context.Context, r TunnelRequest) (conn net.Conn, via string, t Testimony)
 }
 
+// Servers is this host's list of servers.
+type Servers interface {
+	// Service returns the service of a server, empty if the server is not listed.
+	Service(server string) string
+	// Others returns up to n other servers of the same service, or of any service if it has no others.
+	Others(server string, n int) []upstream.Server
+}
+
 // Observer is told what a Connector finds out. Its methods must not block.
 type Observer interface {
 	// PathsLost is called when this host loses the paths to all servers, and when it has one again.
@@ -59,30 +67,30 @@
 	ServerReached(server string)
 }
 
-// Connector opens connections to servers. mu guards paths, checks, connectedAt and cut.
+// Connector opens connections to servers. mu guards the fields from paths to cut.
 type Connector struct {
 	pool     *upstream.Pool
 	tunnels  Tunnels // nil: there are no other hosts
-	others   func(n int, except string) []upstream.Server
+	servers  Servers
 	observer Observer
 	events   *event.Recorder
 
 	mu     sync.Mutex
 	paths  *Paths
 	checks map[upstream.Server]*check
-	// connectedAt is when a connection over an own path last succeeded. Answers don't count: open
-	// connections may live on while new ones fail.
-	connectedAt time.Time
-	cut         bool // as last reported to the observer
-	wake        chan struct{}
+	// connectedAt is when a connection over an own path last succeeded, by service and of any service.
+	// Answers don't count: open connections may live on while new ones fail.
+	connectedAt    map[string]time.Time
+	connectedToAny time.Time
+	cut            bool // as last reported to the observer
+	wake           chan struct{}
 }
 
-// NewConnector returns a Connector. others returns up to n listed servers, in random order. tunnels,
-// others and observer may be nil where there is one host only.
-func NewConnector(pool *upstream.Pool, tunnels Tunnels, others func(n int, except string) []upstream.Server, observer Observer, events *event.Recorder) *Connector {
+// NewConnector returns a Connector. tunnels and observer may be nil where there is one host only.
+func NewConnector(pool *upstream.Pool, tunnels Tunnels, servers Servers, observer Observer, events *event.Recorder) *Connector {
 	return &Connector{
-		pool: pool, tunnels: tunnels, others: others, observer: observer, events: events,
-		paths: NewPaths(), checks: map[upstream.Server]*check{}, wake: make(chan struct{}, 1),
+		pool: pool, tunnels: tunnels, servers: servers, observer: observer, events: events,
+		paths: NewPaths(), checks: map[upstream.Server]*check{}, connectedAt: map[string]time.Time{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -217,7 +225,7 @@
 		}
 	}
 	c.mu.Lock()
-	cut := c.paths.Cut(time.Now()) || t.Asked > 0 && time.Since(c.connectedAt) > reachedMemory
+	cut := c.paths.Cut(time.Now()) || t.Asked > 0 && time.Since(c.connectedToAny) > reachedMemory
 	c.mu.Unlock()
 	v := judge(refused, cut, t)
 	switch {
@@ -238,9 +246,11 @@
 	if err != nil {
 		return nil, err
 	}
+	service := c.servers.Service(s.ID)
 	c.mu.Lock()
-	c.connectedAt = time.Now()
-	wasDown := c.paths.Connected(c.connectedAt, s.ID)
+	now := time.Now()
+	c.connectedAt[service], c.connectedToAny = now, now
+	wasDown := c.paths.Connected(now, s.ID)
 	c.reportCut()
 	c.mu.Unlock()
 	if wasDown && c.observer != nil {
@@ -263,18 +273,19 @@
 	return c.tunnels == nil || c.paths.Usable(time.Now(), server)
 }
 
-// ReachesOthers reports whether this host reaches servers other than s: it did a moment ago, or it does
-// now.
+// ReachesOthers reports whether this host reaches other servers of the service of s: it did a moment ago,
+// or it does now. Servers of other services say little: a host may have lost the links to one service.
 func (c *Connector) ReachesOthers(ctx context.Context, s upstream.Server) bool {
+	service := c.servers.Service(s.ID)
 	c.mu.Lock()
-	recent := time.Since(c.connectedAt) < reachedMemory
+	recent := time.Since(c.connectedAt[service]) < reachedMemory
 	c.mu.Unlock()
 	if recent {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	others := c.others(controlDials, s.ID)
+	others := c.servers.Others(s.ID, controlDials)
 	reached := make(chan bool, len(others))
 	for _, other := range others {
 		go func() {
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -208,6 +208,3 @@
 	}
 	return n
 }
-
-// Watched reports whether there are paths to be probed.
-func (p *Paths) Watched() bool { return len(p.paths) > 0 }
