sched: a run that was lost with its holder's path keeps its slot until its predicted end

A server does not notice that a connection behind a cut was closed and works on. The slots of streams that were resumed elsewhere were given away at once, those of streams that can't be resumed were kept until their holders gave up, seconds later. Now both are kept until the run's predicted end.

Test only: a host that starts again in the soak of links keeps its links (data race).

--- a/internal/entry/stall.go
+++ b/internal/entry/stall.go
@@ -77,7 +77,9 @@
 		if t.phase.CompareAndSwap(inProgress, stalled) {
 			t.conn.Close()
 		}
-	case verdict != reach.PathLost:
+	case verdict == reach.PathLost: // the run waits for its path, but its slot is free when the server ends it
+		t.x.h.Placer.Finish(t.placement.ID, sched.PathLost, 0, 0)
+	default:
 		t.x.h.Placer.Finish(t.placement.ID, sched.Stalled, 0, 0)
 	}
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -329,6 +329,10 @@
 		svc.queue.priorityQueue(r.req.Priority).sizeStats.served[r.class].add(now, -1)
 	}
 	s.settle(svc, r, o)
+	if o.Result == PathLost {
+		s.abandon(now, r, 0)
+		return s.out
+	}
 	s.removeRun(now, r)
 	s.reviewSuspects(now)
 	listed := s.servers[r.server.ID] == r.server
@@ -459,14 +463,23 @@
 		delete(svc.index.byHolder, holder)
 	}
 	for k, r := range s.runs {
-		if k.Holder == holder && !r.orphan {
-			r.orphan = true
-			r.predictedEnd = max(now, r.predictedEnd) + orphanGrace
-			s.orphans++
+		if k.Holder == holder {
+			s.abandon(now, r, orphanGrace)
 		}
 	}
 }
 
+// abandon makes a run an orphan: its holder does not observe it any more, while the server may work on it
+// until its predicted end plus grace.
+func (s *Scheduler) abandon(now Time, r *run, grace time.Duration) {
+	if r.orphan {
+		return
+	}
+	r.orphan = true
+	r.predictedEnd = max(now, r.predictedEnd) + grace
+	s.orphans++
+}
+
 // Tick handles the passing of time: it refuses requests that waited too long, drops
 // orphaned runs, advances trials of new versions and places requests at servers that have
 // room again.
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -125,7 +125,8 @@
 	// caused; the answer of another server decides which of them is at fault.
 	UnattributedError
 	// PathLost: the connection between the holder and the server failed, while the server is reached by
-	// other hosts or the holder reaches no server. This says nothing about the server.
+	// other hosts or the holder reaches no server. This says nothing about the server, which may work on
+	// the run to its end.
 	PathLost
 )
 
--- a/internal/tunnel/opener.go
+++ b/internal/tunnel/opener.go
@@ -164,7 +164,7 @@
 	o.failed[h.Target.Incarnation] = time.Now()
 }
 
-// Open tunnels of this host through others.
+// Active returns the number of tunnels of this host through others.
 func (o *Opener) Active() (n int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/test/platform/links_test.go
+++ b/test/platform/links_test.go
@@ -207,7 +207,9 @@
 	set.MetricsPort = metricsPort
 	set.Policy = sched.DefaultPolicy()
 	Expect(set.Policy.Set(s.policy)).To(Succeed())
-	h.links, h.log = newLinks(), &logBuffer{}
+	if h.links == nil { // a host that starts again keeps its links
+		h.links, h.log = newLinks(), &logBuffer{}
+	}
 	set.ConnectServer = h.links.connect
 	var n *node.Node
 	Eventually(func() (err error) { // the ports of a host that has just stopped may still be taken
