--- a/internal/reach/connector.go
+++ b/internal/reach/connector.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// directStart is how long the own path has before a tunnel is opened as well: many times what a
-	// connection takes, and little of the shortest latency target.
+	// directStart is how long the own path has before a tunnel is opened as well: more than a connection
+	// between regions takes, and less than the shortest latency target.
 	directStart = 40 * time.Millisecond
 	// lateTime is how long after the end of the time for a connection attempt a request still waits
 	// for its outcome.
@@ -23,18 +23,6 @@
 	// tunnelTime is the shortest time that a tunnel may take to open, also where the time for a
 	// connection attempt has nearly passed.
 	tunnelTime = 100 * time.Millisecond
-	// checkTimeout bounds the connection attempts that find out what is at fault.
-	checkTimeout = 300 * time.Millisecond
-	// reachedMemory is how long a successful connection shows that this host reaches servers.
-	reachedMemory = time.Second
-	// controlDials is the number of other servers to which a host connects to find out whether it
-	// reaches any, and controlTimeout bounds these attempts.
-	controlDials   = 2
-	controlTimeout = 150 * time.Millisecond
-	probeTimeout   = 250 * time.Millisecond
-	confirmTimeout = 100 * time.Millisecond
-	// maxProbesAtOnce bounds the paths that are probed at the same time.
-	maxProbesAtOnce = 16
 )
 
 // TunnelRequest asks other hosts for a connection to a server.
@@ -159,84 +147,6 @@
 	}
 }
 
-// Check finds out what is at fault after a connection to a server broke or fell silent. Checks of the same
-// server at the same time, as when all its streams break, are one.
-func (c *Connector) Check(ctx context.Context, s upstream.Server) Verdict {
-	c.mu.Lock()
-	running := c.checks[s]
-	if running == nil {
-		running = &check{done: make(chan struct{})}
-		c.checks[s] = running
-		go func() {
-			running.verdict = c.check(context.WithoutCancel(ctx), s)
-			c.mu.Lock()
-			delete(c.checks, s)
-			c.mu.Unlock()
-			close(running.done)
-		}()
-	}
-	c.mu.Unlock()
-	select {
-	case <-running.done:
-		return running.verdict
-	case <-ctx.Done():
-		return Unknown
-	}
-}
-
-// check is a running check. verdict is set before done is closed.
-type check struct {
-	done    chan struct{}
-	verdict Verdict
-}
-
-func (c *Connector) check(ctx context.Context, s upstream.Server) Verdict {
-	refused := true // by what other hosts find, if the own path is lost
-	if c.Usable(s.ID) {
-		dialCtx, cancel := context.WithTimeout(ctx, checkTimeout)
-		defer cancel()
-		conn, err := c.Connect(dialCtx, s)
-		if err == nil {
-			_ = conn.Close() // nothing was sent
-			return Reached
-		}
-		refused = refuses(err)
-	}
-	var t Testimony
-	if c.tunnels != nil {
-		ctx, cancel := context.WithTimeout(ctx, checkTimeout+tunnelTime)
-		defer cancel()
-		_, _, t = c.tunnels.Open(ctx, TunnelRequest{Server: s, Timeout: checkTimeout, Check: true})
-	}
-	return c.settle(s, refused, t)
-}
-
-// settle decides what is at fault and remembers it.
-//
-// A server that was silent for a moment may have answered another host after this one gave up, so the own
-// path is tried once more before it counts as lost.
-func (c *Connector) settle(s upstream.Server, refused bool, t Testimony) Verdict {
-	if t.Reached && c.Usable(s.ID) {
-		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
-		defer cancel()
-		if conn, err := c.Connect(ctx, s); err == nil {
-			_ = conn.Close() // nothing was sent
-			return Reached
-		}
-	}
-	c.mu.Lock()
-	cut := c.paths.Cut(time.Now()) || t.Asked > 0 && time.Since(c.connectedToAny) > reachedMemory
-	c.mu.Unlock()
-	v := judge(refused, cut, t)
-	switch {
-	case v == PathLost && (t.Reached || t.Asked > 0):
-		c.Lose(s)
-	case v == Unreachable || v == Ended:
-		c.watch(func(p *Paths, now time.Time) { p.Down(now, s.ID, s.Address) })
-	}
-	return v
-}
-
 // CloseIdle closes the idle connections to a server.
 func (c *Connector) CloseIdle(s upstream.Server) { c.pool.CloseIdle(s) }
 
@@ -273,37 +183,6 @@
 	return c.tunnels == nil || c.paths.Usable(time.Now(), server)
 }
 
-// ReachesOthers reports whether this host reaches other servers of the service of s: it did a moment ago,
-// or it does now. Servers of other services say little: a host may have lost the links to one service.
-func (c *Connector) ReachesOthers(ctx context.Context, s upstream.Server) bool {
-	service := c.servers.Service(s.ID)
-	c.mu.Lock()
-	recent := time.Since(c.connectedAt[service]) < reachedMemory
-	c.mu.Unlock()
-	if recent {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	others := c.servers.Others(s.ID, controlDials)
-	reached := make(chan bool, len(others))
-	for _, other := range others {
-		go func() {
-			conn, err := c.Connect(ctx, other)
-			if err == nil {
-				_ = conn.Close() // nothing was sent
-			}
-			reached <- err == nil
-		}()
-	}
-	for range others {
-		if <-reached {
-			return true
-		}
-	}
-	return false
-}
-
 // Lose records that this host does not reach a server that others reach.
 func (c *Connector) Lose(s upstream.Server) {
 	isNew := false
@@ -351,45 +230,5 @@
 	return c.paths.Lost(), c.paths.Cut(time.Now())
 }
 
-// Run probes paths that are not known to work, until ctx ends. No caller's request is used for it.
-func (c *Connector) Run(ctx context.Context) {
-	timer := time.NewTimer(maxProbeInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-		case <-c.wake:
-		case <-ctx.Done():
-			return
-		}
-		c.mu.Lock()
-		due, next := c.paths.Due(time.Now(), maxProbesAtOnce)
-		c.reportCut()
-		c.mu.Unlock()
-		var probes sync.WaitGroup
-		for _, p := range due {
-			probes.Go(func() { c.probe(ctx, upstream.Server{ID: p.Server, Address: p.Address}) })
-		}
-		probes.Wait()
-		timer.Reset(time.Until(next))
-	}
-}
-
-// probe tries a path once.
-func (c *Connector) probe(ctx context.Context, s upstream.Server) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	conn, err := c.Connect(ctx, s)
-	if err == nil {
-		_ = conn.Close() // nothing was sent
-	}
-	c.mu.Lock()
-	isRestored := c.paths.Probed(time.Now(), s.ID, err == nil)
-	c.mu.Unlock()
-	if isRestored {
-		c.events.Record(event.PathRestored, event.Fields{Server: s.ID, Detail: s.Address})
-	}
-}
-
 // refuses reports whether an error means that nothing listens at the address.
 func refuses(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// maxServed bounds the tunnels that a host carries at once. Each has two buffers of bufferBytes,
-	// two descriptors' worth of connections, and at most one window of unread bytes.
+	// maxServed bounds the tunnels that a host carries at once. Each takes a connection, two buffers of
+	// bufferBytes and at most two windows of unread bytes.
 	maxServed = 256
 	// maxConnectTime bounds the connection attempts that other hosts ask for.
 	maxConnectTime = 500 * time.Millisecond
