--- a/internal/reach/check.go
+++ b/internal/reach/check.go
@@ -63,21 +63,21 @@
 		}
 		refused = refuses(err)
 	}
-	var t Testimony
+	var found PeerResults
 	if c.tunnels != nil {
 		ctx, cancel := context.WithTimeout(ctx, checkTimeout+tunnelTime)
 		defer cancel()
-		_, _, t = c.tunnels.Open(ctx, TunnelRequest{Server: s, Timeout: checkTimeout, Check: true})
+		_, _, found = c.tunnels.Open(ctx, TunnelRequest{Server: s, Timeout: checkTimeout, Check: true})
 	}
-	return c.settle(s, refused, t)
+	return c.settle(s, refused, found)
 }
 
 // settle decides what is at fault and remembers it.
 //
 // A server that was silent for a moment may have answered another host after this one gave up, so the own
 // path is tried once more before it counts as lost.
-func (c *Connector) settle(s upstream.Server, refused bool, t Testimony) Verdict {
-	if t.Reached && c.Usable(s.ID) {
+func (c *Connector) settle(s upstream.Server, refused bool, found PeerResults) Verdict {
+	if found.Reached && c.Usable(s.ID) {
 		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 		defer cancel()
 		if conn, err := c.Connect(ctx, s); err == nil {
@@ -86,11 +86,11 @@
 		}
 	}
 	c.mu.Lock()
-	cut := c.paths.Cut(time.Now()) || t.Asked > 0 && time.Since(c.connectedToAny) > reachedMemory
+	cut := c.paths.Cut(time.Now()) || found.Asked > 0 && time.Since(c.connectedToAny) > reachedMemory
 	c.mu.Unlock()
-	v := judge(refused, cut, t)
+	v := diagnose(refused, cut, found)
 	switch {
-	case v == PathLost && (t.Reached || t.Asked > 0):
+	case v == PathLost && (found.Reached || found.Asked > 0):
 		c.Lose(s)
 	case v == Unreachable || v == Ended:
 		c.watch(func(p *Paths, now time.Time) { p.Down(now, s.ID, s.Address) })
--- a/internal/reach/connector.go
+++ b/internal/reach/connector.go
@@ -36,7 +36,7 @@
 type Tunnels interface {
 	// Open returns a connection, the host that carries it and what was found. The connection is nil if
 	// there is none or only a check was wanted.
-	Open(ctx context.Context, r TunnelRequest) (conn net.Conn, via string, t Testimony)
+	Open(ctx context.Context, r TunnelRequest) (conn net.Conn, via string, found PeerResults)
 }
 
 // Servers is this host's list of servers.
@@ -111,15 +111,15 @@
 		return c.open(ctx, s, timeout)
 	}
 	c.watch(func(p *Paths, now time.Time) { p.TryLater(now, s.ID, s.Address) })
-	raw, via, t := c.tunnels.Open(ctx, TunnelRequest{Server: s, Timeout: max(timeout, tunnelTime)})
+	raw, via, found := c.tunnels.Open(ctx, TunnelRequest{Server: s, Timeout: max(timeout, tunnelTime)})
 	if raw != nil {
 		return c.pool.NewTunnel(raw, s), via, nil
 	}
-	if t.Asked == 0 { // no other host has a path either
+	if found.Asked == 0 { // no other host has a path either
 		return c.open(ctx, s, timeout)
 	}
 	f := &Failed{cause: failure.New(failure.NoPath, "this host has no path to %s, and no host that was asked has one", s.Address), verdict: make(chan Verdict, 1)}
-	f.verdict <- c.settle(s, false, t)
+	f.verdict <- c.settle(s, false, found)
 	return nil, "", f
 }
 
--- a/internal/reach/connector_test.go
+++ b/internal/reach/connector_test.go
@@ -59,7 +59,7 @@
 }
 
 // Open implements Tunnels.
-func (n *network) Open(ctx context.Context, r TunnelRequest) (net.Conn, string, Testimony) {
+func (n *network) Open(ctx context.Context, r TunnelRequest) (net.Conn, string, PeerResults) {
 	n.mu.Lock()
 	n.tunnels++
 	l := n.tunneled
@@ -70,15 +70,15 @@
 		case <-ctx.Done():
 		case <-time.After(r.Timeout):
 		}
-		return nil, "", Testimony{Unreachable: 2, Asked: 2}
+		return nil, "", PeerResults{Unreachable: 2, Asked: 2}
 	case refusesAll:
-		return nil, "", Testimony{Refused: 2, Asked: 2}
+		return nil, "", PeerResults{Refused: 2, Asked: 2}
 	}
 	if r.Check {
-		return nil, "other", Testimony{Reached: true, Asked: 1}
+		return nil, "other", PeerResults{Reached: true, Asked: 1}
 	}
 	a, _ := net.Pipe()
-	return a, "other", Testimony{Reached: true, Asked: 1}
+	return a, "other", PeerResults{Reached: true, Asked: 1}
 }
 
 // Service implements Servers: the first letter of a server's name.
@@ -304,9 +304,9 @@
 })
 
 var _ = Describe("a host that is asked about a server", func() {
-	// Hosts that have lost their links to one service would testify against its servers, since they
+	// Hosts that have lost their links to one service would report its servers as unreachable, since they
 	// reach those of others.
-	It("is a witness only if it reaches others of the same service", func() {
+	It("confirms a failure only if it reaches others of the same service", func() {
 		n := &network{}
 		c := newConnector(n)
 		_, err := c.Connect(context.Background(), serverNamed("plain"))
--- a/internal/reach/paths_test.go
+++ b/internal/reach/paths_test.go
@@ -135,19 +135,19 @@
 })
 
 var _ = Describe("what is at fault", func() {
-	DescribeTable("is judged from what this host and others find",
-		func(refused, cut bool, t Testimony, expected Verdict) {
-			Expect(judge(refused, cut, t)).To(Equal(expected))
+	DescribeTable("is decided from what this host and others find",
+		func(refused, cut bool, t PeerResults, expected Verdict) {
+			Expect(diagnose(refused, cut, t)).To(Equal(expected))
 		},
-		Entry("another host reaches the server", true, false, Testimony{Reached: true, Asked: 1}, PathLost),
-		Entry("another host reaches it, a third one does not", false, false, Testimony{Reached: true, Unreachable: 1, Asked: 2}, PathLost),
-		Entry("its port refuses all", true, false, Testimony{Refused: 2, Asked: 2}, Ended),
-		Entry("it answers nobody", false, false, Testimony{Unreachable: 2, Asked: 2}, Unreachable),
-		Entry("it refuses others and does not answer this host", false, false, Testimony{Refused: 2, Asked: 2}, Unreachable),
-		Entry("nobody else can tell, and this host reaches other servers", false, false, Testimony{Asked: 3}, Unreachable),
-		Entry("nobody else can tell, and this host reaches no server", false, true, Testimony{Asked: 3}, PathLost),
-		Entry("nobody else can tell about a refusal, and this host reaches no server", true, true, Testimony{Asked: 3}, PathLost),
-		Entry("there is no other host", true, false, Testimony{}, Ended),
-		Entry("a cut host learns that the server has ended", true, true, Testimony{Refused: 2, Asked: 2}, Ended),
+		Entry("another host reaches the server", true, false, PeerResults{Reached: true, Asked: 1}, PathLost),
+		Entry("another host reaches it, a third one does not", false, false, PeerResults{Reached: true, Unreachable: 1, Asked: 2}, PathLost),
+		Entry("its port refuses all", true, false, PeerResults{Refused: 2, Asked: 2}, Ended),
+		Entry("it answers nobody", false, false, PeerResults{Unreachable: 2, Asked: 2}, Unreachable),
+		Entry("it refuses others and does not answer this host", false, false, PeerResults{Refused: 2, Asked: 2}, Unreachable),
+		Entry("nobody else can tell, and this host reaches other servers", false, false, PeerResults{Asked: 3}, Unreachable),
+		Entry("nobody else can tell, and this host reaches no server", false, true, PeerResults{Asked: 3}, PathLost),
+		Entry("nobody else can tell about a refusal, and this host reaches no server", true, true, PeerResults{Asked: 3}, PathLost),
+		Entry("there is no other host", true, false, PeerResults{}, Ended),
+		Entry("a cut host learns that the server has ended", true, true, PeerResults{Refused: 2, Asked: 2}, Ended),
 	)
 })
--- a/internal/reach/race.go
+++ b/internal/reach/race.go
@@ -24,7 +24,7 @@
 // tunneled is the outcome of an attempt to open a tunnel.
 type tunneled struct {
 	connection
-	testimony Testimony
+	results PeerResults
 }
 
 // race is an attempt to connect to a server over the own path and, if that fails or takes unusually
@@ -113,6 +113,6 @@
 		r.verdict <- Reached
 		return
 	}
-	r.verdict <- r.c.settle(r.server, refuses(d.err), t.testimony)
+	r.verdict <- r.c.settle(r.server, refuses(d.err), t.results)
 	r.cause <- failure.Wrap(failure.NoServer, d.err, "connect to %s", r.server.Address)
 }
--- a/internal/reach/verdict.go
+++ b/internal/reach/verdict.go
@@ -21,23 +21,23 @@
 	return [...]string{"reached", "path_lost", "unreachable", "ended", "unknown"}[v]
 }
 
-// Testimony is what other hosts found when asked for a tunnel to a server.
-type Testimony struct {
+// PeerResults is what other hosts found when asked for a tunnel to a server.
+type PeerResults struct {
 	Reached bool // one of them reaches it
 	// Refused and Unreachable count the hosts that don't reach it although they reach other servers.
 	Refused, Unreachable int
 	Asked                int // hosts, including those that could not tell
 }
 
-// judge weighs this host's own failure, with refused set if the connection was refused, against what other
+// diagnose weighs this host's own failure, with refused set if the connection was refused, against what other
 // hosts found. cut is set if this host does not reach any server.
-func judge(refused, cut bool, t Testimony) Verdict {
+func diagnose(refused, cut bool, found PeerResults) Verdict {
 	switch {
-	case t.Reached:
+	case found.Reached:
 		return PathLost
-	case t.Refused > 0 && refused:
+	case found.Refused > 0 && refused:
 		return Ended
-	case t.Refused+t.Unreachable > 0:
+	case found.Refused+found.Unreachable > 0:
 		return Unreachable
 	case cut:
 		return PathLost
--- a/internal/tunnel/opener.go
+++ b/internal/tunnel/opener.go
@@ -17,9 +17,9 @@
 	nextHostDelay = 20 * time.Millisecond
 	// maxAsked bounds the hosts that are asked for one tunnel.
 	maxAsked = 5
-	// testimonies is the number of hosts that must fail to reach a server for it to be at fault,
+	// confirmations is the number of hosts that must fail to reach a server for it to be at fault,
 	// where there are as many.
-	testimonies = 2
+	confirmations = 2
 	// replyMargin is how long after the end of its connection attempt a host may reply.
 	replyMargin = 100 * time.Millisecond
 )
@@ -53,11 +53,11 @@
 
 // Open asks other hosts, one after the other, for a connection to a server, until one has it or enough
 // of them don't reach it. conn is nil if there is none, or if only a check was wanted.
-func (o *Opener) Open(ctx context.Context, r reach.TunnelRequest) (conn net.Conn, via string, t reach.Testimony) {
+func (o *Opener) Open(ctx context.Context, r reach.TunnelRequest) (conn net.Conn, via string, found reach.PeerResults) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	candidates := o.candidates(r.Server.ID)
-	needed := min(testimonies, len(candidates))
+	needed := min(confirmations, len(candidates))
 	answers := make(chan answer, len(candidates))
 	pending := 0
 	ask := func() {
@@ -65,28 +65,28 @@
 			host := candidates[0]
 			candidates = candidates[1:]
 			pending++
-			t.Asked++
+			found.Asked++
 			go func() { answers <- o.ask(ctx, host, r) }()
 		}
 	}
 	next := time.NewTimer(nextHostDelay)
 	defer next.Stop()
-	for ask(); pending > 0 && t.Refused+t.Unreachable < needed; {
+	for ask(); pending > 0 && found.Refused+found.Unreachable < needed; {
 		select {
 		case a := <-answers:
 			pending--
 			switch a.status {
 			case wire.TunnelStatus_TUNNEL_CONNECTED:
-				t.Reached = true
+				found.Reached = true
 				go discard(answers, pending)
 				if a.stream == nil {
-					return nil, a.host.Name, t
+					return nil, a.host.Name, found
 				}
-				return o.track(a), a.host.Name, t
+				return o.track(a), a.host.Name, found
 			case wire.TunnelStatus_TUNNEL_REFUSED:
-				t.Refused++
+				found.Refused++
 			case wire.TunnelStatus_TUNNEL_UNREACHABLE:
-				t.Unreachable++
+				found.Unreachable++
 			default:
 				o.noteFailure(a.host)
 			}
@@ -97,11 +97,11 @@
 			next.Reset(nextHostDelay)
 		case <-ctx.Done():
 			go discard(answers, pending)
-			return nil, "", t
+			return nil, "", found
 		}
 	}
 	go discard(answers, pending)
-	return nil, "", t
+	return nil, "", found
 }
 
 // discard closes the tunnels of answers that come too late.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -264,15 +264,15 @@
 		s.ID = "unlisted"
 		conn, _, t := newTestOpener(carrier).Open(context.Background(), request(s))
 		Expect(conn).To(BeNil())
-		Expect(t).To(Equal(reach.Testimony{Asked: 1}))
+		Expect(t).To(Equal(reach.PeerResults{Asked: 1}))
 	})
 
-	It("are no witnesses if they reach no server themselves, and learn that they don't", func() {
+	It("confirm no failure if they reach no server themselves, and learn that they don't", func() {
 		carrier := startCarrier(2, "z")
 		carrier.failsWith(unreachable)
 		carrier.isolated.Store(true)
 		_, _, t := newTestOpener(carrier).Open(context.Background(), request(listen(echo)))
-		Expect(t).To(Equal(reach.Testimony{Asked: 1}))
+		Expect(t).To(Equal(reach.PeerResults{Asked: 1}))
 		Expect(carrier.lost.Load()).To(Equal(int64(1)))
 	})
 
@@ -282,11 +282,11 @@
 		carrier.unusable.Store(true)
 		conn, _, t := newTestOpener(carrier).Open(context.Background(), request(listen(echo)))
 		Expect(conn).To(BeNil())
-		Expect(t).To(Equal(reach.Testimony{Asked: 1}))
+		Expect(t).To(Equal(reach.PeerResults{Asked: 1}))
 	})
 
-	DescribeTable("testify against a server that two of them don't reach",
-		func(err error, expected reach.Testimony) {
+	DescribeTable("confirm the failure of a server that two of them don't reach",
+		func(err error, expected reach.PeerResults) {
 			var carriers []*carrier
 			for i := range 4 {
 				c := startCarrier(ident.Incarnation(i+2), "z")
@@ -298,8 +298,8 @@
 			Expect(t.Unreachable).To(Equal(expected.Unreachable))
 			Expect(t.Reached).To(BeFalse())
 		},
-		Entry("it refuses", syscall.ECONNREFUSED, reach.Testimony{Refused: 2}),
-		Entry("it does not answer", unreachable, reach.Testimony{Unreachable: 2}),
+		Entry("it refuses", syscall.ECONNREFUSED, reach.PeerResults{Refused: 2}),
+		Entry("it does not answer", unreachable, reach.PeerResults{Unreachable: 2}),
 	)
 
 	It("are asked in turn until one has a path", func() {
--- a/test/platform/links_test.go
+++ b/test/platform/links_test.go
@@ -374,6 +374,28 @@
 	})
 })
 
+var _ = Describe("a caller of a host without links who leaves", func() {
+	// A server works on for nobody if the end of the caller's connection does not reach it through the
+	// host that carries the request.
+	It("ends its run at the server", func() {
+		s := newSite(siteOptions{hosts: 3, engines: 2, apps: 1, inProcess: true})
+		lost := s.hosts[2]
+		cutFrom(s.hosts[2:], hanging, s.servers...)
+		Eventually(func() int { return s.send(lost, appraise()).Status }).Should(Equal(http.StatusOK))
+		long := standin.Call{Path: standin.StreamPath + "a", Prompt: 1000, Output: 3000, Body: "x", Key: standin.DefaultAccountKey, Deadline: 8 * time.Second}
+		ctx, leave := context.WithCancel(context.Background())
+		ended := make(chan standin.Reply, 1)
+		go func() { ended <- s.caller.Send(ctx, lost.at(entryPort), long) }()
+		time.Sleep(500 * time.Millisecond)
+		leave()
+		reply := <-ended
+		Eventually(func() bool {
+			runs := s.runsOf(reply.Attempt)
+			return len(runs) == 1 && runs[0].Disconnected
+		}).WithTimeout(500 * time.Millisecond).Should(BeTrue())
+	})
+})
+
 var _ = Describe("a request whose runs break with a host's links", func() {
 	// A connection that is refused after a broken answer looks like the end of the server under the
 	// request. Two such runs put a sound request in quarantine.
