reach: a host that is asked confirms a failure only by connections made after its own attempt

Hosts of a zone lose their links at the same moment. Within the next second each had reached other servers just before, so two of them could confirm for a third that sound servers had ended: with refused connections the request under them would go into quarantine.

Its check now sends calls that were not sent before, as strict for every host and kind of call.

--- a/internal/reach/check.go
+++ b/internal/reach/check.go
@@ -98,31 +98,32 @@
 	return v
 }
 
-// ReachesOthers reports whether this host reaches other servers of the service of s: it did a moment ago,
-// or it does now. Servers of other services say little: a host may have lost the links to one service.
-func (c *Connector) ReachesOthers(ctx context.Context, s upstream.Server) bool {
+// ReachesOthers reports whether this host has connected to other servers of the service of s since a time, or
+// can now. Servers of other services say little: a host may have lost the links to one service. Nor do
+// earlier connections: hosts of a zone may lose their links together.
+func (c *Connector) ReachesOthers(ctx context.Context, s upstream.Server, since time.Time) bool {
 	service := c.servers.Service(s.ID)
 	c.mu.Lock()
-	recent := time.Since(c.connectedAt[service]) < reachedMemory
+	reached := c.connectedAt[service].After(since)
 	c.mu.Unlock()
-	if recent {
+	if reached {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	others := c.servers.Others(s.ID, controlDials)
-	reached := make(chan bool, len(others))
+	dials := make(chan bool, len(others))
 	for _, other := range others {
 		go func() {
 			conn, err := c.Connect(ctx, other)
 			if err == nil {
 				_ = conn.Close() // nothing was sent
 			}
-			reached <- err == nil
+			dials <- err == nil
 		}()
 	}
 	for range others {
-		if <-reached {
+		if <-dials {
 			return true
 		}
 	}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -34,9 +34,9 @@
 	Connect(ctx context.Context, s upstream.Server) (net.Conn, error)
 	// Usable reports whether the path to a server is believed to work.
 	Usable(server string) bool
-	// ReachesOthers reports whether this host reaches servers other than s now. It may connect to
-	// some of them to find out.
-	ReachesOthers(ctx context.Context, s upstream.Server) bool
+	// ReachesOthers reports whether this host has connected to other servers of the service of s since a
+	// time, or can now. It may connect to some of them to find out.
+	ReachesOthers(ctx context.Context, s upstream.Server, since time.Time) bool
 	// Lose records that this host alone does not reach a server.
 	Lose(s upstream.Server)
 }
@@ -98,6 +98,7 @@
 			return nil, wire.TunnelStatus_TUNNEL_BUSY
 		}
 	}
+	begun := time.Now()
 	timeout := min(maxConnectTime, time.Duration(m.TimeoutMs)*time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -110,7 +111,7 @@
 	}
 	ctx, cancel = context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if !v.paths.ReachesOthers(ctx, s) {
+	if !v.paths.ReachesOthers(ctx, s, begun) {
 		v.paths.Lose(s)
 		return nil, wire.TunnelStatus_TUNNEL_NO_PATH
 	}
