entry: log and count how an answer was framed and where it ended

Lines of a request now say framing= (length, chunks, connection, none), tail= (bytes after the last complete event) and sent_framing= (of the answer to the caller); counters answers_framed_by_... No logic changes.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/sched"
+	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 // maxBufferedBytes is the size up to which a plain answer is read completely before
@@ -45,7 +46,7 @@
 	if x.r.Method != http.MethodHead && bodyAllowed(a.status) {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
-	x.w.WriteHeader(a.status)
+	x.writeHeader(a.status)
 	_, err := x.w.Write(a.body)
 	x.h.bytes.Add(int64(len(a.body)))
 	if err != nil && x.r.Method != http.MethodHead {
@@ -56,6 +57,21 @@
 	x.recordEvent(event.RequestAnswered, strconv.Itoa(a.status))
 }
 
+// writeHeader writes the header of the answer to the caller.
+func (x *exchange) writeHeader(status int) {
+	switch {
+	case x.r.Method == http.MethodHead || !bodyAllowed(status):
+		x.sentFraming = upstream.NoBody
+	case x.w.Header().Get("Content-Length") != "":
+		x.sentFraming = upstream.ByLength
+	case x.r.ProtoAtLeast(1, 1):
+		x.sentFraming = upstream.ByChunks
+	default:
+		x.sentFraming = upstream.ByConnection
+	}
+	x.w.WriteHeader(status)
+}
+
 func bodyAllowed(status int) bool {
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
@@ -91,7 +107,7 @@
 	if resp.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
-	x.w.WriteHeader(a.status)
+	x.writeHeader(a.status)
 	x.stream.started = true
 	if _, err := x.w.Write(a.body); err != nil {
 		return t.handleLost(ctx, err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -161,6 +161,9 @@
 	waited        time.Duration      // total time spent waiting for placements
 	refusalDetail string             // the scheduler's detail of a refusal, for the log
 	timeToFirst   time.Duration      // from the newest send to its first event or complete answer
+	framing       upstream.Framing   // of the newest server's answer, empty before there is one
+	sentFraming   upstream.Framing   // of the answer to the caller, empty until its header is written
+	tail          int                // bytes of the newest server's answer after its last complete event
 	stream        stream
 }
 
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -132,6 +132,7 @@
 			f.Detail += " via=" + x.via
 		}
 	}
+	f.Detail += x.endFields()
 	if x.head.HasTokens {
 		f.Detail += " prompt=" + strconv.Itoa(x.head.PromptTokens) + " output=" + strconv.Itoa(x.head.OutputTokens) + " hint=" + strconv.Itoa(x.head.OutputHint)
 	}
@@ -147,6 +148,21 @@
 	x.h.Events.Record(code, f)
 }
 
+// endFields formats how the answer of the newest server was framed and how many bytes came after its last
+// complete event, and how the answer to the caller is framed.
+func (x *exchange) endFields() (fields string) {
+	if x.framing != "" {
+		fields += " framing=" + string(x.framing)
+	}
+	if x.tail > 0 {
+		fields += " tail=" + strconv.Itoa(x.tail)
+	}
+	if x.sentFraming != "" {
+		fields += " sent_framing=" + string(x.sentFraming)
+	}
+	return fields
+}
+
 // placementFields formats which host gave a placement and how old this host's list of
 // servers was.
 func placementFields(p dispatch.Placement) string {
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -8,6 +8,7 @@
 
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/routing"
+	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 // Meter counts answers and measures latencies by route.
@@ -55,6 +56,11 @@
 	metrics.GetOrRegisterCounter("sends_held_back", m.registry).Inc(1)
 }
 
+// Framed counts an answer of a server by its framing.
+func (m *Meter) Framed(f upstream.Framing) {
+	metrics.GetOrRegisterCounter("answers_framed_by_"+string(f), m.registry).Inc(1)
+}
+
 // Tunneled counts a connection to a server that another host carries.
 func (m *Meter) Tunneled() {
 	metrics.GetOrRegisterCounter("requests_tunneled", m.registry).Inc(1)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -82,6 +82,7 @@
 			continue
 		}
 		t.outputTokens = (x.stream.events - earlierEvents) * tokensPerEvent
+		x.tail = len(buf)
 		if !errors.Is(err, io.EOF) {
 			return t.handleLost(ctx, err)
 		}
@@ -185,7 +186,7 @@
 	x.stream.started = true
 	x.h.Meter.StreamStarted(x.route, time.Since(x.arrived))
 	x.copyHeader(resp.StatusCode, resp.Header)
-	x.w.WriteHeader(resp.StatusCode)
+	x.writeHeader(resp.StatusCode)
 }
 
 // endStream ends an answer whose last event has been forwarded. tail is what the server
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -218,6 +218,8 @@
 	if t.via == "" {
 		x.h.Servers.Answered()
 	}
+	x.framing, x.tail = upstream.FramingOf(x.r.Method, resp), 0
+	x.h.Meter.Framed(x.framing)
 	head := x.h.Dialect.ReadAnswer(resp.Header)
 	if !mayAskBackoff(resp.StatusCode) {
 		head.Notice.Backoff = 0
