entry: events whose lines end CRLF or CR are forwarded as they arrive

What callers saw: nothing until the end of a stream whose lines end CRLF or CR, since only LF LF counted as the end of an event; no id was known to resume after, and with CR the id was read with the lines after it. The spec's texts with CRLF and CR have no event by the expression before (LastIndex of LF LF); fuzz of the reader 10 s, nothing found.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -37,8 +36,6 @@
 	tokenTimeReportDelay = 700 * time.Millisecond
 )
 
-var endOfEvent = []byte("\n\n")
-
 // forwardStream forwards a streamed answer in complete events only. If a server stops in
 // the middle of an event, another run resumes after the newest complete event, within the
 // same answer.
@@ -52,8 +49,7 @@
 		t.setReadTimeout(ctx, t.readTimeout())
 		n, err := readMore(resp.Body, &buf)
 		if n > 0 {
-			complete := bytes.LastIndex(buf, endOfEvent) + len(endOfEvent)
-			if complete >= len(endOfEvent) {
+			if complete := lastEventEnd(buf); complete > 0 {
 				arrived := time.Now()
 				t.gaps.record(arrived, &x.h.pauses)
 				if werr := x.forwardEvents(resp, buf[:complete]); werr != nil {
@@ -170,7 +166,7 @@
 	if x.stream.events > 0 {
 		x.stream.maxPause = max(x.stream.maxPause, now.Sub(x.stream.newestAt))
 	}
-	x.stream.events += bytes.Count(events, endOfEvent)
+	x.stream.events += countEvents(events)
 	x.stream.newestAt = now
 	if id := lastID(events); id != "" {
 		x.stream.lastID = id
@@ -203,18 +199,3 @@
 	x.recordEvent(event.RequestAnswered, strconv.Itoa(resp.StatusCode)+" events="+strconv.Itoa(x.stream.events))
 	return done
 }
-
-var idField = []byte("id:")
-
-// lastID returns the id of the newest event that has one.
-func lastID(events []byte) string {
-	for end := len(events); end > 0; {
-		start := bytes.LastIndexByte(events[:end-1], '\n') + 1
-		line := events[start:end]
-		if bytes.HasPrefix(line, idField) {
-			return string(bytes.TrimSpace(line[len(idField):]))
-		}
-		end = start
-	}
-	return ""
-}
