entry: the end of a server's bytes is the end of its answer only if the framing says so

Plain answers without framing came with a length of ours. Cause: forwardStream took EOF for the end whatever came before it; an answer that ends with its connection has EOF wherever its server stops in order. Buffered answers were sent on with their counted length, long ones and streams in chunks; and abort, which leaves the last chunk out, was an orderly end where nothing frames the answer (HTTP/1.0).

Change: a stream that ends inside an event is lost like one that was reset (resumed after its last whole event, else broken off; attempts, budget and TWICE as for any loss); so is one without framing that ends before its first event, and a rest that lacks the event which the run before had begun. An answer without framing is passed on without; one whose chunks had begun and whose last run came without framing isn't ended in order. Where nothing frames the answer to the caller, abort resets the connection. What can't be told: an end exactly between two events, without framing.

Weighed: refusing plain answers without framing (no such server could be used), a second run to compare (costs a run, safe calls only), passing on as it came (kept).

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -16,17 +16,18 @@
 // it is forwarded, so that the request can still be retried if the answer is cut off.
 const maxBufferedBytes = 256 << 10
 
-// answer is a complete answer of a backend server.
+// answer is the answer of a backend server, complete as far as its framing tells.
 type answer struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	framing upstream.Framing
+	body    []byte
 }
 
 // readAnswer reads a body of up to maxBufferedBytes. complete is false when the body is
 // longer.
-func readAnswer(resp *http.Response) (a *answer, complete bool, err error) {
-	a = &answer{status: resp.StatusCode, header: resp.Header}
+func readAnswer(resp *http.Response, framing upstream.Framing) (a *answer, complete bool, err error) {
+	a = &answer{status: resp.StatusCode, header: resp.Header, framing: framing}
 	if resp.ContentLength > maxBufferedBytes {
 		return a, false, nil
 	}
@@ -43,10 +44,10 @@
 // forwardAnswer writes a complete answer to the caller.
 func (x *exchange) forwardAnswer(a *answer) {
 	x.copyHeader(a.status, a.header)
-	if x.r.Method != http.MethodHead && bodyAllowed(a.status) {
+	if a.framing == upstream.ByLength || a.framing == upstream.ByChunks {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
-	x.writeHeader(a.status)
+	x.writeHeader(a.status, a.framing)
 	_, err := x.w.Write(a.body)
 	x.h.bytes.Add(int64(len(a.body)))
 	if err != nil && x.r.Method != http.MethodHead {
@@ -57,21 +58,6 @@
 	x.recordEvent(event.RequestAnswered, strconv.Itoa(a.status))
 }
 
-// writeHeader writes the header of the answer to the caller.
-func (x *exchange) writeHeader(status int) {
-	switch {
-	case x.r.Method == http.MethodHead || !bodyAllowed(status):
-		x.sentFraming = upstream.NoBody
-	case x.w.Header().Get("Content-Length") != "":
-		x.sentFraming = upstream.ByLength
-	case x.r.ProtoAtLeast(1, 1):
-		x.sentFraming = upstream.ByChunks
-	default:
-		x.sentFraming = upstream.ByConnection
-	}
-	x.w.WriteHeader(status)
-}
-
 func bodyAllowed(status int) bool {
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
@@ -98,7 +84,7 @@
 }
 
 // forwardUnbuffered forwards an answer that is too long to be buffered. If the answer is
-// cut off, abort closes the connection to the caller, so that the answer does not look
+// cut off, abort ends the connection to the caller, so that the answer does not look
 // complete.
 func (t *attempt) forwardUnbuffered(ctx context.Context, resp *http.Response, a *answer) nextStep {
 	x := t.x
@@ -107,7 +93,7 @@
 	if resp.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
-	x.writeHeader(a.status)
+	x.writeHeader(a.status, a.framing)
 	x.stream.started = true
 	if _, err := x.w.Write(a.body); err != nil {
 		return t.handleLost(ctx, err)
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -40,3 +40,10 @@
 	})
 	return left || err != nil
 }
+
+// resetOnClose makes the close of the caller's connection a reset.
+func resetOnClose(ctx context.Context) {
+	if c, ok := ctx.Value(callerConnKey{}).(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // fails only on a closed connection
+	}
+}
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -26,6 +26,7 @@
 	OutputHint   int          // the caller's estimate, 0 if not given
 	HasTokens    bool         // the token counts are given
 	PromptParts  []sched.Part // of the prompt, in order
+	LastEvent    string       // the id of the event after which a stream resumes, empty if not given
 }
 
 // ServerHead is the information that the header of a request to a backend server has
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -23,6 +23,8 @@
 	lastID   string        // of the newest event with an id
 	newestAt time.Time     // when the newest event was forwarded
 	maxPause time.Duration // the longest between events, over all runs
+
+	eventBegun bool // a run broke off inside the event after the newest one
 }
 
 const (
@@ -37,8 +39,8 @@
 )
 
 // forwardStream forwards a streamed answer in complete events only. If a server stops in
-// the middle of an event, another run resumes after the newest complete event, within the
-// same answer.
+// the middle of an event, in order or not, another run resumes after the newest complete
+// event, within the same answer.
 func (t *attempt) forwardStream(ctx context.Context, resp *http.Response) nextStep {
 	x := t.x
 	tokensPerEvent := x.tokensPerEvent()
@@ -79,7 +81,11 @@
 		}
 		t.outputTokens = (x.stream.events - earlierEvents) * tokensPerEvent
 		x.tail = len(buf)
-		if !errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) {
+			err = x.checkEnd(resp, buf)
+		}
+		if err != nil {
+			x.stream.eventBegun = x.stream.eventBegun || beginsEvent(buf)
 			return t.handleLost(ctx, err)
 		}
 		t.release(resp)
@@ -167,6 +173,7 @@
 		x.stream.maxPause = max(x.stream.maxPause, now.Sub(x.stream.newestAt))
 	}
 	x.stream.events += countEvents(events)
+	x.stream.eventBegun = false
 	x.stream.newestAt = now
 	if id := lastID(events); id != "" {
 		x.stream.lastID = id
@@ -182,13 +189,16 @@
 	x.stream.started = true
 	x.h.Meter.StreamStarted(x.route, time.Since(x.arrived))
 	x.copyHeader(resp.StatusCode, resp.Header)
-	x.writeHeader(resp.StatusCode)
+	x.writeHeader(resp.StatusCode, x.framing)
 }
 
 // endStream ends an answer whose last event has been forwarded. tail is what the server
 // sent after that event.
 func (x *exchange) endStream(resp *http.Response, tail []byte) nextStep {
 	x.beginStream(resp)
+	if !x.mayEnd() {
+		x.abort("the last server's answer ended with its connection")
+	}
 	if len(tail) > 0 {
 		if _, err := x.w.Write(tail); err != nil {
 			x.recordEvent(event.RequestLeft, "before the end of the stream was written")
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -239,7 +239,7 @@
 	if x.route.Kind == routing.Streaming && resp.StatusCode == http.StatusOK {
 		return t.forwardStream(ctx, resp)
 	}
-	a, complete, err := readAnswer(resp)
+	a, complete, err := readAnswer(resp, x.framing)
 	if err != nil {
 		return t.handleLost(ctx, err)
 	}
