entry: an answer that is not the rest of a resumed stream breaks the stream off

A run that resumed a stream within its answer and was answered with a status below 500 other than 200 had its body written behind the events, and the answer ended as complete.

--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -239,6 +239,11 @@
 	if x.route.Kind == routing.Streaming && resp.StatusCode == http.StatusOK {
 		return t.forwardStream(ctx, resp)
 	}
+	if x.stream.started && resp.StatusCode < http.StatusInternalServerError {
+		t.conn.Close()
+		x.h.Placer.Finish(t.placement.ID, sched.OK, time.Since(t.sent), 0)
+		x.abort("the resumed stream was answered with status " + strconv.Itoa(resp.StatusCode))
+	}
 	a, complete, err := readAnswer(resp, x.framing)
 	if err != nil {
 		return t.handleLost(ctx, err)
