--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -368,7 +368,7 @@
 	case routing.Safe:
 		return true
 	case routing.Streaming:
-		return x.route.Resumable
+		return x.route.Resumable && (x.stream.events == 0 || x.stream.lastID != "")
 	}
 	return false
 }
