backend: a plain answer without a length or chunks is not taken for a whole one

Callers need the checksum, so such an answer can't be passed on as it came; its outcome is unknown, and docs/API.md asks services for a length or chunks. The spec without either was red before, the five others were green.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -54,6 +54,24 @@
 	return l.Addr().String(), seen
 }
 
+// answerOnce answers one request with the given text and closes the connection.
+func answerOnce(text string) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if readRequest(bufio.NewReader(conn)) {
+			_, _ = conn.Write([]byte(text))
+		}
+		_ = conn.Close()
+	}()
+	return l.Addr().String()
+}
+
 func readRequest(r *bufio.Reader) bool {
 	length := 0
 	for {
@@ -171,3 +189,29 @@
 		Entry("with an end mark that counts more", part(id, 0), "event: end\ndata: {\"parts\":2}"),
 	)
 })
+
+var _ = Describe("an answer of a plain service", func() {
+	// Guards against an answer that was cut off and has a checksum of ours as if it were whole.
+	DescribeTable("is whole only if its framing says so",
+		func(answer string, whole bool) {
+			address := answerOnce(answer)
+			newServer, transport := backend.NewFactory()
+			DeferCleanup(transport.CloseIdleConnections)
+			sink := &recordingSink{}
+			_, err := newServer(address, true).Send(context.Background(), backend.Call{ID: ident.RequestID{1}, Path: "/p", Body: []byte(`{}`)}, sink)
+			if whole {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(sink.parts).To(HaveLen(1))
+				return
+			}
+			Expect(failure.Is(err, failure.ServerLost)).To(BeTrue(), "%v", err)
+			Expect(sink.parts).To(BeEmpty())
+		},
+		Entry("by length", plainAnswer("ok"), true),
+		Entry("by chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true),
+		Entry("no content", "HTTP/1.1 204 No Content\r\n\r\n", true),
+		Entry("shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok", false),
+		Entry("chunks without the last", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nok\r\n", false),
+		Entry("neither", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", false),
+	)
+})
--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -7,6 +7,7 @@
 
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 // maxPlainAnswerBytes is the maximum size of a plain service's answer.
@@ -34,6 +35,10 @@
 	if err != nil {
 		return Usage{}, failure.Wrap(failure.ServerLost, err, "answer broke off")
 	}
+	if upstream.FramingOf(http.MethodPost, resp) == upstream.ByConnection {
+		// The answer gets a checksum, which says that it is whole.
+		return Usage{}, failure.New(failure.ServerLost, "an answer without a length or chunks may be cut off")
+	}
 	if len(body) > maxPlainAnswerBytes {
 		return Usage{}, failure.New(failure.ServerError, "answer over %d bytes", maxPlainAnswerBytes)
 	}
