store: rows that are larger than a reply may be are refused, not cut off

A reply was decompressed up to 16 MiB and decoded; a message that is cut off between two rows can be decoded, so a host would have had a table without its last rows. No table of a known deployment is that large (the list of 3,000 servers has 0.6 MB).

--- a/internal/store/pack.go
+++ b/internal/store/pack.go
@@ -93,10 +93,13 @@
 func unpack(reply *wire.TableReply) ([]Row, error) {
 	encoded := reply.Rows
 	if len(reply.Packed) > 0 {
-		data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(reply.Packed)), maxUncompressed))
+		data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(reply.Packed)), maxUncompressed+1))
 		if err != nil {
 			return nil, failure.Wrap(failure.BadFrame, err, "decompress rows")
 		}
+		if len(data) > maxUncompressed {
+			return nil, failure.New(failure.BadFrame, "rows of more than %d bytes", maxUncompressed)
+		}
 		m := &wire.TableRows{}
 		if err := proto.Unmarshal(data, m); err != nil {
 			return nil, failure.Wrap(failure.BadFrame, err, "decode rows")
