entry, sched: log the software version of a placement and the stream that a request takes up

Placements now carry the version of the server (a text of a few bytes a placement), and the lines of a request say version=, resumes= and last_event=. No logic changes.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -42,6 +42,7 @@
 	ID      uint64
 	Server  string
 	Address string
+	Version string // of the server's software
 	// Local is set if the local loop made the placement, not the home.
 	Local bool
 	// ListAge is the age of this host's server list when it received the placement.
@@ -155,7 +156,7 @@
 			if d.Reason != 0 {
 				return Placement{}, &Refused{d}
 			}
-			return Placement{ID: id, Server: d.Server, Address: d.Address, Local: c.decidedLocally(p), ListAge: c.servers.Age()}, nil
+			return Placement{ID: id, Server: d.Server, Address: d.Address, Version: d.Version, Local: c.decidedLocally(p), ListAge: c.servers.Age()}, nil
 		case <-ctx.Done():
 			c.withdraw(id)
 			return Placement{}, failure.Wrap(failure.Withdrawn, context.Cause(ctx), "while waiting for a place")
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -127,12 +127,12 @@
 		})
 		return
 	}
-	m.Places = append(m.Places, &wire.Place{Id: d.ID, Server: d.Server, Address: d.Address, WaitedMs: millis(d.Waited)})
+	m.Places = append(m.Places, &wire.Place{Id: d.ID, Server: d.Server, Address: d.Address, Version: d.Version, WaitedMs: millis(d.Waited)})
 }
 
 func decodePlace(holder uint64, m *wire.Place) sched.Decision {
 	return sched.Decision{
-		Key: sched.Key{Holder: holder, ID: m.Id}, Server: m.Server, Address: m.Address, Waited: fromMillis(m.WaitedMs),
+		Key: sched.Key{Holder: holder, ID: m.Id}, Server: m.Server, Address: m.Address, Version: m.Version, Waited: fromMillis(m.WaitedMs),
 	}
 }
 
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -27,6 +27,7 @@
 	HasTokens    bool         // the token counts are given
 	PromptParts  []sched.Part // of the prompt, in order
 	LastEvent    string       // the id of the event after which a stream resumes, empty if not given
+	Resumes      string       // the id of the attempt that brought the first event of that stream, empty if not given
 }
 
 // ServerHead is the information that the header of a request to a backend server has
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -131,6 +131,9 @@
 	}
 	f.Detail += " waited=" + formatDuration(x.waited) + " first=" + formatDuration(x.timeToFirst) + " after=" + formatDuration(time.Since(x.arrived)) +
 		" sends=" + strconv.Itoa(x.sends) + " runs=" + strconv.Itoa(x.runs)
+	if x.head.LastEvent != "" || x.head.Resumes != "" {
+		f.Detail += " resumes=" + shorten(x.head.Resumes) + " last_event=" + shorten(x.head.LastEvent)
+	}
 	if x.placement.Server != "" {
 		f.Detail += " " + placementFields(x.placement) + x.serverNotice
 		if x.via != "" {
@@ -175,8 +178,17 @@
 	if p.Local {
 		by = "self"
 	}
-	return "placed=" + by + " list=" + formatDuration(p.ListAge)
+	fields := "placed=" + by + " list=" + formatDuration(p.ListAge)
+	if p.Version != "" {
+		fields += " version=" + p.Version
+	}
+	return fields
 }
 
+// maxLoggedField is the length in bytes up to which a caller's header field is logged.
+const maxLoggedField = 64
+
+func shorten(text string) string { return text[:min(len(text), maxLoggedField)] }
+
 // formatDuration formats a duration, rounded to milliseconds.
 func formatDuration(d time.Duration) string { return d.Round(time.Millisecond).String() }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -219,7 +219,7 @@
 	if svc.large() {
 		svc.index.byPart.use(w.PromptParts, srv)
 	}
-	s.out = append(s.out, Decision{Key: w.Key, Server: srv.ID, Address: srv.Address, Waited: now - w.submittedAt})
+	s.out = append(s.out, Decision{Key: w.Key, Server: srv.ID, Address: srv.Address, Version: srv.Version, Waited: now - w.submittedAt})
 }
 
 // Charge takes units from an account for what another host placed on its own, or returns
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -227,6 +227,7 @@
 	Key
 	Server     string
 	Address    string
+	Version    string        // of the server's software
 	Waited     time.Duration // from the placement request to the placement
 	Reason     Reason
 	RetryAfter time.Duration
