--- /dev/null
+++ b/test/platform/versions_test.go
@@ -0,0 +1,197 @@
+package platform
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/platform/standin"
+)
+
+// takenUp is a stream that its caller takes up at other hosts until it is whole.
+type takenUp struct {
+	attempts []standin.Reply
+	body     string // events of all attempts, joined
+	whole    bool
+}
+
+const eventEnd = "\n\n"
+
+// takeUp sends a call and, where its answer breaks off, takes the stream up at the next host, up to
+// maxAttempts attempts.
+func (s *site) takeUp(c standin.Call, hosts []*host, maxAttempts int) takenUp {
+	var t takenUp
+	first := ""
+	for i := range maxAttempts {
+		c.Header = nil
+		if first != "" {
+			c.Header = map[string]string{"Last-Event-Id": fmt.Sprint(strings.Count(t.body, eventEnd)), "Resumes": first}
+		}
+		r := s.send(hosts[i%len(hosts)], c)
+		t.attempts = append(t.attempts, r)
+		switch {
+		case r.Status == http.StatusOK:
+			body := r.Body[:strings.LastIndex(r.Body, eventEnd)+len(eventEnd)*min(1, strings.Count(r.Body, eventEnd))]
+			if first == "" && body != "" {
+				first = r.Attempt
+			}
+			t.body += body
+			if r.Complete {
+				t.whole = true
+				return t
+			}
+		case r.RetryAfter > 0:
+			time.Sleep(min(r.RetryAfter, 300*time.Millisecond))
+		}
+	}
+	return t
+}
+
+// versions returns the versions of the servers that sent events of the stream.
+func (s *site) versions(t takenUp) map[string]bool {
+	versions := map[string]bool{}
+	for _, r := range t.attempts {
+		for _, run := range s.runsOf(r.Attempt) {
+			if run.Events > 0 {
+				versions[run.Version] = true
+			}
+		}
+	}
+	return versions
+}
+
+// versionSite is a site with engines of two versions without an order. Engines break off every third stream
+// after three events.
+func versionSite(o siteOptions) *site {
+	o.engines, o.apps = 5, 1
+	o.engine.PerEvent, o.engine.Slots = 20*time.Millisecond, 8
+	s := newSite(o)
+	for i := range 4 {
+		s.addServer(standin.ServerSpec{
+			ID: fmt.Sprintf("i-new%d", i), Service: standin.EngineService, Streams: true, Zone: s.zone(i), Address: "127.0.0.1:0",
+			Version: "v1.1", Slots: o.engine.Slots, Queue: 8, PerEvent: o.engine.PerEvent,
+		})
+	}
+	// More than half of the old servers leave, so that the new ones get requests.
+	for i := range 3 {
+		s.servers[i].Drain()
+		time.Sleep(200 * time.Millisecond)
+	}
+	for _, srv := range s.servers {
+		srv.SetFault(standin.Fault{CutAfter: 3, CutEvery: 3})
+	}
+	// Until new streams begin at both versions.
+	Eventually(func() map[string]bool {
+		versions := map[string]bool{}
+		for _, t := range s.streamAll(40, func(i int) []*host { return rotated(s.hosts, i) }, func() {}) {
+			for _, run := range s.runsOf(t.attempts[0].Attempt) {
+				versions[run.Version] = true
+			}
+		}
+		return versions
+	}).Should(HaveLen(2))
+	return s
+}
+
+// maxMixed is the number of streams with events of two versions that the platform's rule allows.
+const maxMixed = 2
+
+// checkVersions checks that streams stay at the version that began them, and that of those that were taken
+// up at least half as large a share goes on as of the new ones begins.
+func (s *site) checkVersions(streams []takenUp) {
+	var mixed []string
+	begun, resumed, goOn := 0, 0, 0
+	for _, t := range streams {
+		if versions := s.versions(t); len(versions) > 1 {
+			mixed = append(mixed, fmt.Sprintf("%s: %v", t.attempts[0].Attempt, versions))
+		}
+		expected := appraise().Expected(t.attempts[0].Attempt)
+		Expect(strings.Count(expected, eventEnd)).To(BeNumerically(">=", strings.Count(t.body, eventEnd)), "events come once")
+		if t.body == "" {
+			continue
+		}
+		begun++
+		if len(t.attempts) > 1 {
+			resumed++
+			if t.whole {
+				goOn++
+			}
+		}
+	}
+	AddReportEntry("streams", fmt.Sprintf("%d begun of %d, %d taken up, %d of them whole, %d of two versions", begun, len(streams), resumed, goOn, len(mixed)))
+	Expect(len(mixed)).To(BeNumerically("<=", maxMixed), strings.Join(mixed, "\n"))
+	Expect(resumed).To(BeNumerically(">=", 12), "streams that were taken up")
+	Expect(float64(goOn)/float64(resumed)).To(BeNumerically(">=", 0.5*float64(begun)/float64(len(streams))), "%d of %d go on", goOn, resumed)
+}
+
+// streamAll sends n calls at once to the hosts that first returns and takes their streams up at the others.
+func (s *site) streamAll(n int, order func(i int) []*host, during func()) []takenUp {
+	streams := make([]takenUp, n)
+	var calls sync.WaitGroup
+	for i := range n {
+		calls.Go(func() {
+			defer GinkgoRecover()
+			streams[i] = s.takeUp(appraise(), order(i), 6)
+		})
+	}
+	during()
+	calls.Wait()
+	return streams
+}
+
+// rotated returns the hosts from index i on.
+func rotated(hosts []*host, i int) []*host {
+	i %= len(hosts)
+	return append(append([]*host(nil), hosts[i:]...), hosts[:i]...)
+}
+
+var _ = Describe("streams of a service with two versions", func() {
+	// Guards against events of two versions in one answer, and over the attempts of a caller whose stream broke.
+	It("go on at the version that began them, in one answer and at another host", func() {
+		s := versionSite(siteOptions{hosts: 3})
+		var streams []takenUp
+		for range 4 {
+			streams = append(streams, s.streamAll(40, func(i int) []*host { return rotated(s.hosts, i) }, func() {})...)
+		}
+		s.checkVersions(streams)
+	})
+
+	// Guards against a version that is forgotten with the hosts whose end breaks the streams.
+	DescribeTable("go on at the version that began them when",
+		func(killed func(s *site) []int) {
+			s := versionSite(siteOptions{hosts: 4, largeFirst: true})
+			down := killed(s)
+			isDown := func(i int) bool {
+				for _, d := range down {
+					if d == i {
+						return true
+					}
+				}
+				return false
+			}
+			var dying, alive []*host
+			for i, h := range s.hosts {
+				if isDown(i) {
+					dying = append(dying, h)
+				} else {
+					alive = append(alive, h)
+				}
+			}
+			streams := s.streamAll(60, func(i int) []*host { return append(rotated(dying, i)[:1], rotated(alive, i)...) }, func() {
+				time.Sleep(200 * time.Millisecond)
+				for _, h := range dying {
+					h.session.Kill()
+				}
+			})
+			s.checkVersions(streams)
+		},
+		Entry("their host is killed", func(*site) []int { return []int{3} }),
+		Entry("the home is killed", func(*site) []int { return []int{0} }),
+		Entry("their host and the home are killed at once", func(*site) []int { return []int{0, 3} }),
+	)
+})
