sched, dispatch, entry: a stream goes on only at the software version that began it

Cause: nothing on the way of a stream knew a version; a host that resumed a stream asked for any server of the service, and nothing of ours read Resumes.

Change: the scheduler that places a resumable stream records the version under a key of account, service and attempt before the placement leaves it; the home sends new records to its two successors within 10 ms, each host keeps those that it carries and reports all it has to a new home. A resume within an answer names the version itself. A take-up is placed at servers of its version only (also on trial or not in service, never rolled back), ahead of new streams of its priority; it waits a second for a record or a server of it and is then refused, version_unknown or version_gone. Without a record the version counts as known only if the service has had one version for 30 s and the list of servers is at most 2 s old. No calls to the store, no message more for a placement; 8 bytes a stream to two hosts, 131,072 records at most.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -10,6 +10,7 @@
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/ident"
 	"github.com/gentianflow/gentianflow/internal/notice"
+	"github.com/gentianflow/gentianflow/internal/origin"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/wire"
@@ -35,6 +36,8 @@
 	Fingerprint     quarantine.Fingerprint
 	Route           string
 	Interruptible   bool // the run may be aborted and repeated or resumed on another server
+	Origin          origin.Key
+	Resumed         *sched.Resumed
 }
 
 // Placement is the permission to send a request once to a backend server.
@@ -43,6 +46,8 @@
 	Server  string
 	Address string
 	Version string // of the server's software
+	// Source is how the version that began a stream was known, empty if it was not asked for.
+	Source sched.VersionSource
 	// Local is set if the local loop made the placement, not the home.
 	Local bool
 	// ListAge is the age of this host's server list when it received the placement.
@@ -156,7 +161,7 @@
 			if d.Reason != 0 {
 				return Placement{}, &Refused{d}
 			}
-			return Placement{ID: id, Server: d.Server, Address: d.Address, Version: d.Version, Local: c.decidedLocally(p), ListAge: c.servers.Age()}, nil
+			return Placement{ID: id, Server: d.Server, Address: d.Address, Version: d.Version, Source: d.Source, Local: c.decidedLocally(p), ListAge: c.servers.Age()}, nil
 		case <-ctx.Done():
 			c.withdraw(id)
 			return Placement{}, failure.Wrap(failure.Withdrawn, context.Cause(ctx), "while waiting for a place")
@@ -346,6 +351,8 @@
 	p.placedAt, p.server, p.acked = now, d.Server, true
 	if via == nil {
 		c.charge(p.request, 1)
+	} else {
+		c.noteOrigin(now, p.request, d.Version)
 	}
 	p.done <- d
 }
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gentianflow/gentianflow/internal/origin"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/wire"
@@ -18,6 +19,10 @@
 		PauseMs: millis(a.MaxPause), Repeat: a.Retry, Avoid: a.Avoid, Fingerprint: a.Fingerprint.Bytes(),
 		Route: a.Route, Repeatable: a.Interruptible,
 	}
+	m.Origin = uint64(a.Origin)
+	if stream := a.Resumed; stream != nil {
+		m.Resumed, m.Resumes, m.VersionKnown, m.Version = true, uint64(stream.From), stream.Known, stream.Version
+	}
 	if !a.CallerTimeoutAt.IsZero() {
 		m.LeavesMs = max(1, millis(a.CallerTimeoutAt.Sub(now)))
 	}
@@ -41,6 +46,13 @@
 		Deadline: now + fromMillis(m.DeadlineMs), MaxPause: fromMillis(m.PauseMs), Retry: m.Repeat, Avoid: m.Avoid, Fingerprint: quarantine.FingerprintFromBytes(m.Fingerprint),
 		Route: m.Route, Interruptible: m.Repeatable,
 	}
+	r.Origin = origin.Key(m.Origin)
+	if m.Resumed {
+		r.Resumed = &sched.Resumed{From: origin.Key(m.Resumes), Known: m.VersionKnown, Version: m.Version}
+		if m.VersionKnown {
+			r.Resumed.Source = sched.FromHolder
+		}
+	}
 	if m.LeavesMs > 0 {
 		r.CallerTimeoutAt = now + fromMillis(m.LeavesMs)
 	}
@@ -127,12 +139,12 @@
 		})
 		return
 	}
-	m.Places = append(m.Places, &wire.Place{Id: d.ID, Server: d.Server, Address: d.Address, Version: d.Version, WaitedMs: millis(d.Waited)})
+	m.Places = append(m.Places, &wire.Place{Id: d.ID, Server: d.Server, Address: d.Address, Version: d.Version, VersionSource: string(d.Source), WaitedMs: millis(d.Waited)})
 }
 
 func decodePlace(holder uint64, m *wire.Place) sched.Decision {
 	return sched.Decision{
-		Key: sched.Key{Holder: holder, ID: m.Id}, Server: m.Server, Address: m.Address, Version: m.Version, Waited: fromMillis(m.WaitedMs),
+		Key: sched.Key{Holder: holder, ID: m.Id}, Server: m.Server, Address: m.Address, Version: m.Version, Source: sched.VersionSource(m.VersionSource), Waited: fromMillis(m.WaitedMs),
 	}
 }
 
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -192,6 +192,7 @@
 		if len(m.Loads) > 0 {
 			h.loop.learnLoads(now, s, decodeLoads(m.Loads))
 		}
+		s.LearnOrigins(now, decodeOrigins(now, m.Origins))
 		for _, r := range m.Running {
 			s.Adopt(now, decodeRunning(l.holder, r))
 		}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/origin"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/ring"
 	"github.com/gentianflow/gentianflow/internal/rollout"
@@ -46,6 +47,10 @@
 	onRollouts  func([]rollout.Status)
 	quarantined map[quarantine.Fingerprint]bool // requests whose quarantine was logged
 	liveLoad    bool                            // the scheduler uses load reports
+
+	onOrigins     OriginsFunc
+	newOrigins    []origin.Record // not passed on yet
+	originsSentAt sched.Time
 }
 
 // NewLoop creates a loop. deliver is called on the loop's goroutine with the decisions of
@@ -54,7 +59,7 @@
 	return &Loop{
 		in: ring.New[input](loopQueueSize), start: time.Now(),
 		sched: sched.New(p), deliver: deliver, events: events,
-		onRollouts: func([]rollout.Status) {},
+		onRollouts: func([]rollout.Status) {}, onOrigins: func(sched.Time, []origin.Record) {},
 		onSuspects: func([]quarantine.Record, func(quarantine.Fingerprint) bool) {}, quarantined: map[quarantine.Fingerprint]bool{}, liveLoad: p.LiveLoad,
 	}
 }
@@ -113,12 +118,17 @@
 		}
 		l.logForecasts(l.sched.TakeForecastChanges())
 		l.logEjections(l.sched.TakeEjections())
+		untilFlush := l.flushOrigins()
 		if len(out) > 0 {
 			l.deliver(out)
 		}
 		// Inputs must not postpone the tick, or it would never come under load.
 		nextTick = min(nextTick, l.now()+l.tickPeriod())
-		tick.Reset(nextTick - l.now())
+		wait := nextTick - l.now()
+		if untilFlush > 0 {
+			wait = min(wait, untilFlush)
+		}
+		tick.Reset(wait)
 	}
 }
 
--- a/internal/dispatch/moving.go
+++ b/internal/dispatch/moving.go
@@ -19,6 +19,7 @@
 	}
 	c.link = l
 	c.sendSuspects(l)
+	c.sendAllOrigins(l)
 	c.sendNotices(l, c.notices.All(time.Now()))
 	c.sendRecentLoads(l)
 	c.move(func(via *homeLink) bool { return via != l })
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/notice"
+	"github.com/gentianflow/gentianflow/internal/origin"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/reach"
 	"github.com/gentianflow/gentianflow/internal/routing"
@@ -305,6 +306,7 @@
 		MaxPause: x.route.EventGapTarget, Retry: x.isRetry, Avoid: x.tried, Fingerprint: x.fingerprint,
 		Route: x.route.Name, Interruptible: x.route.Repeatable(),
 	}
+	req.Origin, req.Resumed = x.streamOrigin()
 	if x.account != nil {
 		req.Account = x.account.Name
 		if x.runs == 0 {
@@ -323,6 +325,28 @@
 	return req
 }
 
+// streamOrigin returns the key under which the version of a resumable stream is remembered, and the stream
+// that the request goes on with, nil if it begins one. A caller that names the attempt that began its
+// stream, but no event, begins anew.
+func (x *exchange) streamOrigin() (key origin.Key, resumed *sched.Resumed) {
+	if x.route.Kind != routing.Streaming {
+		return 0, nil
+	}
+	if x.route.Resumable {
+		key = origin.KeyOf(x.callerName(), x.service, x.head.ID)
+	}
+	switch {
+	case x.stream.events > 0:
+		resumed = &sched.Resumed{Known: true, Version: x.stream.version}
+	case x.head.LastEvent != "":
+		resumed = &sched.Resumed{}
+	default:
+		return key, nil
+	}
+	resumed.From = origin.KeyOf(x.callerName(), x.service, x.head.Resumes)
+	return key, resumed
+}
+
 // routePriorityLevels is the number of route priorities that are distinguished. Higher ones
 // count as the last.
 const routePriorityLevels = 1000
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -69,6 +69,10 @@
 		}
 	case sched.Quarantined:
 		code = failure.Quarantined
+	case sched.VersionUnknown:
+		code = failure.VersionUnknown
+	case sched.VersionGone:
+		code = failure.VersionGone
 	}
 	x.fail(status, code, max(minRetryAfter, refused.RetryAfter), refused.Error())
 }
@@ -182,6 +186,9 @@
 	if p.Version != "" {
 		fields += " version=" + p.Version
 	}
+	if p.Source != "" {
+		fields += " version_from=" + string(p.Source)
+	}
 	return fields
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -24,7 +24,8 @@
 	newestAt time.Time     // when the newest event was forwarded
 	maxPause time.Duration // the longest between events, over all runs
 
-	eventBegun bool // a run broke off inside the event after the newest one
+	version    string // of the software of the server that sent the first event
+	eventBegun bool   // a run broke off inside the event after the newest one
 }
 
 const (
@@ -169,7 +170,9 @@
 		return failure.Wrap(failure.Withdrawn, err, "flush events")
 	}
 	now := time.Now()
-	if x.stream.events > 0 {
+	if x.stream.events == 0 {
+		x.stream.version = x.placement.Version
+	} else {
 		x.stream.maxPause = max(x.stream.maxPause, now.Sub(x.stream.newestAt))
 	}
 	x.stream.events += countEvents(events)
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -44,6 +44,8 @@
 	NoHome          Code = "no_home"
 	NoServer        Code = "no_server"
 	NoPath          Code = "no_path"
+	VersionUnknown  Code = "version_unknown"
+	VersionGone     Code = "version_gone"
 	Moved           Code = "moved"
 	Removed         Code = "removed"
 	Withdrawn       Code = "withdrawn"
@@ -90,6 +92,8 @@
 	NoHome:          {http.StatusServiceUnavailable, NotRun},
 	NoServer:        {http.StatusServiceUnavailable, NotRun},
 	NoPath:          {http.StatusServiceUnavailable, NotRun},
+	VersionUnknown:  {http.StatusServiceUnavailable, NotRun},
+	VersionGone:     {http.StatusServiceUnavailable, NotRun},
 	// The request runs or will run elsewhere, so this host does not know its outcome.
 	Moved:         {http.StatusConflict, Unknown},
 	Removed:       {http.StatusGone, NotRun},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/ident"
 	"github.com/gentianflow/gentianflow/internal/member"
+	"github.com/gentianflow/gentianflow/internal/origin"
 	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/reach"
@@ -182,6 +183,13 @@
 	n.quarantined = newQuarantineStore(n.settings.Host, n.platform.QuarantineTable, n.platform.Tables, n.platform.Writer, n.isHome, n.events)
 	n.loop.OnSuspects(n.publishSuspects)
 	n.rollouts = newRollouts(n.settings.Host+" "+n.incarnation.String(), n.platform, n.loop, func() bool { return n.home.Leads() }, n.events)
+	n.loop.OnOrigins(func(now sched.Time, records []origin.Record) {
+		if n.home.Leads() {
+			n.home.SendOrigins(now, records)
+		} else {
+			n.client.ReportOrigins(now, records)
+		}
+	})
 	n.loop.OnRollouts(func(steps []rollout.Status) {
 		n.home.SendRollouts(steps)
 		n.rollouts.onSteps(steps)
@@ -193,6 +201,7 @@
 			s.SetEntryTTL(n.settings.EntryTTL)
 		}
 		s.SetBounds(n.settings.RolloutBounds)
+		s.SetListAge(n.servers.Age)
 	})
 	n.home = dispatch.NewHome(n.loop, func() []uint64 { return dispatch.HomeAndSuccessors(n.members) })
 	n.servers = newServers(n.platform.DecodeServer, n.events, n.applyServers)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -284,6 +284,7 @@
 		gauge("requests_in_quarantine", int64(s.QuarantinedRequests()))
 		gauge("servers_brittle", int64(s.BrittleServers()))
 		gauge("servers_ejected", int64(s.CountEjected()))
+		gauge("stream_origins", int64(s.CountOrigins()))
 		shares := s.ShareStats()
 		gauge("share_accounts", int64(shares.Accounts))
 		gauge("share_accounts_waiting", int64(shares.Waiting))
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -105,6 +105,9 @@
 		}
 	}
 	s.forgetNotices(now)
+	for service, servers := range s.listed {
+		s.versionsOf(service).history.update(now, servers)
+	}
 	s.groupServers()
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -219,7 +219,12 @@
 	if svc.large() {
 		svc.index.byPart.use(w.PromptParts, srv)
 	}
-	s.out = append(s.out, Decision{Key: w.Key, Server: srv.ID, Address: srv.Address, Version: srv.Version, Waited: now - w.submittedAt})
+	s.recordOrigin(now, &w.Request, srv.Version)
+	d := Decision{Key: w.Key, Server: srv.ID, Address: srv.Address, Version: srv.Version, Waited: now - w.submittedAt}
+	if w.Resumed != nil {
+		d.Source = w.Resumed.Source
+	}
+	s.out = append(s.out, d)
 }
 
 // Charge takes units from an account for what another host placed on its own, or returns
@@ -293,6 +298,11 @@
 	if quota := s.quotaWait(now, &w.Request); quota > 0 {
 		return s.refuseIfOverQuota(now, w, quota)
 	}
+	if why, refused := s.whyNotResumed(now, svc, w); refused {
+		svc.queue.priorityQueue(w.Priority).forecast.leaveBacklog(w)
+		s.refuse(now, w, why, s.policy.RetryAfter)
+		return true
+	}
 	since, maxWait := s.maxWait(svc, w)
 	if now-since > maxWait {
 		why := Overload
--- a/internal/sched/rollout.go
+++ b/internal/sched/rollout.go
@@ -20,6 +20,7 @@
 	trial *rollout.Trial
 	// rolledBack are the versions that were rolled back and not ordered again since.
 	rolledBack map[string]bool
+	history    versionHistory
 }
 
 // orderPhase is the phase of a rollout order.
@@ -280,7 +281,7 @@
 // Retries are excluded: their callers have already waited for one failure.
 func (s *Scheduler) placeOnTrial(now Time, svc *service, srv *server, w *waiting) bool {
 	r := &w.Request
-	if r.Retry || !svc.versions.trial.RouteAllowed(r.Route) || !srv.hasMemory(svc, r) ||
+	if r.Retry || r.Resumed != nil || !svc.versions.trial.RouteAllowed(r.Route) || !srv.hasMemory(svc, r) ||
 		s.quotaWait(now, r) > 0 || s.suspects.Has(r.Fingerprint) {
 		return false
 	}
@@ -294,7 +295,7 @@
 // completes, and their runs with them.
 func (s *Scheduler) offerNewVersion(now Time, svc *service, w *waiting) bool {
 	trial := svc.versions.trial
-	if trial == nil || w.Interruptible || w.Retry || !trial.WithinBounds() {
+	if trial == nil || w.Interruptible || w.Retry || w.Resumed != nil || !trial.WithinBounds() {
 		return false
 	}
 	first := svc.idleTimeToFirstEvent(svc.typicalTokenTime(), &w.Request)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/gentianflow/gentianflow/internal/origin"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 	"github.com/gentianflow/gentianflow/internal/rollout"
 )
@@ -44,6 +45,9 @@
 	forecastChanges   []ForecastChange // since the last call of TakeForecastChanges
 	ejections         []Ejection       // since the last call of TakeEjections
 	tickedAt          Time             // when Tick was last called
+	origins           *origin.Table    // of streams that may be taken up
+	newOrigins        []origin.Record  // since the last call of TakeOrigins
+	listAge           func() time.Duration
 }
 
 // service is a service with its queue.
@@ -91,6 +95,7 @@
 		accounts: map[string]*bucket{}, runs: map[Key]*run{},
 		suspects: quarantine.NewTable(), failedRequests: newRequestFailures(), copies: map[quarantine.Fingerprint]int{},
 		review: map[quarantine.Fingerprint]string{}, versions: map[string]*versions{}, notices: map[string]serverNotice{}, bounds: rollout.DefaultBounds(),
+		origins: origin.NewTable(), listAge: func() time.Duration { return 0 },
 	}
 	s.SetEntryTTL(DefaultEntryTTL)
 	return s
@@ -163,7 +168,11 @@
 		s.recognizeReturn(now, w)
 	}
 	s.forecastArrival(now, svc, pq, w)
-	w.rank = s.enterShares(now, svc, pq, w, s.rank(now, pq, w)+w.rankShift)
+	rank := s.rank(now, pq, w) + w.rankShift
+	if r.Resumed != nil {
+		rank -= resumedRankLead
+	}
+	w.rank = s.enterShares(now, svc, pq, w, rank)
 	svc.queue.add(w)
 	placed := s.placeArrival(now, svc, w)
 	if !placed {
@@ -184,6 +193,13 @@
 // reports whether it did. Requests that already wait were considered for the free
 // slots when these opened.
 func (s *Scheduler) placeArrival(now Time, svc *service, w *waiting) bool {
+	if w.Resumed != nil {
+		placed := s.placeResumed(now, svc, w)
+		if placed {
+			svc.queue.remove(w.Key)
+		}
+		return placed
+	}
 	if s.offerTrial(now, svc, w) || s.offerNewVersion(now, svc, w) {
 		svc.queue.remove(w.Key)
 		return true
@@ -197,6 +213,9 @@
 
 // rejectEarly refuses w, which has just arrived and found no room, if it will hardly be served.
 func (s *Scheduler) rejectEarly(now Time, svc *service, pq *priorityQueue, w *waiting) {
+	if w.Resumed != nil {
+		return
+	}
 	if s.policy.ForecastAdmission {
 		if f, refuses := s.refusesByForecast(now, svc, pq, w); refuses && s.dequeue(w.Key) {
 			s.refuseByForecast(now, svc, pq, w, f)
@@ -324,6 +343,9 @@
 	}
 	if o.Result.NotRun() {
 		s.refund(now, r)
+		if r.req.Resumed == nil {
+			s.origins.Forget(r.req.Origin, r.server.Version)
+		}
 	}
 	if svc != nil && r.countedAsServed && o.Result != OK {
 		svc.queue.priorityQueue(r.req.Priority).sizeStats.served[r.class].add(now, -1)
@@ -490,10 +512,12 @@
 	s.reviewSuspects(now)
 	s.advanceTrials(now)
 	s.bookings.expire(now)
+	s.origins.Expire(now)
 	for _, svc := range s.services {
 		s.refreshShares(now, svc)
 		s.tickForecasts(now, svc)
 		if svc.queue.size > 0 {
+			s.placeWaitingResumed(now, svc)
 			s.fillTrial(now, svc)
 			s.fill(now, svc, s.serversWithRoom(now, svc, nil))
 			s.refuseOverdue(now, svc)
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -94,9 +94,12 @@
 	return s.usable(now) && now >= s.pausedUntil && s.running < maxRunning && s.pacer.ready(now) && s.toleratesRejection(now)
 }
 
-// eligible reports whether s may be sent r: r was not tried there, and s has not asked the
-// holder to back off.
+// eligible reports whether s may be sent r: r was not tried there, s has not asked the holder
+// to back off, and has the version of the stream that r goes on with.
 func (s *server) eligible(now Time, r *Request) bool {
+	if r.Resumed != nil && (!r.Resumed.Known || r.Resumed.Version != s.Version) {
+		return false
+	}
 	return now >= s.backoffs[r.Holder] && !slices.Contains(r.Avoid, s.ID)
 }
 
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -15,6 +15,7 @@
 import (
 	"time"
 
+	"github.com/gentianflow/gentianflow/internal/origin"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 )
 
@@ -88,8 +89,29 @@
 	Fingerprint     quarantine.Fingerprint // the same for all attempts of a request
 	Route           string                 // name of the configured route; trials of new versions compare answers by route
 	Interruptible   bool                   // its run may be interrupted and repeated or resumed elsewhere
+	Origin          origin.Key             // under which the version of a stream that may be taken up is remembered, 0: it is not
+	Resumed         *Resumed               // the stream that it goes on with, nil if it begins one or is a plain call
 }
 
+// Resumed is a stream that a request goes on with. Its caller has events already, so it may run only at
+// servers of the software version that began it.
+type Resumed struct {
+	From    origin.Key // the attempt that began it, 0 if it is not named
+	Version string     // that began it, if Known
+	Known   bool
+	Source  VersionSource
+}
+
+// VersionSource tells how the version that began a stream is known.
+type VersionSource string
+
+// The sources of a version.
+const (
+	FromHolder VersionSource = "holder" // the host that the request came to forwarded the events
+	FromRecord VersionSource = "record" // of the attempt that began the stream
+	FromList   VersionSource = "list"   // the service has had one version only
+)
+
 // Result is how a run ended.
 type Result uint8
 
@@ -198,6 +220,10 @@
 	NoService
 	// Quarantined: servers ended while they ran the same request.
 	Quarantined
+	// VersionUnknown: it goes on with a stream, and it is not known at which software version that began.
+	VersionUnknown
+	// VersionGone: no server of the software version that began its stream is left.
+	VersionGone
 )
 
 // String describes the reason for logs and callers.
@@ -216,6 +242,12 @@
 	case Quarantined:
 		return "the same request is in quarantine: servers ended while they ran it; this attempt was not run"
 	}
+	switch r {
+	case VersionUnknown:
+		return "it is not known at which software version the stream began"
+	case VersionGone:
+		return "no server of the software version that began the stream is left"
+	}
 	return "no reason"
 }
 
@@ -228,6 +260,7 @@
 	Server     string
 	Address    string
 	Version    string        // of the server's software
+	Source     VersionSource // how the version that began the stream was known, empty if it was not asked for
 	Waited     time.Duration // from the placement request to the placement
 	Reason     Reason
 	RetryAfter time.Duration
