node, sched: the versions of each service are kept in the store, for fleets that start again

The home now writes the listed versions of each service when they change, and reads them when it becomes the home: a service without a change, or whose last one is 30 s and a margin for clocks ago, has one version for sure. Specs: take-ups after all hosts were killed, with and without Resumes; two versions and all hosts killed: none is joined.

--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -143,9 +143,14 @@
 
 // Query runs f on the loop's goroutine and waits for it.
 func (l *Loop) Query(ctx context.Context, f func(*sched.Scheduler)) {
+	l.QueryAt(ctx, func(_ sched.Time, s *sched.Scheduler) { f(s) })
+}
+
+// QueryAt is Query with the time on the loop's clock.
+func (l *Loop) QueryAt(ctx context.Context, f func(now sched.Time, s *sched.Scheduler)) {
 	done := make(chan struct{})
-	l.push(ctx, func(_ sched.Time, s *sched.Scheduler) []sched.Decision {
-		f(s)
+	l.push(ctx, func(now sched.Time, s *sched.Scheduler) []sched.Decision {
+		f(now, s)
 		close(done)
 		return nil
 	})
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -163,7 +163,7 @@
 // causes maps phrases in a request's last line to the usual cause.
 var causes = []struct{ phrase, cause string }{
 	{"in quarantine", "Servers ended while they ran the same request, under whatever id, so it is kept from further ones; this attempt did not run unless it says that it may have. See the servers below; gentianctl platform quarantine releases it."},
-	{"software version the stream began", "Its caller took a stream up, and neither this host nor the home knew within a second at which software version it began; it did not run. The attempt that it names may be of another account, too old, or lost with its hosts."},
+	{"software version the stream began", "Its caller took a stream up, and neither this host nor the home knew within 1.5 s at which software version it began; it did not run. The attempt that it names may be of another account, too old, or lost with its hosts."},
 	{"began the stream is left", "Its caller took a stream up whose software version has no server any more; it did not run."},
 	{"over its quota", "The account asked for more than its limit over all hosts; the request did not run."},
 	{"no usable server", "Every server of the service left, was out of reach or answered nothing; it did not run."},
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -63,7 +63,7 @@
 		// for all hosts as soon as it knows that they are there.
 		n.readHostTable(ctx)
 	}
-	tableSync := hostTableSync{node: n, retry: hostTableRetry}
+	tableSync := hostTableSync{node: n, versions: versionStore{node: n}, retry: hostTableRetry}
 	for tableSync.check(ctx, time.Now()); sleep(ctx, hostCheckPeriod); {
 		tableSync.check(ctx, time.Now())
 	}
@@ -104,6 +104,7 @@
 // table to find other hosts. Its fields belong to the goroutine of join.
 type hostTableSync struct {
 	node             *Node
+	versions         versionStore
 	writtenSize      int           // the size in this host's row, 0 if it has none
 	quarantineLoaded bool          // this host is the home and has read the requests in quarantine
 	nextReleaseCheck time.Time     // when to check next whether an operator released a request
@@ -119,6 +120,7 @@
 	alone := live == 1
 	home := n.isHome() && n.gossip.Settled()
 	t.loadQuarantine(ctx, now, home)
+	t.versions.check(ctx, home)
 	if !alone && !home {
 		t.retry = hostTableRetry
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,8 @@
 	// QuarantineTable holds the requests in quarantine (requests that are not run, since servers
 	// ended under them), so that hosts that start can read them.
 	QuarantineTable string
+	// VersionTable holds which software versions of each service are listed, since when.
+	VersionTable string
 	// StatusTable shows operators the progress of their rollout orders. RolloutTable is the
 	// scheduler's own record, from which a new home resumes a rollout.
 	StatusTable   string
--- a/internal/sched/resumed.go
+++ b/internal/sched/resumed.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/origin"
@@ -12,8 +14,8 @@
 
 const (
 	// resumedWait is how long a request waits until the version of its stream is known, or has a server. The
-	// hosts that know it report to a new home within a second.
-	resumedWait = time.Second
+	// hosts that know it report to a new home, and that reads the store, within about a second.
+	resumedWait = 1500 * time.Millisecond
 	// resumedRankLead is how far a request that goes on with a stream is moved ahead in its priority queue:
 	// its caller has a part of the answer already.
 	resumedRankLead = 5 * time.Second
@@ -129,11 +131,13 @@
 	return 0, false
 }
 
-// versionHistory tells which versions of a service were listed, and since when it was known.
+// versionHistory tells which versions of a service were listed, and since when that is known.
 type versionHistory struct {
-	since  Time            // when servers were first listed here
-	listed map[string]bool // versions that are listed now
-	goneAt map[string]Time // when a version was last listed that is not now
+	since     Time            // from when on it is known, at first when servers were first listed here
+	listed    map[string]bool // versions that are listed now, nil before the first list
+	goneAt    map[string]Time // when a version was last listed that is not now
+	changed   bool            // the listed versions have changed, at changedAt
+	changedAt Time
 }
 
 // update applies a list of servers.
@@ -142,16 +146,67 @@
 	for _, srv := range all {
 		listed[srv.Version] = true
 	}
-	if h.listed == nil && len(listed) > 0 {
-		h.since, h.goneAt = now, map[string]Time{}
+	if h.listed == nil {
+		if len(listed) > 0 {
+			h.since, h.listed, h.goneAt = now, listed, map[string]Time{}
+		}
+		return
+	}
+	if !maps.Equal(h.listed, listed) {
+		h.changed, h.changedAt = true, now
 	}
 	for version := range h.listed {
 		if !listed[version] {
 			h.goneAt[version] = now
 		}
 	}
-	if len(listed) > 0 || h.listed != nil {
-		h.listed = listed
+	h.listed = listed
+}
+
+// VersionHistory is what is known of the versions of a service that are listed, for other schedulers.
+type VersionHistory struct {
+	Service  string
+	Versions []string // listed now
+	Changed  bool     // they have changed since the service began to be served
+	Age      time.Duration
+}
+
+// VersionHistories returns what is known of the versions of each service. Age is the time since the last change.
+func (s *Scheduler) VersionHistories(now Time) (out []VersionHistory) {
+	for _, service := range slices.Sorted(maps.Keys(s.versions)) {
+		h := &s.versions[service].history
+		if len(h.listed) > 0 {
+			out = append(out, VersionHistory{Service: service, Versions: slices.Sorted(maps.Keys(h.listed)), Changed: h.changed, Age: now - h.changedAt})
+		}
+	}
+	return out
+}
+
+// LearnVersionHistories applies what earlier schedulers have stored. A service without a history had no
+// servers before.
+func (s *Scheduler) LearnVersionHistories(now Time, stored []VersionHistory) {
+	known := map[string]VersionHistory{}
+	for _, h := range stored {
+		known[h.Service] = h
+	}
+	for service, v := range s.versions {
+		h := &v.history
+		if h.listed == nil {
+			continue
+		}
+		past := known[service]
+		for _, version := range past.Versions {
+			if !h.listed[version] {
+				h.goneAt[version] = max(h.goneAt[version], now)
+				h.changed, h.changedAt = true, now
+			}
+		}
+		if past.Changed {
+			h.since = min(h.since, now-past.Age)
+			h.changed, h.changedAt = true, max(h.changedAt, now-past.Age)
+			continue
+		}
+		h.since = min(h.since, now-maxTakeUpTime)
 	}
 }
 
--- a/internal/sched/resumed_test.go
+++ b/internal/sched/resumed_test.go
@@ -84,15 +84,15 @@
 		other := takeUp(2, 600*ms)
 		other.Resumed.From = 0
 		s.Submit(600*ms, other)
-		Expect(s.Tick(1500 * ms)).To(BeEmpty())
-		Expect(refused(s.Tick(1700 * ms))).To(Equal(map[uint64]Reason{2: VersionUnknown}))
+		Expect(s.Tick(500*ms + resumedWait)).To(BeEmpty())
+		Expect(refused(s.Tick(700*ms + resumedWait))).To(Equal(map[uint64]Reason{2: VersionUnknown}))
 	})
 
 	It("is refused when no server of its version is left", func() {
 		s := newVersionScheduler(both, 8)
 		s.LearnOrigins(0, []origin.Record{{Key: started, Version: "v0", Until: time.Minute}})
 		s.Submit(0, takeUp(1, 0))
-		Expect(refused(s.Tick(1100 * ms))).To(Equal(map[uint64]Reason{1: VersionGone}))
+		Expect(refused(s.Tick(100*ms + resumedWait))).To(Equal(map[uint64]Reason{1: VersionGone}))
 	})
 
 	// Guards against a run that never began, whose version would bind the caller's next attempt.
@@ -143,7 +143,7 @@
 		r = takeUp(2, 10*ms)
 		r.Resumed = &Resumed{Version: "v2", Known: true}
 		s.Submit(10*ms, r)
-		Expect(refused(s.Tick(1100 * ms))).To(Equal(map[uint64]Reason{2: VersionGone}))
+		Expect(refused(s.Tick(100*ms + resumedWait))).To(Equal(map[uint64]Reason{2: VersionGone}))
 	})
 
 	Describe("without a record", func() {
@@ -157,6 +157,39 @@
 			Expect(resumedAt(newVersionScheduler(map[string]int{"v1": 2}, 8), after)).To(BeTrue())
 		})
 
+		// Guards against streams that can't go on after a restart of all hosts, where nothing is recorded.
+		It("runs where the store has no other version of its service, or none for long", func() {
+			for _, stored := range [][]VersionHistory{
+				nil,
+				{{Service: engine, Versions: []string{"v1"}}},
+				{{Service: engine, Versions: []string{"v1"}, Changed: true, Age: 2 * maxTakeUpTime}},
+			} {
+				s := newVersionScheduler(map[string]int{"v1": 2}, 8)
+				s.LearnVersionHistories(time.Second, stored)
+				Expect(resumedAt(s, 2*time.Second)).To(BeTrue(), "%+v", stored)
+			}
+		})
+		It("does not where the store has another version, or the last one left lately", func() {
+			for _, stored := range [][]VersionHistory{
+				{{Service: engine, Versions: []string{"v0"}}},
+				{{Service: engine, Versions: []string{"v0", "v1"}}},
+				{{Service: engine, Versions: []string{"v1"}, Changed: true, Age: maxTakeUpTime / 2}},
+				{{Service: engine, Changed: true}},
+			} {
+				s := newVersionScheduler(map[string]int{"v1": 2}, 8)
+				s.LearnVersionHistories(time.Second, stored)
+				Expect(resumedAt(s, 2*time.Second)).To(BeFalse(), "%+v", stored)
+				Expect(resumedAt(s, 2*maxTakeUpTime)).To(BeTrue(), "%+v", stored)
+			}
+		})
+		It("is known to other schedulers from what is stored", func() {
+			s := newVersionScheduler(map[string]int{"v1": 2}, 8)
+			s.LearnVersionHistories(0, nil)
+			Expect(s.VersionHistories(time.Second)).To(Equal([]VersionHistory{{Service: engine, Versions: []string{"v1"}, Age: time.Second}}))
+			s.UpdateServers(2*time.Second, versionServers(map[string]int{"v2": 1}, 8), nil)
+			Expect(s.VersionHistories(3 * time.Second)).To(Equal([]VersionHistory{{Service: engine, Versions: []string{"v1", "v2"}, Changed: true, Age: time.Second}}))
+		})
+
 		// Each guards against a guess at a host that can't know.
 		It("does not where a host has just started", func() {
 			Expect(resumedAt(newVersionScheduler(map[string]int{"v1": 2}, 8), maxTakeUpTime/2)).To(BeFalse())
--- a/test/platform/versions_test.go
+++ b/test/platform/versions_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/gentianflow/gentianflow/platform"
 	"github.com/gentianflow/gentianflow/platform/standin"
 )
 
@@ -194,4 +196,46 @@
 		Entry("the home is killed", func(*site) []int { return []int{0} }),
 		Entry("their host and the home are killed at once", func(*site) []int { return []int{0, 3} }),
 	)
+
+	// Guards against a guess where nobody can know: all hosts have lost what they had recorded.
+	It("don't go on at another version after all hosts were killed", func() {
+		s := versionSite(siteOptions{hosts: 3})
+		streams := s.streamAll(40, func(i int) []*host { return rotated(s.hosts, i) }, func() {
+			time.Sleep(200 * time.Millisecond)
+			s.killAndRestartAll()
+		})
+		for _, t := range streams {
+			Expect(len(s.versions(t))).To(BeNumerically("<=", 1), t.attempts[0].Attempt)
+		}
+	})
+})
+
+var _ = Describe("streams of a service with one version", func() {
+	// Guards against streams that can't go on because the record of their version was lost, also for
+	// callers that don't name the attempt which began them.
+	DescribeTable("go on after all hosts were killed",
+		func(named bool) {
+			s := newSite(siteOptions{hosts: 3, engines: 3, apps: 1, engine: standin.ServerSpec{PerEvent: 20 * time.Millisecond}})
+			Eventually(func() int {
+				rows, _, _ := platform.NewStore(s.storeAddress).Snapshot(context.Background(), platform.VersionTable)
+				return len(rows)
+			}).Should(Equal(2))
+			first := s.send(s.hosts[0], appraise())
+			Expect(first.Complete).To(BeTrue())
+			s.killAndRestartAll()
+			c := appraise()
+			c.Header = map[string]string{"Last-Event-Id": "2"}
+			if named {
+				c.Header["Resumes"] = first.Attempt
+			}
+			var r standin.Reply
+			Eventually(func() int {
+				r = s.send(s.hosts[1], c)
+				return r.Status
+			}).WithTimeout(3 * time.Second).Should(Equal(http.StatusOK))
+			Expect(r.Body).To(HavePrefix("id: 3\n"))
+		},
+		Entry("and their callers name the attempt that began them", true),
+		Entry("and their callers don't", false),
+	)
 })
