sched: the servers of a service's first versions are counted when they are listed

A new version without an order gets requests once half of the servers of the current ones are gone. Their largest number was counted before a list was accepted, so 0 for the first list: where half of them left in the update that brought the new servers, what was left counted as all, and the new servers stayed idle. Spec red before.

--- a/internal/sched/rollout.go
+++ b/internal/sched/rollout.go
@@ -223,10 +223,7 @@
 	if v.order != nil && v.phase != phaseMoved {
 		ordered = v.order.To
 	}
-	n := 0
-	for version := range v.current {
-		n += counts[version]
-	}
+	n := v.countCurrent(counts)
 	v.maxListed = max(v.maxListed, n)
 	if len(v.current) > 0 && float64(n) > minRemainingShare*float64(v.maxListed) {
 		return
@@ -236,6 +233,15 @@
 			v.current[version] = true
 		}
 	}
+	v.maxListed = max(v.maxListed, v.countCurrent(counts))
+}
+
+// countCurrent returns the number of servers of the current versions.
+func (v *versions) countCurrent(counts map[string]int) (n int) {
+	for version := range v.current {
+		n += counts[version]
+	}
+	return n
 }
 
 // fillTrial places waiting requests at the next trial servers, as far as the trial allows.
--- a/internal/sched/rollout_test.go
+++ b/internal/sched/rollout_test.go
@@ -76,6 +76,16 @@
 		Expect(d.usedVersions(2*time.Second, 100)).To(HaveKey("v2"))
 	})
 
+	// Guards against new servers that stay idle because the first servers were not counted.
+	It("get requests once half of the first servers leave with their arrival", func() {
+		d.UpdateServers(time.Second, []Server{
+			{ID: "v1-0", Service: "app", Version: "v1", Address: "v1-0", Slots: 8, Draining: true},
+			{ID: "v1-1", Service: "app", Version: "v1", Address: "v1-1", Slots: 8, Draining: true},
+			{ID: "v2-0", Service: "app", Version: "v2", Address: "v2-0", Slots: 8},
+		}, nil)
+		Expect(d.usedVersions(time.Second, 100)).To(HaveKey("v2"))
+	})
+
 	It("serve when no others are left", func() {
 		d.list(time.Second, map[string]int{"v2": 2})
 		Expect(d.usedVersions(time.Second, 10)).To(Equal(map[string]int{"v2": 10}))
