--- a/test/platform/versions_test.go
+++ b/test/platform/versions_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -197,6 +198,21 @@
 		Entry("their host and the home are killed at once", func(*site) []int { return []int{0, 3} }),
 	)
 
+	// Guards against a guess of a host that schedules alone.
+	It("don't go on at another version while the home is frozen", func() {
+		s := versionSite(siteOptions{hosts: 4, largeFirst: true})
+		alive := s.hosts[1:]
+		streams := s.streamAll(60, func(i int) []*host { return rotated(alive, i) }, func() {
+			time.Sleep(150 * time.Millisecond)
+			s.hosts[0].session.Signal(syscall.SIGSTOP)
+			time.Sleep(50 * time.Millisecond)
+			s.hosts[3].session.Kill()
+			time.Sleep(2 * time.Second)
+			s.hosts[0].session.Signal(syscall.SIGCONT)
+		})
+		s.checkVersions(streams)
+	})
+
 	// Guards against a guess where nobody can know: all hosts have lost what they had recorded.
 	It("don't go on at another version after all hosts were killed", func() {
 		s := versionSite(siteOptions{hosts: 3})
