dispatch: new records of streams go to each successor in one message; specs of how they are passed on

A flush sent a message for each version and second of remaining time. Specs: merged at a new home, kept by the host that carries the stream, reported where this host placed it, in groups. One spec was red at first for its own fault: its two links have one incarnation, and the second supersedes the first before its message is read.

--- a/internal/dispatch/origins.go
+++ b/internal/dispatch/origins.go
@@ -83,9 +83,7 @@
 	defer h.mu.Unlock()
 	for holder, l := range h.links {
 		if slices.Contains(successors, holder) {
-			for _, m := range encoded {
-				l.send(&wire.ToHolder{Origins: []*wire.Origins{m}})
-			}
+			l.send(&wire.ToHolder{Origins: encoded})
 		}
 	}
 }
