sched: broken answers eject a server only while half of the others stay usable

Cause: the failure rate of each server was judged by itself. Servers that don't accept connections are ejected as before. Spec red before (0 of 4 usable where every second answer breaks), one of a single bad server green before and after.

--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -409,7 +409,7 @@
 		o.TokenTime = 0
 	}
 	ejectedUntil := r.server.ejectedUntil
-	r.server.learn(now, o)
+	r.server.learn(now, o, s.othersUsable(now, r.server))
 	if r.server.ejectedUntil != ejectedUntil {
 		s.recordEjection(now, r.server, o)
 	}
@@ -418,6 +418,12 @@
 	}
 }
 
+// othersUsable reports whether without srv at least half of the servers of its service are usable.
+func (s *Scheduler) othersUsable(now Time, srv *server) bool {
+	svc := srv.serving
+	return svc == nil || 2*(s.countUsable(now, svc)-1) >= len(svc.servers)
+}
+
 // RecordServerFault counts a failure against a server: it failed a request that another
 // server then answered. A failure alone is not counted, since some requests fail at every
 // server: all servers would look faulty, and the faulty one could not be told apart.
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -186,8 +186,9 @@
 }
 
 // learn updates the server's estimates from the outcome of a run, and ejects the server
-// when the outcome calls for it.
-func (s *server) learn(now Time, o Outcome) {
+// when the outcome calls for it. spare tells that enough others are usable; otherwise a server
+// that accepts connections is not ejected for answers that broke.
+func (s *server) learn(now Time, o Outcome, spare bool) {
 	if o.Result == OK || o.Result == Progress {
 		s.lastAnswerAt = now
 		s.answers.add(now, o.Holder)
@@ -205,7 +206,7 @@
 		s.recordFailure(now)
 	case Broken, Unresponsive, Unreachable, ServerEnded:
 		s.recordFailure(now)
-		if o.Result != Broken || s.failureRate > ejectionFailureRate {
+		if o.Result != Broken || spare && s.failureRate > ejectionFailureRate {
 			s.eject(now)
 		}
 	case Stalled:
