--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -23,7 +23,8 @@
 // from the start of the process.
 type Time = time.Duration
 
-// Service is a group of interchangeable backend servers.
+// Service is a group of backend servers. A new request may go to any of them; a stream goes on only at
+// those of the software version that began it.
 type Service struct {
 	Name     string
 	Engine   bool // true for inference engines, which generate tokens in batches; false for plain services
@@ -241,8 +242,6 @@
 		return "the service is unknown"
 	case Quarantined:
 		return "the same request is in quarantine: servers ended while they ran it; this attempt was not run"
-	}
-	switch r {
 	case VersionUnknown:
 		return "it is not known at which software version the stream began"
 	case VersionGone:
