--- a/test/platform/serve_test.go
+++ b/test/platform/serve_test.go
@@ -106,6 +106,25 @@
 		Expect(s.runsOf(r.Attempt)).To(HaveLen(2))
 	})
 
+	// Guards against a stream whose server ends it in order, without framing, inside an event.
+	It("resumes a stream that ends in order inside an event, or does not let it look complete", func() {
+		s := newSite(siteOptions{hosts: 1, engines: 2, apps: 1})
+		for _, srv := range s.servers[:2] {
+			srv.SetFault(standin.Fault{EndAfter: 5})
+		}
+		c := appraise()
+		c.Output = 30 // ten events: five at each of the two servers
+		r := s.send(s.hosts[0], c)
+		Expect(r.Complete).To(BeTrue(), "%v", r.Err)
+		Expect(r.Body).To(Equal(c.Expected(r.Attempt)))
+		Expect(s.runsOf(r.Attempt)).To(HaveLen(2))
+		r = s.send(s.hosts[0], digest())
+		Expect(r.Status).To(Equal(http.StatusOK))
+		Expect(r.Complete).To(BeFalse())
+		Expect(s.runsOf(r.Attempt)).To(HaveLen(1))
+		s.checkPromises()
+	})
+
 	// A server stops sending in the middle of a stream while its connection stays open.
 	It("resumes a stream whose server falls silent", func() {
 		s := newSite(siteOptions{hosts: 1, engines: 2, apps: 1})
