--- a/internal/upstream/framing.go
+++ b/internal/upstream/framing.go
@@ -19,7 +19,7 @@
 // FramingOf returns the framing of a server's answer to a request with the method.
 func FramingOf(method string, resp *http.Response) Framing {
 	switch {
-	case method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified:
+	case method == http.MethodHead, resp.StatusCode < http.StatusOK, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
 		return NoBody
 	case resp.ContentLength >= 0:
 		return ByLength
