sched: a version counts as the only one for as long as the longest streams last

A service counted as having one version 30 s after the last other one had left, also where streams last longer: a stream of a minute could have been taken up at another version than the one that began it. Records now last until the deadline as well, whatever it is.

--- a/internal/sched/resumed.go
+++ b/internal/sched/resumed.go
@@ -21,8 +21,8 @@
 	resumedRankLead = 5 * time.Second
 	// OriginGrace is how long after the deadline of its first attempt the version of a stream is remembered.
 	OriginGrace = 3 * time.Second
-	// maxTakeUpTime is how long after its begin a stream may be taken up.
-	maxTakeUpTime = 30 * time.Second
+	// minTakeUpTime is how long after its begin a stream may be taken up, unless one had a longer deadline.
+	minTakeUpTime = 30 * time.Second
 	// maxListAge is the age up to which the list of servers tells that a service has one version only.
 	maxListAge = 2 * time.Second
 )
@@ -65,9 +65,15 @@
 	}
 }
 
+// takeUpTime is how long after its begin a stream may be taken up.
+func (s *Scheduler) takeUpTime() time.Duration { return max(minTakeUpTime, s.longestStream) }
+
 // recordOrigin remembers the version at which the stream of a placed request begins or goes on.
 func (s *Scheduler) recordOrigin(now Time, r *Request, version string) {
-	until := min(r.Deadline, now+maxTakeUpTime) + OriginGrace
+	until := r.Deadline + OriginGrace
+	if r.Origin != 0 {
+		s.longestStream = max(s.longestStream, r.Deadline-r.Arrived)
+	}
 	keys := []origin.Key{r.Origin}
 	if r.Resumed != nil {
 		keys = append(keys, r.Resumed.From)
@@ -134,6 +140,7 @@
 // versionHistory tells which versions of a service were listed, and since when that is known.
 type versionHistory struct {
 	since     Time            // from when on it is known, at first when servers were first listed here
+	complete  bool            // it is known from the begin of the service on
 	listed    map[string]bool // versions that are listed now, nil before the first list
 	goneAt    map[string]Time // when a version was last listed that is not now
 	changed   bool            // the listed versions have changed, at changedAt
@@ -206,7 +213,7 @@
 			h.changed, h.changedAt = true, max(h.changedAt, now-past.Age)
 			continue
 		}
-		h.since = min(h.since, now-maxTakeUpTime)
+		h.complete = true
 	}
 }
 
@@ -214,14 +221,14 @@
 // another one.
 func (s *Scheduler) onlyVersion(now Time, service string) (version string, ok bool) {
 	h := &s.versionsOf(service).history
-	if len(h.listed) != 1 || now-h.since < maxTakeUpTime || s.listAge() > maxListAge {
+	if len(h.listed) != 1 || !h.complete && now-h.since < s.takeUpTime() || s.listAge() > maxListAge {
 		return "", false
 	}
 	for only := range h.listed {
 		version = only
 	}
 	for other, at := range h.goneAt {
-		if other != version && now-at < maxTakeUpTime {
+		if other != version && now-at < s.takeUpTime() {
 			return "", false
 		}
 	}
--- a/internal/sched/resumed_test.go
+++ b/internal/sched/resumed_test.go
@@ -147,7 +147,7 @@
 	})
 
 	Describe("without a record", func() {
-		const after = 2 * maxTakeUpTime
+		const after = 2 * minTakeUpTime
 		resumedAt := func(s *Scheduler, now Time) bool {
 			out, _ := s.Submit(now, takeUp(1, now))
 			return len(placed(out)) == 1
@@ -162,7 +162,7 @@
 			for _, stored := range [][]VersionHistory{
 				nil,
 				{{Service: engine, Versions: []string{"v1"}}},
-				{{Service: engine, Versions: []string{"v1"}, Changed: true, Age: 2 * maxTakeUpTime}},
+				{{Service: engine, Versions: []string{"v1"}, Changed: true, Age: 2 * minTakeUpTime}},
 			} {
 				s := newVersionScheduler(map[string]int{"v1": 2}, 8)
 				s.LearnVersionHistories(time.Second, stored)
@@ -173,13 +173,13 @@
 			for _, stored := range [][]VersionHistory{
 				{{Service: engine, Versions: []string{"v0"}}},
 				{{Service: engine, Versions: []string{"v0", "v1"}}},
-				{{Service: engine, Versions: []string{"v1"}, Changed: true, Age: maxTakeUpTime / 2}},
+				{{Service: engine, Versions: []string{"v1"}, Changed: true, Age: minTakeUpTime / 2}},
 				{{Service: engine, Changed: true}},
 			} {
 				s := newVersionScheduler(map[string]int{"v1": 2}, 8)
 				s.LearnVersionHistories(time.Second, stored)
 				Expect(resumedAt(s, 2*time.Second)).To(BeFalse(), "%+v", stored)
-				Expect(resumedAt(s, 2*maxTakeUpTime)).To(BeTrue(), "%+v", stored)
+				Expect(resumedAt(s, 2*minTakeUpTime)).To(BeTrue(), "%+v", stored)
 			}
 		})
 		It("is known to other schedulers from what is stored", func() {
@@ -192,7 +192,7 @@
 
 		// Each guards against a guess at a host that can't know.
 		It("does not where a host has just started", func() {
-			Expect(resumedAt(newVersionScheduler(map[string]int{"v1": 2}, 8), maxTakeUpTime/2)).To(BeFalse())
+			Expect(resumedAt(newVersionScheduler(map[string]int{"v1": 2}, 8), minTakeUpTime/2)).To(BeFalse())
 		})
 		It("does not where the list of servers is old", func() {
 			s := newVersionScheduler(map[string]int{"v1": 2}, 8)
@@ -201,9 +201,19 @@
 		})
 		It("does not soon after the last server of another version left", func() {
 			s := newVersionScheduler(map[string]int{"v1": 2, "v2": 1}, 8)
-			s.UpdateServers(after-maxTakeUpTime/2, nil, []string{"v2-0"})
+			s.UpdateServers(after-minTakeUpTime/2, nil, []string{"v2-0"})
 			Expect(resumedAt(s, after)).To(BeFalse())
-			Expect(resumedAt(s, after+maxTakeUpTime)).To(BeTrue())
+			Expect(resumedAt(s, after+minTakeUpTime)).To(BeTrue())
+		})
+		// Guards against a guess for a stream that began before the last change and lasts longer than most.
+		It("does not as long after the last change as the longest streams last", func() {
+			s := newVersionScheduler(map[string]int{"v1": 2, "v2": 1}, 8)
+			long := stream(100, 0, 0)
+			long.Origin, long.Deadline = 5, 4*minTakeUpTime
+			s.Submit(0, long)
+			s.UpdateServers(after, nil, []string{"v2-0"})
+			Expect(resumedAt(s, after+2*minTakeUpTime)).To(BeFalse())
+			Expect(resumedAt(s, after+5*minTakeUpTime)).To(BeTrue())
 		})
 		It("does not while the last server of another version drains", func() {
 			s := newVersionScheduler(map[string]int{"v1": 2}, 8)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -47,6 +47,7 @@
 	tickedAt          Time             // when Tick was last called
 	origins           *origin.Table    // of streams that may be taken up
 	newOrigins        []origin.Record  // since the last call of TakeOrigins
+	longestStream     time.Duration    // the longest time that a stream had from its arrival to its deadline
 	listAge           func() time.Duration
 }
 
