--- a/test/platform/versions_test.go
+++ b/test/platform/versions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -132,7 +133,8 @@
 	Expect(float64(goOn)/float64(resumed)).To(BeNumerically(">=", 0.5*float64(begun)/float64(len(streams))), "%d of %d go on", goOn, resumed)
 }
 
-// streamAll sends n calls at once to the hosts that first returns and takes their streams up at the others.
+// streamAll sends n calls at once, each to the hosts of its order in turn until its stream is whole, and runs
+// during meanwhile.
 func (s *site) streamAll(n int, order func(i int) []*host, during func()) []takenUp {
 	streams := make([]takenUp, n)
 	var calls sync.WaitGroup
@@ -150,7 +152,7 @@
 // rotated returns the hosts from index i on.
 func rotated(hosts []*host, i int) []*host {
 	i %= len(hosts)
-	return append(append([]*host(nil), hosts[i:]...), hosts[:i]...)
+	return slices.Concat(hosts[i:], hosts[:i])
 }
 
 var _ = Describe("streams of a service with two versions", func() {
@@ -166,20 +168,11 @@
 
 	// Guards against a version that is forgotten with the hosts whose end breaks the streams.
 	DescribeTable("go on at the version that began them when",
-		func(killed func(s *site) []int) {
-			s := versionSite(siteOptions{hosts: 4, largeFirst: true})
-			down := killed(s)
-			isDown := func(i int) bool {
-				for _, d := range down {
-					if d == i {
-						return true
-					}
-				}
-				return false
-			}
+		func(down ...int) {
+			s := versionSite(siteOptions{hosts: 4, largeFirst: true}) // host 0 is the home
 			var dying, alive []*host
 			for i, h := range s.hosts {
-				if isDown(i) {
+				if slices.Contains(down, i) {
 					dying = append(dying, h)
 				} else {
 					alive = append(alive, h)
@@ -193,9 +186,9 @@
 			})
 			s.checkVersions(streams)
 		},
-		Entry("their host is killed", func(*site) []int { return []int{3} }),
-		Entry("the home is killed", func(*site) []int { return []int{0} }),
-		Entry("their host and the home are killed at once", func(*site) []int { return []int{0, 3} }),
+		Entry("their host is killed", 3),
+		Entry("the home is killed", 0),
+		Entry("their host and the home are killed at once", 0, 3),
 	)
 
 	// Guards against a guess of a host that schedules alone.
