entry: log the prompt parts of requests, and what a lost run had when its server ended

Each request's line and server_ended now have the parts that others may share, by the IDs that callers send; server_ended also has route, account and the time of the first event.

No decision changes.

--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -26,6 +26,7 @@
 	OutputHint   int          // the caller's estimate, 0 if not given
 	HasTokens    bool         // the token counts are given
 	PromptParts  []sched.Part // of the prompt, in order
+	SharedParts  int          // how many of PromptParts, the first ones, other requests may have as well
 	LastEvent    string       // the id of the event after which a stream resumes, empty if not given
 	Resumes      string       // the id of the attempt that brought the first event of that stream, empty if not given
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -253,6 +253,14 @@
 	return x.head.Key
 }
 
+// callerAccount returns the name of the client account, empty on a public route.
+func (x *exchange) callerAccount() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
+}
+
 // configWait returns how long the request may wait for a configuration.
 func (x *exchange) configWait() time.Duration {
 	if x.head.Deadline <= 0 {
--- a/internal/entry/fault.go
+++ b/internal/entry/fault.go
@@ -65,7 +65,8 @@
 		x.h.Meter.ServerEnded()
 		x.h.Events.Record(event.ServerEnded, event.Fields{
 			Request: x.head.ID, Service: x.service, Server: t.placement.Server,
-			Detail: "fingerprint=" + x.fingerprint.String() + " ran=" + formatDuration(ran),
+			Detail: "fingerprint=" + x.fingerprint.String() + " ran=" + formatDuration(ran) + " first=" + formatDuration(report.FirstEvent) +
+				" route=" + x.route.Name + " account=" + x.callerAccount() + x.partFields(),
 		})
 	}
 }
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/dispatch"
@@ -151,6 +152,7 @@
 	if x.fingerprint.Known() {
 		f.Detail += " fingerprint=" + x.fingerprint.String()
 	}
+	f.Detail += x.partFields()
 	if x.refusalDetail != "" {
 		f.Detail += " " + x.refusalDetail
 	}
@@ -160,6 +162,25 @@
 	x.h.Events.Record(code, f)
 }
 
+// maxLoggedParts is the number of shared prompt parts up to which a request's parts are logged.
+const maxLoggedParts = 8
+
+// partFields formats the prompt parts that other requests may share.
+func (x *exchange) partFields() string {
+	if x.head.SharedParts == 0 {
+		return ""
+	}
+	names := make([]string, 0, maxLoggedParts)
+	for _, p := range x.head.PromptParts[:min(x.head.SharedParts, maxLoggedParts)] {
+		names = append(names, p.Name())
+	}
+	fields := " parts=" + strings.Join(names, ",")
+	if more := x.head.SharedParts - maxLoggedParts; more > 0 {
+		fields += " more_parts=" + strconv.Itoa(more)
+	}
+	return fields
+}
+
 // endFields formats how the answer of the newest server was framed and how many bytes came after its last
 // complete event, and how the answer to the caller is framed.
 func (x *exchange) endFields() (fields string) {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -13,6 +13,7 @@
 package sched
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/origin"
@@ -60,6 +61,9 @@
 	Tokens int
 }
 
+// Name returns the hexadecimal form of the key, used in logs.
+func (p Part) Name() string { return fmt.Sprintf("%08x", p.Key) }
+
 // Key identifies a request by its holder and the holder's ID for it. The holder is the
 // entry host that received the request and owes the caller its answer.
 type Key struct {
