--- a/test/platform/fatal_test.go
+++ b/test/platform/fatal_test.go
@@ -42,10 +42,14 @@
 	fixed bool
 }
 
-// newFatalSite starts a site whose servers crash under a request with fatalBody.
+// newFatalSite starts a site whose servers crash under requests with one of FatalParts or, if there are
+// none, with fatalBody.
 func newFatalSite(o siteOptions) (*site, *serverRestarter) {
 	restarter := &serverRestarter{}
-	o.engine.FatalBody, o.engine.OnCrash = fatalBody, restarter.handleCrash
+	o.engine.OnCrash = restarter.handleCrash
+	if len(o.engine.FatalParts) == 0 {
+		o.engine.FatalBody = fatalBody
+	}
 	s := newSite(o)
 	restarter.mu.Lock()
 	defer restarter.mu.Unlock()
@@ -68,7 +72,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.fixed {
-		spec.FatalBody = ""
+		spec.FatalBody, spec.FatalParts = "", nil
 	}
 	if srv, err := standin.StartServer(r.site.store, spec); err == nil {
 		r.site.recordReplacement(old, srv)
@@ -92,7 +96,7 @@
 	r.site.mu.Lock()
 	defer r.site.mu.Unlock()
 	for _, srv := range r.site.servers {
-		srv.SurviveFatalBody()
+		srv.SurviveFatal()
 	}
 }
 
@@ -113,6 +117,22 @@
 	}
 }
 
+// crashOneEngine ends the engine that has run longest and schedules its restart.
+func (r *serverRestarter) crashOneEngine() {
+	r.site.mu.Lock()
+	var oldest *standin.Server
+	for _, srv := range r.site.servers {
+		if srv.Spec.Streams && !srv.Ended() && (oldest == nil || srv.Started().Before(oldest.Started())) {
+			oldest = srv
+		}
+	}
+	r.site.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+		r.handleCrash(oldest)
+	}
+}
+
 func (r *serverRestarter) crashCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
