experiment, gentianlab: simulate prompt parts that crash engines

Twenty scenarios in virtual time on the real scheduler: a bad part in first place or in the middle, several, rare and frequent, some runs answered, crashes behind the first event, sound parts on all bad requests or new ones, several accounts, and what must not be mistaken for it (engines that end by themselves, racks, a caller whose bodies crash engines). gentianlab parts prints crashes, late runs, sound requests begun, on time and refused, and beside them the fewest crashes that the best test needs (Wald's bound).

No decision changes.

--- a/cmd/gentianlab/main.go
+++ b/cmd/gentianlab/main.go
@@ -59,6 +59,7 @@
 			},
 			policiesCommand(),
 			rolloutCommand(),
+			partsCommand(),
 		},
 	}
 }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -82,6 +82,7 @@
 	OutputTokens  int     // expected, 0 for a plain call
 	Units         float64 // charged to the account's quota
 	PromptParts   []Part
+	SharedParts   int  // how many of PromptParts, the first ones, other requests may have as well
 	Arrived       Time // when its first holder first requested a placement
 	LatencyTarget Time // for the first event of a stream or the complete answer of a plain call
 	// CallerTimeoutAt is when the caller gives up if it has received no event,
