A crash is held against the prompt parts of the runs that it took, and bad ones are refused

Cause: what is learned of a crash was held against one request, by a fingerprint over its body, and each new request starts with a clean record. Hypothesis 1; 2 (the caller's requests on the route) is ruled out by 73 whole answers of that caller on that route, 3 (sizes) by sizes of 491 to 6,910 tokens on the crashed engines.

Mend: a second judge in internal/quarantine for what many requests have in common (traits: a prompt part, a part in one account's requests, an account's requests on a route). The scheduler runs requests with a suspect trait one at a time until one begins to be answered, from the second end on alone on their server; then refuses them at once as not run and takes back what has no event. Records go to all hosts at the second end, verdicts to the store. A place says whether the first event is to be reported at once; a placement that is revoked before its use isn't used.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -26,6 +26,7 @@
 	OutputTokens    int
 	Units           int // charged to the account's quota
 	PromptParts     []sched.Part
+	SharedParts     int // how many of PromptParts, the first ones, other requests may have as well
 	Arrived         time.Time
 	LatencyTarget   time.Time
 	CallerTimeoutAt time.Time // when the caller gives up if it has received no event, zero: at the deadline
@@ -40,6 +41,20 @@
 	Resumed         *sched.Resumed
 }
 
+// sharedPartKeys returns the keys of the prompt parts that other requests may have.
+func (r *PlacementRequest) sharedPartKeys() []uint64 {
+	var keys []uint64
+	for _, p := range r.PromptParts[:min(r.SharedParts, len(r.PromptParts))] {
+		keys = append(keys, p.Key)
+	}
+	return keys
+}
+
+// traits returns the traits of the request.
+func (r *PlacementRequest) traits() []quarantine.Trait {
+	return quarantine.TraitsOf(r.Service, r.Account, r.Route, r.sharedPartKeys())
+}
+
 // Placement is the permission to send a request once to a backend server.
 type Placement struct {
 	ID      uint64
@@ -48,6 +63,8 @@
 	Version string // of the server's software
 	// Source is how the version that began a stream was known, empty if it was not asked for.
 	Source sched.VersionSource
+	// ReportBegin asks for a report of the first event at once.
+	ReportBegin bool
 	// Local is set if the local loop made the placement, not the home.
 	Local bool
 	// ListAge is the age of this host's server list when it received the placement.
@@ -114,6 +131,8 @@
 	server   string
 	done     chan sched.Decision
 	revoke   func(*Refused) // called when the placement is revoked, may be nil
+	revoked  *Refused       // the revocation, if revoke was not set yet
+	begun    bool           // the local loop knows that the answer has begun
 }
 
 // Client requests placements on behalf of this host, from the home (the host that runs the
@@ -161,7 +180,7 @@
 			if d.Reason != 0 {
 				return Placement{}, &Refused{d}
 			}
-			return Placement{ID: id, Server: d.Server, Address: d.Address, Version: d.Version, Source: d.Source, Local: c.decidedLocally(p), ListAge: c.servers.Age()}, nil
+			return Placement{ID: id, Server: d.Server, Address: d.Address, Version: d.Version, Source: d.Source, ReportBegin: d.ReportBegin, Local: c.decidedLocally(p), ListAge: c.servers.Age()}, nil
 		case <-ctx.Done():
 			c.withdraw(id)
 			return Placement{}, failure.Wrap(failure.Withdrawn, context.Cause(ctx), "while waiting for a place")
@@ -246,6 +265,7 @@
 		c.learnLoss(p, t.FirstEvent > 0)
 	}
 	if p.via != nil {
+		c.recordAnswer(p, o)
 		p.via.finish(o)
 		return
 	}
@@ -310,9 +330,11 @@
 // one since, so such a placement is returned.
 func (c *Client) applyDecision(d sched.Decision, via *homeLink) {
 	p := c.pending[d.ID]
-	if p != nil && !p.placedAt.IsZero() && d.Reason == sched.Quarantined {
+	if p != nil && !p.placedAt.IsZero() && d.Reason.Quarantined() {
 		if p.revoke != nil {
 			p.revoke(&Refused{d})
+		} else {
+			p.revoked = &Refused{d}
 		}
 		return
 	}
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -29,6 +29,7 @@
 	for _, p := range a.PromptParts {
 		m.Parts = append(m.Parts, &wire.Part{Key: p.Key, Tokens: uint32(p.Tokens)})
 	}
+	m.SharedParts = uint32(a.SharedParts)
 	return m
 }
 
@@ -59,6 +60,7 @@
 	for _, p := range m.Parts {
 		r.PromptParts = append(r.PromptParts, sched.Part{Key: p.Key, Tokens: int(p.Tokens)})
 	}
+	r.SharedParts = min(int(m.SharedParts), len(r.PromptParts))
 	return r
 }
 
@@ -85,7 +87,7 @@
 		Id: id, Service: p.request.Service, Server: p.server, PromptTokens: uint32(p.request.PromptTokens),
 		OutputTokens: uint32(p.request.OutputTokens), ElapsedMs: millis(now.Sub(p.placedAt)), PauseMs: millis(p.request.MaxPause),
 		Account: p.request.Account, Fingerprint: p.request.Fingerprint.Bytes(), Repeatable: p.request.Interruptible,
-		Priority: uint32(p.request.Priority) + 1,
+		Priority: uint32(p.request.Priority) + 1, Route: p.request.Route, SharedParts: p.request.sharedPartKeys(),
 	}
 }
 
@@ -94,7 +96,7 @@
 		Key: sched.Key{Holder: holder, ID: m.Id}, Service: m.Service, Server: m.Server,
 		PromptTokens: int(m.PromptTokens), OutputTokens: int(m.OutputTokens), Elapsed: fromMillis(m.ElapsedMs), MaxPause: fromMillis(m.PauseMs),
 		Account: m.Account, Fingerprint: quarantine.FingerprintFromBytes(m.Fingerprint), Interruptible: m.Repeatable,
-		Priority: int(m.Priority) - 1,
+		Priority: int(m.Priority) - 1, Route: m.Route, SharedParts: m.SharedParts,
 	}
 }
 
@@ -139,12 +141,12 @@
 		})
 		return
 	}
-	m.Places = append(m.Places, &wire.Place{Id: d.ID, Server: d.Server, Address: d.Address, Version: d.Version, VersionSource: string(d.Source), WaitedMs: millis(d.Waited)})
+	m.Places = append(m.Places, &wire.Place{Id: d.ID, Server: d.Server, Address: d.Address, Version: d.Version, VersionSource: string(d.Source), WaitedMs: millis(d.Waited), ReportBegin: d.ReportBegin})
 }
 
 func decodePlace(holder uint64, m *wire.Place) sched.Decision {
 	return sched.Decision{
-		Key: sched.Key{Holder: holder, ID: m.Id}, Server: m.Server, Address: m.Address, Version: m.Version, Source: sched.VersionSource(m.VersionSource), Waited: fromMillis(m.WaitedMs),
+		Key: sched.Key{Holder: holder, ID: m.Id}, Server: m.Server, Address: m.Address, Version: m.Version, Source: sched.VersionSource(m.VersionSource), Waited: fromMillis(m.WaitedMs), ReportBegin: m.ReportBegin,
 	}
 }
 
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -54,6 +54,7 @@
 	}
 	h.attach(l)
 	h.sendAllSuspects(l)
+	h.sendAllTraits(l)
 	h.sendAllRollouts(l)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -85,6 +86,7 @@
 	for _, l := range h.links {
 		l.send(&wire.ToHolder{Leads: true})
 		go h.sendAllSuspects(l)
+		go h.sendAllTraits(l)
 		go h.sendAllRollouts(l)
 	}
 }
@@ -188,6 +190,9 @@
 		if len(m.Suspects) > 0 {
 			out = append(out, s.LearnSuspects(now, decodeSuspects(m.Suspects))...)
 		}
+		if len(m.Traits) > 0 {
+			out = append(out, s.LearnTraits(now, decodeTraits(m.Traits))...)
+		}
 		h.loop.learnNotices(now, s, l.holder, decodeNotices(m.Notices))
 		if len(m.Loads) > 0 {
 			h.loop.learnLoads(now, s, decodeLoads(m.Loads))
--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -25,6 +25,7 @@
 	loop := NewLoop(sched.DefaultPolicy(), events, func(out []sched.Decision) { h.Deliver(out) })
 	h = NewHome(loop, func() []uint64 { return nil })
 	loop.OnSuspects(h.SendSuspects)
+	loop.OnTraits(h.SendTraits)
 	loop.Do(func(now sched.Time, s *sched.Scheduler) {
 		s.SetServices(now, []sched.Service{{Name: "svc"}})
 		s.SetServers(now, []sched.Server{{ID: "a", Service: "svc", Address: "a", Slots: 1}})
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -134,6 +134,7 @@
 		}
 		f.client.learnEstimates(m)
 		f.client.learnSuspects(m.Suspects)
+		f.client.learnTraits(m.Traits)
 		f.client.learnOrigins(m.Origins)
 		f.client.learnRollouts(m.Rollouts)
 		f.client.markQueued(m.Queued, l)
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/event"
@@ -46,7 +47,11 @@
 	onSuspects  SuspectsFunc
 	onRollouts  func([]rollout.Status)
 	quarantined map[quarantine.Fingerprint]bool // requests whose quarantine was logged
-	liveLoad    bool                            // the scheduler uses load reports
+	onTraits    TraitsFunc
+	blamed      map[quarantine.Trait]bool // traits whose quarantine was logged
+	// tracksTraits is set while the scheduler tracks traits, so that answers speak for them.
+	tracksTraits atomic.Bool
+	liveLoad     bool // the scheduler uses load reports
 
 	onOrigins     OriginsFunc
 	newOrigins    []origin.Record // not passed on yet
@@ -61,6 +66,7 @@
 		sched: sched.New(p), deliver: deliver, events: events,
 		onRollouts: func([]rollout.Status) {}, onOrigins: func(sched.Time, []origin.Record) {},
 		onSuspects: func([]quarantine.Record, func(quarantine.Fingerprint) bool) {}, quarantined: map[quarantine.Fingerprint]bool{}, liveLoad: p.LiveLoad,
+		onTraits: func([]quarantine.TraitRecord, func(quarantine.Trait) bool) {}, blamed: map[quarantine.Trait]bool{},
 	}
 }
 
@@ -111,6 +117,7 @@
 			lifted := l.logSuspects(changes)
 			l.onSuspects(changes, func(f quarantine.Fingerprint) bool { return lifted[f] })
 		}
+		l.publishTraits()
 		l.logShares(l.sched.TakeShareChanges())
 		if steps := l.sched.TakeRolloutSteps(); len(steps) > 0 {
 			l.logRollouts(steps)
--- a/internal/dispatch/moving.go
+++ b/internal/dispatch/moving.go
@@ -19,6 +19,7 @@
 	}
 	c.link = l
 	c.sendSuspects(l)
+	c.sendTraits(l)
 	c.sendAllOrigins(l)
 	c.sendNotices(l, c.notices.All(time.Now()))
 	c.sendRecentLoads(l)
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -122,7 +122,7 @@
 // learnLoss records a run that was lost with its server in this host's own scheduler, in
 // addition to the home's. The caller holds mu.
 func (c *Client) learnLoss(p *pending, eventSeen bool) {
-	loss := quarantine.Loss{Fingerprint: p.request.Fingerprint, Account: p.request.Account, Service: p.request.Service, Server: p.server, EventSeen: eventSeen}
+	loss := quarantine.Loss{Fingerprint: p.request.Fingerprint, Account: p.request.Account, Service: p.request.Service, Server: p.server, EventSeen: eventSeen, Traits: p.request.traits()}
 	c.pushLocal(func(now sched.Time, s *sched.Scheduler) []sched.Decision {
 		s.RecordLoss(now, loss)
 		return nil
@@ -135,8 +135,13 @@
 func (c *Client) OnRevoke(id uint64, f func(*Refused)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p := c.pending[id]; p != nil {
-		p.revoke = f
+	p := c.pending[id]
+	if p == nil {
+		return
+	}
+	p.revoke = f
+	if p.revoked != nil {
+		f(p.revoked)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -309,7 +309,7 @@
 func (x *exchange) placementRequest() *dispatch.PlacementRequest {
 	req := &dispatch.PlacementRequest{
 		Request: x.head.ID, Service: x.service, Priority: priority(x.route, x.account),
-		PromptTokens: x.head.PromptTokens, OutputTokens: x.expectedOutput(), PromptParts: x.head.PromptParts,
+		PromptTokens: x.head.PromptTokens, OutputTokens: x.expectedOutput(), PromptParts: x.head.PromptParts, SharedParts: x.head.SharedParts,
 		Arrived: x.arrived, LatencyTarget: x.arrived.Add(x.route.LatencyTarget), Deadline: x.deadline,
 		MaxPause: x.route.EventGapTarget, Retry: x.isRetry, Avoid: x.tried, Fingerprint: x.fingerprint,
 		Route: x.route.Name, Interruptible: x.route.Repeatable(),
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -43,7 +43,7 @@
 // quarantined returns the refusal of a quarantined request, nil for other errors.
 func quarantined(err error) *dispatch.Refused {
 	var refused *dispatch.Refused
-	if errors.As(err, &refused) && refused.Reason == sched.Quarantined {
+	if errors.As(err, &refused) && refused.Reason.Quarantined() {
 		return refused
 	}
 	return nil
@@ -68,7 +68,7 @@
 		if code = failure.NoServer; x.noPath {
 			code = failure.NoPath
 		}
-	case sched.Quarantined:
+	case sched.Quarantined, sched.QuarantinedPart, sched.QuarantinedCaller:
 		code = failure.Quarantined
 	case sched.VersionUnknown:
 		code = failure.VersionUnknown
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -67,7 +67,7 @@
 					firstAt, nextReport = now, now.Add(tokenTimeReportDelay)
 					t.timeToFirst = now.Sub(t.sent)
 					x.timeToFirst = t.timeToFirst
-					if x.h.Placer.ServerNotice(t.placement.Server).MaxRejections.Valid {
+					if t.placement.ReportBegin || x.h.Placer.ServerNotice(t.placement.Server).MaxRejections.Valid {
 						x.h.Placer.Finish(t.placement.ID, sched.Progress, t.timeToFirst, 0) // the server had room
 					}
 				}
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -107,6 +107,12 @@
 	if state := x.h.Placer.ServerNotice(placement.Server); state.Leaving || state.Backoff(time.Now()) > 0 {
 		return t.returnPlacement(state)
 	}
+	x.h.Placer.OnRevoke(placement.ID, t.revoke)
+	if t.phase.Load() == revoked {
+		x.h.Placer.Finish(placement.ID, sched.Unused, 0, 0)
+		x.giveUp(ctx, t.revocation)
+		return done
+	}
 	// A server continues a request until its connection closes, so the connection is
 	// closed as soon as the caller leaves or the deadline passes.
 	t.stopCallerWatch = context.AfterFunc(ctx, conn.Close)
@@ -179,7 +185,6 @@
 	if err != nil {
 		return t.handleLost(ctx, err)
 	}
-	x.h.Placer.OnRevoke(t.placement.ID, t.revoke)
 	t.watchStall()
 	defer t.stopStallWatch()
 	t.setReadTimeout(ctx, t.readTimeout())
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -54,6 +54,8 @@
 
 	RequestQuarantined Code = 217
 	QuarantineLifted   Code = 218
+	TraitQuarantined   Code = 219
+	TraitLifted        Code = 220
 
 	HomeOpened      Code = 301
 	HomeClosed      Code = 302
@@ -155,6 +157,8 @@
 	FrameCrossed:      {"frame_crossed", Warn, "A frame of an answer did not fit its request or its position and was dropped."},
 
 	RequestQuarantined: {"request_quarantined", Alarm, "Servers ended while they ran a request; it is not run until an operator releases it or a trial run succeeds. Detail gives the fingerprint, the servers and the reporting host."},
+	TraitQuarantined:   {"trait_quarantined", Alarm, "Servers ended while they ran requests with the same prompt part, or those of an account on a route; such requests are not run until an operator releases the trait or a trial run succeeds. Detail gives its key, the servers, the answers since, the accounts for which it holds (none: all) and the reporting host."},
+	TraitLifted:        {"trait_lifted", Info, "A prompt part, or the requests of an account on a route, left quarantine: a trial succeeded, answers spoke for it, or it was released."},
 	QuarantineLifted:   {"quarantine_lifted", Info, "A request left quarantine: it succeeded or was released."},
 	RequestLeft:        {"request_left", Info, "The caller disconnected before it received the answer; detail gives the phase of the request."},
 
@@ -214,7 +218,7 @@
 	PathRestored:   {"path_restored", Info, "This host reaches a backend server again."},
 	ServerReached:  {"server_reached", Info, "A backend server that did not answer is reached again, and the scheduler uses it again at once."},
 	ServerBrittle:  {"server_brittle", Info, "A backend server changed or withdrew what it states about the rejections that it bears (a second, from all hosts; beyond them it fails); detail gives the old and the new number."},
-	ServerEnded:    {"server_ended", Warn, "A backend server ended while it ran a request: the answer broke off and the server refuses connections; detail gives the fingerprint of the request."},
+	ServerEnded:    {"server_ended", Warn, "A backend server ended while it ran a request: the answer broke off and the server refuses connections; detail gives the fingerprint of the request, how long it had run and when its first event came (0s: it had none), its route and account, and the prompt parts that others may share."},
 
 	RolloutOrdered: {"rollout_ordered", Info, "This host carries out an order to move a service to a version; detail gives the version and the time limit."},
 	RolloutStep:    {"rollout_step", Info, "A roll-out progressed; detail gives the phase, the reason and the numbers of requests and answers, and for each route the bad answers, all answers and the failure rate of the old version."},
--- a/internal/experiment/parts.go
+++ b/internal/experiment/parts.go
@@ -333,7 +333,7 @@
 			}
 		default:
 			delete(sim.open, r.Key)
-			if r.bad < 0 && d.Reason == sched.Quarantined {
+			if r.bad < 0 && d.Reason.Quarantined() {
 				sim.result.SoundRefused++
 			}
 		}
@@ -383,6 +383,9 @@
 		}
 	}
 	delay := partsReportDelay
+	if d.ReportBegin {
+		delay = 0
+	}
 	sim.schedule(now+delay+outcomeDelay, report)
 	if crashes {
 		sim.schedule(now+sim.between(50*time.Millisecond, 400*time.Millisecond), func(now time.Duration) { sim.crash(now, r) })
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -106,8 +106,7 @@
 	node             *Node
 	versions         versionStore
 	writtenSize      int           // the size in this host's row, 0 if it has none
-	quarantineLoaded bool          // this host is the home and has read the requests in quarantine
-	nextReleaseCheck time.Time     // when to check next whether an operator released a request
+	nextReleaseCheck time.Time     // when to check next whether an operator released something
 	nextRead         time.Time     // when to read the table next
 	retry            time.Duration // between reads while this host has no contacts
 }
@@ -140,16 +139,16 @@
 	t.nextRead = now.Add(hostTablePeriod)
 }
 
-// loadQuarantine reads the requests in quarantine when this host has become the home, since all
-// hosts that knew them may have lost power together. While a request is in quarantine, it also
-// checks every releaseCheckPeriod whether an operator has released one.
+// loadQuarantine reads what is in quarantine when this host has become the home, since all hosts that
+// knew it may have lost power together. While anything is in quarantine, it also checks every
+// releaseCheckPeriod whether an operator has released it.
 func (t *hostTableSync) loadQuarantine(ctx context.Context, now time.Time, home bool) {
 	quarantined := t.node.quarantined
 	switch {
-	case !home:
-		t.quarantineLoaded = false
-	case !t.quarantineLoaded || quarantined.hasAny() && now.After(t.nextReleaseCheck):
-		t.quarantineLoaded = quarantined.load(ctx, t.node.loop) == nil
+	case !t.node.isHome():
+		quarantined.loaded.Store(false)
+	case home && (!quarantined.loaded.Load() || quarantined.hasAny() && now.After(t.nextReleaseCheck)):
+		_ = quarantined.load(ctx, t.node.loop) // tried again at the next check
 		t.nextReleaseCheck = now.Add(releaseCheckPeriod)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,6 +184,7 @@
 	n.loop = dispatch.NewLoop(n.settings.Policy, n.events, n.deliver)
 	n.quarantined = newQuarantineStore(n.settings.Host, n.platform.QuarantineTable, n.platform.Tables, n.platform.Writer, n.isHome, n.events)
 	n.loop.OnSuspects(n.publishSuspects)
+	n.loop.OnTraits(n.publishTraits)
 	n.rollouts = newRollouts(n.settings.Host+" "+n.incarnation.String(), n.platform, n.loop, func() bool { return n.home.Leads() }, n.events)
 	n.loop.OnOrigins(func(now sched.Time, records []origin.Record) {
 		if n.home.Leads() {
@@ -286,6 +287,13 @@
 	n.quarantined.applyChanges(changed)
 }
 
+// publishTraits sends changed records of traits under which servers ended to the other hosts and to the
+// store.
+func (n *Node) publishTraits(changed []quarantine.TraitRecord, lifted func(quarantine.Trait) bool) {
+	n.home.SendTraits(changed, lifted)
+	n.quarantined.applyTraits(changed)
+}
+
 func (n *Node) serveStream(st *peer.Stream) {
 	switch st.Open.Kind {
 	case wire.StreamKind_STREAM_SCHEDULE:
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/dispatch"
@@ -25,13 +26,14 @@
 	quarantineRowTTL = 24 * time.Hour
 )
 
-// quarantineStore keeps the requests in quarantine in the platform's store, where they survive
-// the loss of all hosts. The host that quarantines a request writes its row, and a new home
-// writes it if that host could not. Only the home deletes the row. Each quarantined request
-// takes two calls to the store, a write and a deletion. mu guards pending and known.
+// quarantineStore keeps what is in quarantine, requests and traits of requests, in the platform's store,
+// where it survives the loss of all hosts. The host that puts something in quarantine writes its row, and a
+// new home writes it if that host could not. Only the home deletes the row. Each takes two calls to the store,
+// a write and a deletion, and one more when the scope of a trait's quarantine changes. mu guards pending and
+// known.
 //
-// Without the rows, a power loss of all hosts at once would lose the quarantine, and each time
-// the request would end three more servers.
+// Without the rows, a power loss of all hosts at once would lose the quarantine, and each time as many
+// servers would end again.
 type quarantineStore struct {
 	host   string
 	table  string
@@ -40,38 +42,63 @@
 	events *event.Recorder
 	isHome func() bool // this host is the home
 	wake   chan struct{}
+	loaded atomic.Bool // the rows have been read since this host became the home
 
 	mu      sync.Mutex
-	pending map[quarantine.Fingerprint]*quarantine.Row // rows to write; nil: row to delete
-	known   map[quarantine.Fingerprint]quarantine.Row  // rows of the requests in quarantine
+	pending map[string]encodable // rows to write, by key; nil: row to delete
+	known   map[string]encodable // rows of what is in quarantine
 }
 
+// encodable is a row that can be written.
+type encodable interface{ Encode() ([]byte, error) }
+
 func newQuarantineStore(host, table string, tables store.Tables, writer store.Writer, isHome func() bool, events *event.Recorder) *quarantineStore {
 	return &quarantineStore{
 		host: host, table: table, tables: tables, writer: writer, isHome: isHome, events: events, wake: make(chan struct{}, 1),
-		pending: map[quarantine.Fingerprint]*quarantine.Row{}, known: map[quarantine.Fingerprint]quarantine.Row{},
+		pending: map[string]encodable{}, known: map[string]encodable{},
 	}
 }
 
-// applyChanges updates the known requests with changed records and schedules the writes of their
+// applyChanges updates what is known with changed records of requests and schedules the writes of their
 // rows. It does not block.
 func (q *quarantineStore) applyChanges(records []quarantine.Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, r := range records {
-		_, known := q.known[r.Fingerprint]
-		switch {
-		case r.Quarantined && !known:
-			row := quarantine.RowOf(time.Now(), r)
-			q.known[r.Fingerprint] = row
-			if r.By == q.host {
-				q.pending[r.Fingerprint] = &row
-			}
-		case !r.Quarantined && known:
-			delete(q.known, r.Fingerprint)
-			if q.isHome() {
-				q.pending[r.Fingerprint] = nil
-			}
+		key := r.Fingerprint.String()
+		if _, known := q.known[key]; r.Quarantined == known {
+			continue
+		}
+		q.apply(key, r.Quarantined, r.By, quarantine.RowOf(time.Now(), r))
+	}
+}
+
+// applyTraits is applyChanges for traits.
+func (q *quarantineStore) applyTraits(records []quarantine.TraitRecord) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, r := range records {
+		key, row := r.Trait.Key(), quarantine.TraitRowOf(time.Now(), r)
+		known, ok := q.known[key].(quarantine.TraitRow)
+		if r.Quarantined == ok && (!ok || known.SameScope(row)) {
+			continue
+		}
+		q.apply(key, r.Quarantined, r.By, row)
+	}
+}
+
+// apply notes that something entered quarantine, that its row has changed, or that it left quarantine, and
+// schedules the write. The caller holds mu.
+func (q *quarantineStore) apply(key string, quarantined bool, by string, row encodable) {
+	if quarantined {
+		q.known[key] = row
+		if by == q.host {
+			q.pending[key] = row
+		}
+	} else {
+		delete(q.known, key)
+		if q.isHome() {
+			q.pending[key] = nil
 		}
 	}
 	q.wakeUp()
@@ -84,7 +111,7 @@
 	}
 }
 
-// hasAny reports whether any request is in quarantine.
+// hasAny reports whether anything is in quarantine.
 func (q *quarantineStore) hasAny() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -110,95 +137,112 @@
 // flush writes all pending changes and reports whether it succeeded.
 func (q *quarantineStore) flush(ctx context.Context) bool {
 	for {
-		f, row, ok := q.next()
+		key, row, ok := q.next()
 		if !ok {
 			return true
 		}
-		if err := q.writeRow(ctx, f, row); err != nil {
-			q.requeue(f, row)
+		if err := q.writeRow(ctx, key, row); err != nil {
+			q.requeue(key, row)
 			return false
 		}
 	}
 }
 
-func (q *quarantineStore) next() (f quarantine.Fingerprint, row *quarantine.Row, ok bool) {
+func (q *quarantineStore) next() (key string, row encodable, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for f, row = range q.pending {
-		delete(q.pending, f)
-		return f, row, true
+	for key, row = range q.pending {
+		delete(q.pending, key)
+		return key, row, true
 	}
-	return f, nil, false
+	return "", nil, false
 }
 
 // requeue marks a change as pending again after a failed write, unless there is a newer one.
-func (q *quarantineStore) requeue(f quarantine.Fingerprint, row *quarantine.Row) {
+func (q *quarantineStore) requeue(key string, row encodable) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if _, newer := q.pending[f]; !newer {
-		q.pending[f] = row
+	if _, newer := q.pending[key]; !newer {
+		q.pending[key] = row
 	}
 }
 
-func (q *quarantineStore) writeRow(ctx context.Context, f quarantine.Fingerprint, row *quarantine.Row) error {
+func (q *quarantineStore) writeRow(ctx context.Context, key string, row encodable) error {
 	if row == nil {
-		return q.writer.Delete(ctx, q.table, f.String())
+		return q.writer.Delete(ctx, q.table, key)
 	}
 	encoded, err := row.Encode()
 	if err != nil {
 		return err
 	}
-	return q.writer.Put(ctx, q.table, f.String(), encoded)
+	return q.writer.Put(ctx, q.table, key, encoded)
 }
 
-// load reads the rows and passes the requests in quarantine and those released by an operator
-// to the loop. If it fails with StoreDown, the known requests stay.
+// load reads the rows and passes what is in quarantine and what an operator has released to the loop. If it
+// fails with StoreDown, what is known stays.
 func (q *quarantineStore) load(ctx context.Context, loop *dispatch.Loop) error {
 	rows, _, err := q.tables.Snapshot(ctx, q.table)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
-	listed := map[quarantine.Fingerprint]bool{}
-	var records []quarantine.Record
+	listed := map[string]bool{}
+	var requests []quarantine.Record
+	var traits []quarantine.TraitRecord
 	for _, r := range rows {
-		f, row, err := quarantine.DecodeRow(r.Key, r.Value)
+		inForce, released, err := decodeQuarantined(now, r, &requests, &traits)
 		if err != nil {
 			q.events.Record(event.ConfigRefused, event.Fields{Detail: "quarantine: " + failure.From(err).Message})
 			continue
 		}
-		listed[f] = true
-		expired := !row.Released && row.Age(now) > quarantineRowTTL
-		if !expired {
-			records = append(records, row.Record(now, f))
-		}
-		if expired || row.Released {
-			q.scheduleDelete(f)
+		listed[r.Key] = true
+		if !inForce || released {
+			q.scheduleDelete(r.Key)
 		}
 	}
 	q.rewriteMissing(listed)
-	loop.LearnSuspects(records)
+	loop.LearnSuspects(requests)
+	loop.LearnTraits(traits)
+	q.loaded.Store(true)
 	return nil
 }
 
-// rewriteMissing schedules writes of rows that the store lacks: the host that quarantined the
-// request was lost before its write reached the store.
-func (q *quarantineStore) rewriteMissing(listed map[quarantine.Fingerprint]bool) {
+// decodeQuarantined decodes a row and, if it is in force, appends its record.
+func decodeQuarantined(now time.Time, r store.Row, requests *[]quarantine.Record, traits *[]quarantine.TraitRecord) (inForce, released bool, err error) {
+	if quarantine.IsTraitKey(r.Key) {
+		trait, row, err := quarantine.DecodeTraitRow(r.Key, r.Value)
+		inForce = row.Released || row.Age(now) <= quarantineRowTTL
+		if err == nil && inForce {
+			*traits = append(*traits, row.Record(now, trait))
+		}
+		return inForce, row.Released, err
+	}
+	f, row, err := quarantine.DecodeRow(r.Key, r.Value)
+	inForce = row.Released || row.Age(now) <= quarantineRowTTL
+	if err == nil && inForce {
+		*requests = append(*requests, row.Record(now, f))
+	}
+	return inForce, row.Released, err
+}
+
+// rewriteMissing schedules writes of rows that the store lacks: the host that put something in quarantine
+// was lost before its write reached the store.
+func (q *quarantineStore) rewriteMissing(listed map[string]bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for f, row := range q.known {
-		if !listed[f] {
-			q.pending[f] = &row
+	for key, row := range q.known {
+		if !listed[key] {
+			q.pending[key] = row
 		}
 	}
 	q.wakeUp()
 }
 
 // scheduleDelete schedules the deletion of a row that is no longer needed.
-func (q *quarantineStore) scheduleDelete(f quarantine.Fingerprint) {
+func (q *quarantineStore) scheduleDelete(key string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	delete(q.known, f)
-	q.pending[f] = nil
+	delete(q.known, key)
+	q.pending[key] = nil
 	q.wakeUp()
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -282,6 +282,7 @@
 		gauge("scheduler_waiting", int64(s.Waiting()))
 		gauge("scheduler_running", int64(s.Running()))
 		gauge("requests_in_quarantine", int64(s.QuarantinedRequests()))
+		gauge("traits_in_quarantine", int64(s.QuarantinedTraits()))
 		gauge("servers_brittle", int64(s.BrittleServers()))
 		gauge("servers_ejected", int64(s.CountEjected()))
 		gauge("stream_origins", int64(s.CountOrigins()))
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -66,6 +66,8 @@
 	EventSeen bool
 	// Distinct is set when the end is known to have another cause than the previous one.
 	Distinct bool
+	Traits   []Trait
+	Alone    bool // no other request was sent to the server beside it
 }
 
 // end is a server's end while it ran a request.
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -432,7 +432,7 @@
 // hasIdleServer reports whether a server without any run may take w.
 func (s *Scheduler) hasIdleServer(now Time, svc *service, w *waiting) bool {
 	for _, srv := range s.serversWithRoom(now, svc, &w.Request) {
-		if srv.running == 0 && srv.eligible(now, &w.Request) && !s.hasConflictingSuspect(srv, &w.Request) {
+		if srv.running == 0 && srv.eligible(now, &w.Request) && !s.hasConflictingSuspect(now, srv, &w.Request) {
 			return true
 		}
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -133,7 +133,7 @@
 	}
 	svc.index.looks += len(c.free)
 	for _, srv := range c.free {
-		if !srv.eligible(now, r) || !srv.hasMemory(svc, r) || s.hasConflictingSuspect(srv, r) {
+		if !srv.eligible(now, r) || !srv.hasMemory(svc, r) || s.hasConflictingSuspect(now, srv, r) {
 			continue
 		}
 		fits := reqs.metBy(now, svc, srv, r)
@@ -184,7 +184,7 @@
 	if r.Retry {
 		penalty *= retryPenaltyFactor
 	}
-	return c + time.Duration(srv.failureRateAt(now)*float64(penalty)) + s.suspectCost(srv, r) + s.spread(srv, c)
+	return c + time.Duration(srv.failureRateAt(now)*float64(penalty)) + s.suspectCost(now, srv, r) + s.spread(srv, c)
 }
 
 func (s *Scheduler) place(now Time, svc *service, srv *server, w *waiting) {
@@ -210,11 +210,7 @@
 	r.charge = w.leaveShares(true)
 	s.runs[w.Key] = r
 	s.addCopies(w.Fingerprint, 1)
-	if s.suspects.Recurrent(w.Fingerprint) {
-		r.isolated = true
-		srv.isolatedRuns++
-		svc.recurrentPlacedAt = now
-	}
+	s.isolate(now, svc, r)
 	s.reindex(now, srv)
 	if svc.large() {
 		svc.index.byPart.use(w.PromptParts, srv)
@@ -224,6 +220,7 @@
 	if w.Resumed != nil {
 		d.Source = w.Resumed.Source
 	}
+	d.ReportBegin = !s.traits.Empty() && s.traits.Tracks(traitsOf(r.req))
 	s.out = append(s.out, d)
 }
 
@@ -295,6 +292,10 @@
 		s.refuseQuarantined(now, w)
 		return true
 	}
+	if trait, found := s.quarantinedTrait(now, &w.Request); found {
+		s.refuseForTrait(now, w, trait)
+		return true
+	}
 	if quota := s.quotaWait(now, &w.Request); quota > 0 {
 		return s.refuseIfOverQuota(now, w, quota)
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -24,7 +24,9 @@
 	runs           map[Key]*run
 	orphans        int
 	suspects       *quarantine.Table
-	entryTTL       time.Duration // maximum time for which a server is still listed after its end
+	traits         *quarantine.TraitTable
+	traitReview    map[quarantine.Trait]traitRequest // that are to be judged again
+	entryTTL       time.Duration                     // maximum time for which a server is still listed after its end
 	failedRequests requestFailures
 	copies         map[quarantine.Fingerprint]int    // number of runs
 	review         map[quarantine.Fingerprint]string // services of the requests that are to be judged again
@@ -90,11 +92,13 @@
 
 // New returns a scheduler with no services.
 func New(p Policy) *Scheduler {
+	suspects := quarantine.NewTable()
+	traits := quarantine.NewTraitTable(suspects)
 	s := &Scheduler{
 		policy: p, share: Share{Servers: 1, Quotas: 1, RateLimits: 1},
 		services: map[string]*service{}, servers: map[string]*server{}, listed: map[string][]*server{},
 		accounts: map[string]*bucket{}, runs: map[Key]*run{},
-		suspects: quarantine.NewTable(), failedRequests: newRequestFailures(), copies: map[quarantine.Fingerprint]int{},
+		suspects: suspects, traits: traits, traitReview: map[quarantine.Trait]traitRequest{}, failedRequests: newRequestFailures(), copies: map[quarantine.Fingerprint]int{},
 		review: map[quarantine.Fingerprint]string{}, versions: map[string]*versions{}, notices: map[string]serverNotice{}, bounds: rollout.DefaultBounds(),
 		origins: origin.NewTable(), listAge: func() time.Duration { return 0 },
 	}
@@ -143,6 +147,7 @@
 		w.resubmits(svc.queue.find(r.Key))
 	}
 	s.discard(now, r.Key)
+	trait, inQuarantine := s.quarantinedTrait(now, &w.Request)
 	switch {
 	case svc == nil:
 		s.refuse(now, w, NoService, s.policy.RetryAfter)
@@ -150,6 +155,9 @@
 	case s.verdict(now, &r) == quarantine.Quarantined:
 		s.refuseQuarantined(now, w)
 		return s.out, false
+	case inQuarantine:
+		s.refuseForTrait(now, w, trait)
+		return s.out, false
 	case r.Retry && !s.takeRetry(now, svc):
 		s.refuse(now, w, RetryBudget, s.policy.RetryAfter)
 		return s.out, false
@@ -332,10 +340,13 @@
 	s.learnSlots(now, r, o.Result)
 	s.learnServer(now, r, o)
 	s.learnEnd(now, r, o)
+	s.learnTraits(now, r, o)
 	svc := s.services[r.req.Service]
 	s.learnTimes(now, svc, r, o)
 	if o.Result == Progress {
-		r.server.endIsolation(r)
+		if !r.isolatedToEnd {
+			r.server.endIsolation(r)
+		}
 		s.suspects.Progress(now, r.req.Fingerprint)
 	}
 	if o.Result == Progress || o.Result == Stalled {
@@ -358,6 +369,7 @@
 	}
 	s.removeRun(now, r)
 	s.reviewSuspects(now)
+	s.reviewTraits(now)
 	listed := s.servers[r.server.ID] == r.server
 	if svc != nil && listed && r.server.hasRoom(now, s.concurrencyLimit(svc, r.server)) {
 		if r.server.serving == svc {
@@ -468,7 +480,8 @@
 	if srv == nil || svc == nil {
 		return
 	}
-	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, MaxPause: a.MaxPause, Account: a.Account, Fingerprint: a.Fingerprint, Interruptible: a.Interruptible}
+	req := &Request{Key: a.Key, Service: a.Service, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, MaxPause: a.MaxPause, Account: a.Account, Fingerprint: a.Fingerprint, Interruptible: a.Interruptible, Route: a.Route}
+	req.traits = quarantine.TraitsOf(a.Service, a.Account, a.Route, a.SharedParts)
 	r := srv.start(now, svc, req)
 	if a.Elapsed < adoptedSendWindow {
 		srv.pacer.take(now)
@@ -517,6 +530,7 @@
 	s.expireOrphans(now)
 	s.expireLoads(now)
 	s.reviewSuspects(now)
+	s.reviewTraits(now)
 	s.advanceTrials(now)
 	s.bookings.expire(now)
 	s.origins.Expire(now)
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -21,11 +21,14 @@
 	class           int  // size class within its priority queue
 	countedAsServed bool // in the served count of its size class
 	charge          shareCharge
-	accepted        bool    // the server has begun to answer, so it will not reject the request
-	isolated        bool    // nothing else is placed at the server until the run shows progress
-	slowdownAtStart float64 // of the server when the run was placed
-	elapsedAtStart  float64 // see serverload.State.Elapsed
-	prefillEnd      Time    // when the prefill of its prompt is predicted to end
+	accepted        bool               // the server has begun to answer, so it will not reject the request
+	begun           bool               // it has been reported that the answer has begun
+	isolated        bool               // nothing else is placed at the server until the run shows progress
+	isolatedToEnd   bool               // or, with this, until it ends
+	tested          []quarantine.Trait // the traits that it tests; see suspicionOf
+	slowdownAtStart float64            // of the server when the run was placed
+	elapsedAtStart  float64            // see serverload.State.Elapsed
+	prefillEnd      Time               // when the prefill of its prompt is predicted to end
 	// concurrentPrefill is the most prefill of later prompts that was pending at once beside the run,
 	// first at concurrentPrefillAt.
 	concurrentPrefill   time.Duration
--- a/internal/sched/suspects.go
+++ b/internal/sched/suspects.go
@@ -32,7 +32,10 @@
 
 // SetHost sets the name of the host that runs this scheduler, recorded with the requests that
 // it quarantines.
-func (s *Scheduler) SetHost(name string) { s.suspects.SetHost(name) }
+func (s *Scheduler) SetHost(name string) {
+	s.suspects.SetHost(name)
+	s.traits.SetHost(name)
+}
 
 // SetEntryTTL sets the maximum time for which a server stays listed after it has ended.
 func (s *Scheduler) SetEntryTTL(d time.Duration) {
@@ -87,6 +90,11 @@
 // run one at a time. A host that schedules alone knows neither all ends nor all copies, and
 // leaves isolated requests to its home.
 func (s *Scheduler) heldBack(now Time, r *Request) bool {
+	return s.heldBackAlone(now, r) || s.heldBackForTrait(now, r)
+}
+
+// heldBackAlone is heldBack for what is known of the request itself.
+func (s *Scheduler) heldBackAlone(now Time, r *Request) bool {
 	verdict := s.verdict(now, r)
 	switch {
 	case verdict == quarantine.Unrestricted:
@@ -102,7 +110,10 @@
 
 // hasConflictingSuspect reports whether srv runs a suspect next to which r must not run: both
 // are suspects, and at least one is recurrent.
-func (s *Scheduler) hasConflictingSuspect(srv *server, r *Request) bool {
+func (s *Scheduler) hasConflictingSuspect(now Time, srv *server, r *Request) bool {
+	if s.suspicionOf(now, r).verdict >= quarantine.Isolated && slices.ContainsFunc(srv.runs, func(other *run) bool { return len(other.tested) > 0 }) {
+		return true
+	}
 	if !s.suspects.Has(r.Fingerprint) {
 		return false
 	}
@@ -116,7 +127,10 @@
 }
 
 // suspectCost returns the extra cost of srv for r, 0 if r is no suspect.
-func (s *Scheduler) suspectCost(srv *server, r *Request) time.Duration {
+func (s *Scheduler) suspectCost(now Time, srv *server, r *Request) time.Duration {
+	if len(s.suspicionOf(now, r).traits) > 0 {
+		return perNeighborCost * time.Duration(srv.running)
+	}
 	if !s.suspects.Has(r.Fingerprint) {
 		return 0
 	}
@@ -132,6 +146,21 @@
 	return cost
 }
 
+// isolate keeps other requests from the server of a run that was just placed, if the run is a recurrent suspect
+// or tests a trait that is.
+func (s *Scheduler) isolate(now Time, svc *service, r *run) {
+	suspicion := s.suspicionOf(now, r.req)
+	r.tested, r.isolatedToEnd = suspicion.traits, suspicion.wholeRuns
+	recurrent := s.suspects.Recurrent(r.req.Fingerprint)
+	if recurrent {
+		svc.recurrentPlacedAt = now
+	}
+	if recurrent || suspicion.verdict >= quarantine.Isolated {
+		r.isolated = true
+		r.server.isolatedRuns++
+	}
+}
+
 // addCopies adds n to the number of copies of a request that run now.
 func (s *Scheduler) addCopies(f quarantine.Fingerprint, n int) {
 	if !f.Known() {
@@ -166,6 +195,7 @@
 func (s *Scheduler) newLoss(now Time, r *run, hadFirstEvent bool) quarantine.Loss {
 	return quarantine.Loss{
 		Fingerprint: r.req.Fingerprint, Account: r.req.Account, Service: r.req.Service, Server: r.server.ID, At: now, EventSeen: hadFirstEvent,
+		Traits: traitsOf(r.req), Alone: r.isolated,
 	}
 }
 
@@ -175,6 +205,7 @@
 	if srv.leaving {
 		return
 	}
+	s.recordTraitLoss(l.At, l)
 	if s.suspects.Add(l.At, l) {
 		s.review[l.Fingerprint] = l.Service
 	}
@@ -249,6 +280,7 @@
 		s.recordLoss(srv, l)
 		return
 	}
+	s.recordTraitLoss(now, l)
 	s.suspects.Add(now, l)
 }
 
--- a/internal/sched/suspects_test.go
+++ b/internal/sched/suspects_test.go
@@ -13,7 +13,8 @@
 // suspectsDriver drives a scheduler with engines of eight slots.
 type suspectsDriver struct {
 	*Scheduler
-	next uint64
+	next   uint64
+	listed int // servers
 }
 
 func newSuspectsDriver(engines int) *suspectsDriver {
--- /dev/null
+++ b/internal/sched/traits_test.go
@@ -0,0 +1,113 @@
+package sched
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	badPart    = 0xbad0bad0
+	systemPart = 0xf0
+)
+
+// submitParts submits a new request with shared prompt parts.
+func (d *suspectsDriver) submitParts(now Time, parts ...uint64) (Key, []Decision) {
+	d.next++
+	r := Request{
+		Key: Key{Holder: 1, ID: d.next}, Service: engine, Account: "a", Route: "r", Fingerprint: fingerprintOf(int(1000 + d.next)), PromptTokens: 500, OutputTokens: 100,
+		Arrived: now, LatencyTarget: now + 800*ms, Deadline: now + 8*time.Second, SharedParts: len(parts),
+	}
+	for _, p := range parts {
+		r.PromptParts = append(r.PromptParts, Part{Key: p, Tokens: 60})
+	}
+	r.PromptParts = append(r.PromptParts, Part{Key: 1<<40 + d.next, Tokens: 300})
+	out, _ := d.Submit(now, r)
+	return r.Key, out
+}
+
+// crashUnder lets a server end under a new request with these parts, and sound ones be answered after it.
+func (d *suspectsDriver) crashUnder(now Time, parts ...uint64) {
+	k, out := d.submitParts(now, parts...)
+	ExpectWithOffset(1, out).To(ConsistOf(HaveField("Server", Not(BeEmpty()))))
+	d.finish(now+100*ms, k, ServerEnded)
+	d.listed++
+	d.list(now+110*ms, d.listed)
+	d.answerSound(now + 200*ms)
+}
+
+// answerSound lets sound requests be answered for 0.4 s.
+func (d *suspectsDriver) answerSound(from Time) {
+	for i := range 20 {
+		at := from + time.Duration(i)*20*ms
+		k, _ := d.submitParts(at, systemPart)
+		d.Finish(at+10*ms, Outcome{Key: k, Result: OK, FirstEvent: 5 * ms})
+	}
+}
+
+var _ = Describe("a prompt part under which servers ended", func() {
+	var d *suspectsDriver
+	BeforeEach(func() {
+		d = newSuspectsDriver(6)
+		d.listed = 6
+	})
+
+	// Requests with the part that are sent before the first one has crashed its server crash more.
+	It("is on one run at a time until one has begun to be answered", func() {
+		d.crashUnder(0, systemPart, badPart)
+		first, out := d.submitParts(time.Second, systemPart, badPart)
+		Expect(out).To(ConsistOf(And(HaveField("Server", Not(BeEmpty())), HaveField("ReportBegin", true))))
+		second, out := d.submitParts(1010*ms, systemPart, badPart)
+		Expect(out).To(BeEmpty(), "it waits")
+		_, sound := d.submitParts(1020*ms, systemPart)
+		Expect(sound).To(ConsistOf(HaveField("Server", Not(BeEmpty()))))
+		out = d.Finish(1200*ms, Outcome{Key: first, Result: Progress, FirstEvent: 150 * ms})
+		Expect(append(out, d.Tick(1300*ms)...)).To(ConsistOf(And(HaveField("Key", second), HaveField("Server", Not(BeEmpty())))))
+	})
+
+	It("is refused at once when it is in quarantine, and its runs without an event are revoked", func() {
+		adopt := func(id uint64, server string) Key {
+			k := Key{Holder: 2, ID: id}
+			d.Adopt(0, AdoptedRun{Key: k, Service: engine, Server: server, Account: "a", Route: "r", SharedParts: []uint64{systemPart, badPart}, Fingerprint: fingerprintOf(int(id)), Priority: -1})
+			return k
+		}
+		begun, waiting := adopt(10, "e5"), adopt(11, "e5")
+		d.Finish(50*ms, Outcome{Key: begun, Result: Progress, FirstEvent: 40 * ms})
+		var out []Decision
+		for i := range uint64(4) {
+			d.answerSound(time.Duration(i)*time.Second + 200*ms)
+			out = append(out, d.finish(time.Duration(i+1)*time.Second, adopt(i, fmt.Sprint("e", i)), ServerEnded)...)
+			out = append(out, d.Tick(time.Duration(i+1)*time.Second+500*ms)...)
+		}
+		Expect(out).To(ConsistOf(And(HaveField("Key", waiting), HaveField("Reason", QuarantinedPart))))
+		_, out = d.submitParts(6*time.Second, systemPart, badPart, 0x30)
+		Expect(out).To(ConsistOf(And(HaveField("Reason", QuarantinedPart), HaveField("RetryAfter", BeNumerically(">", 9*time.Minute)),
+			HaveField("Detail", ContainSubstring("part=bad0bad0")))))
+		_, out = d.submitParts(6*time.Second, systemPart, 0x30)
+		Expect(out).To(ConsistOf(HaveField("Server", Not(BeEmpty()))))
+	})
+
+	// Hosts without a home each know few of the runs and ends.
+	It("is not run by a host that schedules alone once it has crashed two", func() {
+		d.crashUnder(0, systemPart, badPart)
+		d.crashUnder(time.Second, systemPart, badPart)
+		d.SetShare(2*time.Second, Share{Servers: 0.5, Quotas: 0.1})
+		_, out := d.submitParts(3*time.Second, systemPart, badPart)
+		Expect(out).To(BeEmpty())
+		_, out = d.submitParts(3*time.Second, systemPart)
+		Expect(out).To(ConsistOf(HaveField("Server", Not(BeEmpty()))))
+		Expect(d.QuarantinedTraits()).To(BeZero())
+	})
+
+	// The run is adopted by a new home, which must know its traits when it is lost.
+	It("is known for runs that another scheduler placed", func() {
+		for i := range 2 {
+			k := Key{Holder: 2, ID: uint64(i)}
+			d.Adopt(0, AdoptedRun{Key: k, Service: engine, Server: fmt.Sprint("e", i), Account: "a", Route: "r", SharedParts: []uint64{badPart}, Fingerprint: fingerprintOf(i), Priority: -1})
+			d.finish(time.Duration(i+1)*time.Second, k, ServerEnded)
+		}
+		Expect(d.Traits(3 * time.Second)).To(ContainElement(And(HaveField("Trait.Part", uint64(badPart)), HaveField("Ends", HaveLen(2)))))
+	})
+})
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -97,6 +97,8 @@
 	Interruptible   bool                   // its run may be interrupted and repeated or resumed elsewhere
 	Origin          origin.Key             // under which the version of a stream that may be taken up is remembered, 0: it is not
 	Resumed         *Resumed               // the stream that it goes on with, nil if it begins one or is a plain call
+	traits          []quarantine.Trait     // see traitsOf
+	suspicion       cachedSuspicion
 }
 
 // Resumed is a stream that a request goes on with. Its caller has events already, so it may run only at
@@ -204,6 +206,8 @@
 	Elapsed       time.Duration
 	MaxPause      time.Duration
 	Account       string
+	Route         string
+	SharedParts   []uint64               // keys of the prompt parts that other requests may have
 	Fingerprint   quarantine.Fingerprint // the same for all attempts of a request
 	Interruptible bool
 	Priority      int // -1 if unknown
@@ -230,8 +234,17 @@
 	VersionUnknown
 	// VersionGone: no server of the software version that began its stream is left.
 	VersionGone
+	// QuarantinedPart: servers ended while they ran requests with one of its prompt parts.
+	QuarantinedPart
+	// QuarantinedCaller: servers ended while they ran requests of its account on its route.
+	QuarantinedCaller
 )
 
+// Quarantined reports whether a request is refused since servers ended under it or others like it.
+func (r Reason) Quarantined() bool {
+	return r == Quarantined || r == QuarantinedPart || r == QuarantinedCaller
+}
+
 // String describes the reason for logs and callers.
 func (r Reason) String() string {
 	switch r {
@@ -247,6 +260,10 @@
 		return "the service is unknown"
 	case Quarantined:
 		return "the same request is in quarantine: servers ended while they ran it; this attempt was not run"
+	case QuarantinedPart:
+		return "a part of the prompt is in quarantine: servers ended while they ran requests with it; this attempt was not run"
+	case QuarantinedCaller:
+		return "the account's requests on this route are in quarantine: servers ended while they ran them; this attempt was not run"
 	case VersionUnknown:
 		return "it is not known at which software version the stream began"
 	case VersionGone:
@@ -274,4 +291,6 @@
 	Usable  int
 	// Detail explains a refusal in logs.
 	Detail string
+	// ReportBegin asks the holder to report the first event of the answer at once.
+	ReportBegin bool
 }
