quarantine: an end that a prompt part explains doesn't count against one request

Cause: the judge of requests takes the one that saw the most ends for the cause. Each of the bad requests is new and saw one; a stream that is resumed, or sent again, sees several.

Mend: an end of a server under a part that is in quarantine, or under which servers end repeatedly, doesn't count against single requests.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -120,7 +120,7 @@
 func (t *Table) attributedEnds(f Fingerprint, e *entry, servers ServiceServers) (list []end, separateCauses int) {
 	for i := range e.ends {
 		lost := &e.ends[i]
-		if t.correlated(f, lost) || t.hasStrongerSuspect(f, e, lost) {
+		if t.correlated(f, lost) || t.hasStrongerSuspect(f, e, lost) || t.sharedCause(lost.server) {
 			continue
 		}
 		n := len(list)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -130,19 +130,24 @@
 	cleared      map[Fingerprint]Time // facts up to this time are ignored
 	unreported   map[Fingerprint]bool // changed since the last TakeChanges
 	revision     uint64               // incremented with each change of the table
+	sharedCause  func(server string) bool
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
 		entries: map[Fingerprint]*entry{}, servers: map[string]*serverEnd{}, idleEnds: map[string]interval{},
-		cleared: map[Fingerprint]Time{}, unreported: map[Fingerprint]bool{}, revision: 1,
+		cleared: map[Fingerprint]Time{}, unreported: map[Fingerprint]bool{}, revision: 1, sharedCause: func(string) bool { return false },
 	}
 }
 
 // SetHost sets the name of the host that owns the table.
 func (t *Table) SetHost(name string) { t.host = name }
 
+// SetSharedCause sets the function that reports whether the end of a server is explained by something
+// that different requests share.
+func (t *Table) SetSharedCause(f func(server string) bool) { t.sharedCause = f }
+
 // SetEntryTTL sets the longest time for which the store lists a server after its end.
 func (t *Table) SetEntryTTL(d Time) { t.entryTTL = d }
 
--- a/internal/quarantine/traits_test.go
+++ b/internal/quarantine/traits_test.go
@@ -272,6 +272,26 @@
 		Expect(p.entries).To(HaveKey(part(badPart)))
 	})
 
+	// A stream that is resumed, or sent again, is lost beside bad requests several times. Each of those was
+	// there at one end only, so the stream was taken for the cause and refused.
+	It("doesn't blame a sound stream that was lost with several servers of a bad part", func() {
+		stream := request("a", -1)
+		judge := func(sharedCause func(string) bool) Verdict {
+			p = newTraitPlay()
+			p.requests.SetSharedCause(sharedCause)
+			p.pause()
+			for i := range 4 {
+				server := fmt.Sprint("e", i)
+				p.requests.Add(p.now, Loss{Fingerprint: stream, Service: "s", Server: server, At: p.now, EventSeen: true})
+				p.lose(server, "a", systemPart, badPart)
+				p.pause()
+			}
+			return p.requests.Judge(p.now, stream, answering)
+		}
+		Expect(judge(func(string) bool { return false })).To(Equal(Quarantined), "for what is known of requests alone")
+		Expect(judge(func(server string) bool { return p.Explains(server) })).To(BeNumerically("<=", Suspect))
+	})
+
 	// Hosts exchange records while the home changes. Records arrive twice, late and out of order.
 	It("reaches the same result in whatever order records arrive", func() {
 		rapid.Check(GinkgoT(), func(r *rapid.T) {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -94,6 +94,7 @@
 func New(p Policy) *Scheduler {
 	suspects := quarantine.NewTable()
 	traits := quarantine.NewTraitTable(suspects)
+	suspects.SetSharedCause(traits.Explains)
 	s := &Scheduler{
 		policy: p, share: Share{Servers: 1, Quotas: 1, RateLimits: 1},
 		services: map[string]*service{}, servers: map[string]*server{}, listed: map[string][]*server{},
