node, sched: a host that has just started runs nothing for engines before it knows what is in quarantine

Mend: the scheduler of a host that has just started holds requests for engines back until the host follows a home, or as home has read the rows, which it now does as soon as it leads; for a second at most, so that a host that finds neither a home nor the store serves. Plain services are not held: their calls have less time than that.

--- a/internal/dispatch/moving.go
+++ b/internal/dispatch/moving.go
@@ -20,6 +20,10 @@
 	c.link = l
 	c.sendSuspects(l)
 	c.sendTraits(l)
+	c.pushLocal(func(_ sched.Time, s *sched.Scheduler) []sched.Decision {
+		s.QuarantineKnown() // the home sent it when the link was opened
+		return nil
+	})
 	c.sendAllOrigins(l)
 	c.sendNotices(l, c.notices.All(time.Now()))
 	c.sendRecentLoads(l)
--- a/internal/dispatch/traits.go
+++ b/internal/dispatch/traits.go
@@ -33,6 +33,11 @@
 	l.push(context.Background(), func(now sched.Time, s *sched.Scheduler) []sched.Decision { return s.LearnTraits(now, records) })
 }
 
+// QuarantineKnown tells the scheduler that it knows what is in quarantine.
+func (l *Loop) QuarantineKnown() {
+	l.Do(func(_ sched.Time, s *sched.Scheduler) { s.QuarantineKnown() })
+}
+
 // publishTraits logs and passes on changed records, and notes whether traits are tracked.
 func (l *Loop) publishTraits() {
 	l.tracksTraits.Store(l.sched.TracksTraits())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -205,6 +205,7 @@
 		}
 		s.SetBounds(n.settings.RolloutBounds)
 		s.SetListAge(n.servers.Age)
+		s.AwaitQuarantine(quarantineWait)
 	})
 	n.home = dispatch.NewHome(n.loop, func() []uint64 { return dispatch.HomeAndSuccessors(n.members) })
 	n.servers = newServers(n.platform.DecodeServer, n.events, n.applyServers)
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -24,6 +24,9 @@
 	// quarantineRowTTL is how long a row is in force. If the request arrives again after that, at
 	// most three more servers end under it.
 	quarantineRowTTL = 24 * time.Hour
+	// quarantineWait is how long after its start a host holds back requests for engines until it knows
+	// what is in quarantine. The first home of a fleet that starts reads it within a few milliseconds.
+	quarantineWait = time.Second
 )
 
 // quarantineStore keeps what is in quarantine, requests and traits of requests, in the platform's store,
@@ -203,6 +206,7 @@
 	q.rewriteMissing(listed)
 	loop.LearnSuspects(requests)
 	loop.LearnTraits(traits)
+	loop.QuarantineKnown()
 	q.loaded.Store(true)
 	return nil
 }
@@ -246,3 +250,17 @@
 	q.pending[key] = nil
 	q.wakeUp()
 }
+
+// loadAtStart reads the rows as soon as this host, which has just started, schedules for others: until
+// then the scheduler holds back what may be in quarantine, for up to quarantineWait.
+func (n *Node) loadAtStart(ctx context.Context) {
+	for start := time.Now(); time.Since(start) < quarantineWait; {
+		if n.home.Leads() {
+			_ = n.quarantined.load(ctx, n.loop) // tried again later
+			return
+		}
+		if !sleep(ctx, joinPollInterval) {
+			return
+		}
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -68,6 +68,7 @@
 	}
 	n.tasks.Go(func() { n.join(run) })
 	n.tasks.Go(func() { n.quarantined.run(run) })
+	n.tasks.Go(func() { n.loadAtStart(run) })
 	n.tasks.Go(func() { n.rollouts.run(run) })
 	n.tasks.Go(func() { n.endWaitsOnHomeChange(run) })
 	n.watch(run, n.platform.OperatorTable, n.applyConfig)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -13,29 +13,31 @@
 // Scheduler owns the queues of all services. It belongs to one goroutine and is not
 // safe for concurrent use.
 type Scheduler struct {
-	policy         Policy
-	share          Share
-	owner          uint64 // incarnation of the host; determines the hashFraction of each server
-	services       map[string]*service
-	servers        map[string]*server
-	listed         map[string][]*server // by service, ordered by ID
-	quotas         []Account            // as configured
-	accounts       map[string]*bucket
-	runs           map[Key]*run
-	orphans        int
-	suspects       *quarantine.Table
-	traits         *quarantine.TraitTable
-	traitReview    map[quarantine.Trait]traitRequest // that are to be judged again
-	entryTTL       time.Duration                     // maximum time for which a server is still listed after its end
-	failedRequests requestFailures
-	copies         map[quarantine.Fingerprint]int    // number of runs
-	review         map[quarantine.Fingerprint]string // services of the requests that are to be judged again
-	versions       map[string]*versions              // by service
-	notices        map[string]serverNotice           // by server
-	bounds         rollout.Bounds
-	rolloutSteps   []rollout.Status // steps since the last call of TakeRolloutSteps
-	shareWeights   map[string]float64
-	shareChanges   []ShareChange // since the last call of TakeShareChanges
+	policy      Policy
+	share       Share
+	owner       uint64 // incarnation of the host; determines the hashFraction of each server
+	services    map[string]*service
+	servers     map[string]*server
+	listed      map[string][]*server // by service, ordered by ID
+	quotas      []Account            // as configured
+	accounts    map[string]*bucket
+	runs        map[Key]*run
+	orphans     int
+	suspects    *quarantine.Table
+	traits      *quarantine.TraitTable
+	traitReview map[quarantine.Trait]traitRequest // that are to be judged again
+	// awaitsQuarantineUntil is until when it may not be known yet what is in quarantine.
+	awaitsQuarantineUntil Time
+	entryTTL              time.Duration // maximum time for which a server is still listed after its end
+	failedRequests        requestFailures
+	copies                map[quarantine.Fingerprint]int    // number of runs
+	review                map[quarantine.Fingerprint]string // services of the requests that are to be judged again
+	versions              map[string]*versions              // by service
+	notices               map[string]serverNotice           // by server
+	bounds                rollout.Bounds
+	rolloutSteps          []rollout.Status // steps since the last call of TakeRolloutSteps
+	shareWeights          map[string]float64
+	shareChanges          []ShareChange // since the last call of TakeShareChanges
 	// shareChangesSince and shareChangeCount limit the changes to maxShareChanges an interval.
 	shareChangesSince Time
 	shareChangeCount  int
--- a/internal/sched/suspects.go
+++ b/internal/sched/suspects.go
@@ -90,9 +90,19 @@
 // run one at a time. A host that schedules alone knows neither all ends nor all copies, and
 // leaves isolated requests to its home.
 func (s *Scheduler) heldBack(now Time, r *Request) bool {
+	if now < s.awaitsQuarantineUntil && s.services[r.Service].Engine {
+		return true
+	}
 	return s.heldBackAlone(now, r) || s.heldBackForTrait(now, r)
 }
 
+// AwaitQuarantine makes the scheduler of a host that has just started hold back requests for engines until
+// it knows what is in quarantine, or until a time.
+func (s *Scheduler) AwaitQuarantine(until Time) { s.awaitsQuarantineUntil = until }
+
+// QuarantineKnown ends the wait: the host has read what is in quarantine, or follows a home that knows it.
+func (s *Scheduler) QuarantineKnown() { s.awaitsQuarantineUntil = 0 }
+
 // heldBackAlone is heldBack for what is known of the request itself.
 func (s *Scheduler) heldBackAlone(now Time, r *Request) bool {
 	verdict := s.verdict(now, r)
--- a/internal/sched/traits_test.go
+++ b/internal/sched/traits_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/internal/quarantine"
 )
 
 const (
@@ -111,3 +113,23 @@
 		Expect(d.Traits(3 * time.Second)).To(ContainElement(And(HaveField("Trait.Part", uint64(badPart)), HaveField("Ends", HaveLen(2)))))
 	})
 })
+
+var _ = Describe("a host that has just started", func() {
+	// All hosts restart at once. The first home led before it had read what is in quarantine, and ran it.
+	It("holds requests for engines back until it knows what is in quarantine", func() {
+		d := newSuspectsDriver(6)
+		d.AwaitQuarantine(time.Second)
+		k, out := d.submitParts(100*ms, badPart)
+		Expect(out).To(BeEmpty())
+		Expect(d.Tick(200 * ms)).To(BeEmpty())
+		d.LearnTraits(300*ms, []quarantine.TraitRecord{{Trait: quarantine.Trait{Kind: quarantine.PromptPart, Service: engine, Part: badPart}, Quarantined: true, RetryIn: time.Minute}})
+		d.QuarantineKnown()
+		Expect(d.Tick(310 * ms)).To(ConsistOf(And(HaveField("Key", k), HaveField("Reason", QuarantinedPart))))
+	})
+	It("does so for a limited time", func() {
+		d := newSuspectsDriver(6)
+		d.AwaitQuarantine(time.Second)
+		k, _ := d.submitParts(100*ms, badPart)
+		Expect(d.Tick(1010 * ms)).To(ConsistOf(And(HaveField("Key", k), HaveField("Server", Not(BeEmpty())))))
+	})
+})
