sched: failures of different requests with one prompt part don't make servers look faulty

What tells a faulty request from a faulty server was held against one request, by its fingerprint; requests that differ never fail at two servers, so every server looked faulty (failure rate 0.79 and 0.77 of three servers in the spec) and was avoided, or ejected while others were left.

A part is at fault when three requests with it have failed in a row, at two servers. A success of any request with it ends that.

--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -415,7 +415,7 @@
 
 // learnServer updates what is known of a run's server from the run's outcome.
 func (s *Scheduler) learnServer(now Time, r *run, o Outcome) {
-	if s.failedRequests.recordOutcome(now, r.req.Fingerprint, r.server.ID, o.Result) {
+	if s.failedRequests.recordOutcome(now, r.req, r.server.ID, o.Result) {
 		o.Result = CallerLeft // the outcome says nothing about the server
 	}
 	if (o.Result == OK || o.Result == Progress) && r.placed > r.server.endedAt {
--- a/internal/sched/traits_test.go
+++ b/internal/sched/traits_test.go
@@ -133,3 +133,44 @@
 		Expect(d.Tick(1010 * ms)).To(ConsistOf(And(HaveField("Key", k), HaveField("Server", Not(BeEmpty())))))
 	})
 })
+
+var _ = Describe("a prompt part with which requests fail wherever they run", func() {
+	// Different requests with one part make each server break its answer off or answer with an error. Each
+	// server looked faulty, since no request failed at two of them, and was avoided or ejected.
+	DescribeTable("does not make servers look faulty",
+		func(result Result) {
+			d := newSuspectsDriver(3)
+			for i := range 60 {
+				now := time.Duration(i) * 200 * ms
+				for j := range 4 {
+					at := now + time.Duration(j)*20*ms
+					k, out := d.submitParts(at, systemPart, badPart)
+					Expect(out).To(ConsistOf(HaveField("Server", Not(BeEmpty()))))
+					d.finish(at+10*ms, k, result)
+				}
+				k, out := d.submitParts(now+100*ms, systemPart)
+				Expect(out).To(ConsistOf(HaveField("Server", Not(BeEmpty()))))
+				d.Finish(now+150*ms, Outcome{Key: k, Result: OK, FirstEvent: 20 * ms})
+			}
+			for _, srv := range d.servers {
+				Expect(srv.failureRateAt(12*time.Second)).To(BeNumerically("<", 0.1), srv.ID)
+			}
+			Expect(d.TakeEjections()).To(BeEmpty())
+		},
+		Entry("broken answers", Broken),
+		Entry("errors", ServerError),
+	)
+	It("is not identified by failures at one faulty server", func() {
+		d := newSuspectsDriver(2)
+		for i := range 40 {
+			now := time.Duration(i) * 100 * ms
+			k, out := d.submitParts(now, systemPart, 0x11)
+			if len(out) > 0 && out[0].Server == "e0" {
+				d.finish(now+10*ms, k, Broken)
+			} else {
+				d.finish(now+10*ms, k, OK)
+			}
+		}
+		Expect(d.servers["e0"].failureRate).To(BeNumerically(">", 0.2))
+	})
+})
