--- a/internal/sched/rollout.go
+++ b/internal/sched/rollout.go
@@ -288,7 +288,7 @@
 func (s *Scheduler) placeOnTrial(now Time, svc *service, srv *server, w *waiting) bool {
 	r := &w.Request
 	if r.Retry || r.Resumed != nil || !svc.versions.trial.RouteAllowed(r.Route) || !srv.hasMemory(svc, r) ||
-		s.quotaWait(now, r) > 0 || s.suspects.Has(r.Fingerprint) {
+		s.quotaWait(now, r) > 0 || s.isSuspect(now, r) {
 		return false
 	}
 	svc.versions.trial.CountTry(r.Route)
@@ -387,7 +387,7 @@
 		return out, o.FirstEvent > 0
 	case ServerError, UnattributedError, Broken:
 		out.Failed = true
-		return out, !s.suspects.Has(r.req.Fingerprint)
+		return out, !s.isSuspect(now, r.req)
 	case CallerLeft:
 		out.RelativeTime = float64(now-r.placed) / float64(expected)
 		return out, o.FirstEvent == 0 && out.RelativeTime > abandonedSlowFactor
--- a/internal/sched/suspects.go
+++ b/internal/sched/suspects.go
@@ -156,6 +156,11 @@
 	return cost
 }
 
+// isSuspect reports whether servers have ended under a request, or under others like it.
+func (s *Scheduler) isSuspect(now Time, r *Request) bool {
+	return s.suspects.Has(r.Fingerprint) || len(s.suspicionOf(now, r).traits) > 0
+}
+
 // isolate keeps other requests from the server of a run that was just placed, if the run is a recurrent suspect
 // or tests a trait that is.
 func (s *Scheduler) isolate(now Time, svc *service, r *run) {
--- a/internal/sched/traits_test.go
+++ b/internal/sched/traits_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/gentianflow/gentianflow/internal/quarantine"
+	"github.com/gentianflow/gentianflow/internal/rollout"
 )
 
 const (
@@ -174,3 +175,31 @@
 		Expect(d.servers["e0"].failureRate).To(BeNumerically(">", 0.2))
 	})
 })
+
+var _ = Describe("a prompt part under which a server ended", func() {
+	// A new version on trial gets few requests. If those with the part crashed its servers, or broke their
+	// answers, the version would be blamed for it.
+	It("is not tried at servers of a version on trial", func() {
+		d := newVersionDriver()
+		d.list(0, map[string]int{"v1": 4, "v2": 4})
+		d.SetBounds(rollout.Bounds{Share: 0.5, Slack: 500})
+		order := rollout.Order{Service: "app", To: "v2", Timeout: 10 * time.Second, RowVersion: 5}
+		d.SetOrder(order)
+		d.StartTrial(0, order, 0, false)
+		part := quarantine.Trait{Kind: quarantine.PromptPart, Service: "app", Part: badPart}
+		d.LearnTraits(0, []quarantine.TraitRecord{{Trait: part, Ends: []quarantine.TraitEnd{{Server: "gone", Age: time.Second}}}})
+		used := map[string]int{}
+		for i := range uint64(100) {
+			now := time.Duration(i) * 20 * ms
+			key := Key{Holder: 1, ID: i}
+			out, _ := d.Submit(now, Request{
+				Key: key, Service: "app", Route: "r", Arrived: now, LatencyTarget: now + 100*ms, Deadline: now + time.Second,
+				PromptParts: []Part{{Key: badPart}, {Key: 1 << 40}}, SharedParts: 1,
+			})
+			Expect(out).To(ConsistOf(HaveField("Server", Not(BeEmpty()))))
+			used[d.servers[out[0].Server].Version]++
+			d.Finish(now+10*ms, Outcome{Key: key, Result: CallerLeft})
+		}
+		Expect(used).To(Equal(map[string]int{"v1": 100}))
+	})
+})
