--- a/internal/sched/rollout.go
+++ b/internal/sched/rollout.go
@@ -301,7 +301,7 @@
 // completes, and their runs with them.
 func (s *Scheduler) offerNewVersion(now Time, svc *service, w *waiting) bool {
 	trial := svc.versions.trial
-	if trial == nil || w.Interruptible || w.Retry || w.Resumed != nil || !trial.WithinBounds() {
+	if trial == nil || w.Interruptible || w.Retry || w.Resumed != nil || !trial.WithinBounds() || s.isSuspect(now, &w.Request) {
 		return false
 	}
 	first := svc.idleTimeToFirstEvent(svc.typicalTokenTime(), &w.Request)
--- a/internal/sched/traits_test.go
+++ b/internal/sched/traits_test.go
@@ -179,7 +179,7 @@
 var _ = Describe("a prompt part under which a server ended", func() {
 	// A new version on trial gets few requests. If those with the part crashed its servers, or broke their
 	// answers, the version would be blamed for it.
-	It("is not tried at servers of a version on trial", func() {
+	DescribeTable("is not tried at servers of a version on trial", func(outputTokens int) {
 		d := newVersionDriver()
 		d.list(0, map[string]int{"v1": 4, "v2": 4})
 		d.SetBounds(rollout.Bounds{Share: 0.5, Slack: 500})
@@ -194,12 +194,15 @@
 			key := Key{Holder: 1, ID: i}
 			out, _ := d.Submit(now, Request{
 				Key: key, Service: "app", Route: "r", Arrived: now, LatencyTarget: now + 100*ms, Deadline: now + time.Second,
-				PromptParts: []Part{{Key: badPart}, {Key: 1 << 40}}, SharedParts: 1,
+				PromptParts: []Part{{Key: badPart}, {Key: 1 << 40}}, SharedParts: 1, OutputTokens: outputTokens,
 			})
 			Expect(out).To(ConsistOf(HaveField("Server", Not(BeEmpty()))))
 			used[d.servers[out[0].Server].Version]++
 			d.Finish(now+10*ms, Outcome{Key: key, Result: CallerLeft})
 		}
 		Expect(used).To(Equal(map[string]int{"v1": 100}))
-	})
+	},
+		Entry("for the trial's sake", 0),
+		Entry("because its answer would outlast the old servers", 1_000_000),
+	)
 })
