gentianctl, explain: prompt parts and callers in quarantine are listed, released and explained

From the id of a refused request, explain leads to the part, to the servers that ended under others with it and to the quarantine; list shows for whom and with which other parts it holds; release takes any key of the list.

--- a/cmd/gentianctl/explain.go
+++ b/cmd/gentianctl/explain.go
@@ -71,7 +71,7 @@
 	fmt.Println("the request:")
 	printLines(history.Request)
 	if len(history.Ends) > 0 {
-		fmt.Println("servers that ended under the same request:")
+		fmt.Println("servers that ended under it, or under others like it:")
 		printLines(history.Ends)
 	}
 	fmt.Println("its host and servers meanwhile:")
--- a/cmd/gentianctl/quarantine.go
+++ b/cmd/gentianctl/quarantine.go
@@ -15,17 +15,21 @@
 	"github.com/gentianflow/gentianflow/platform"
 )
 
-// quarantineCommand lists and releases quarantined requests: those that are not
-// run because servers ended while running them.
+// quarantineCommand lists and releases what is in quarantine, requests and traits of requests: such
+// requests are not run because servers ended while running them.
 func quarantineCommand() *cli.Command {
 	address := &cli.StringFlag{Name: "store", Usage: "address of the platform's store, IP:PORT", Required: true, Sources: cli.EnvVars("GENTIAN_STORE")}
 	return &cli.Command{
-		Name: "quarantine", Usage: "manage requests that are not run because servers ended while running them",
+		Name: "quarantine", Usage: "manage requests that are not run because servers ended while running them, or others like them",
 		Commands: []*cli.Command{
-			{Name: "list", Usage: "list quarantined requests", Flags: []cli.Flag{address}, Action: listQuarantine},
 			{
-				Name: "release", Usage: "allow a request to run again; takes effect on the home, the host that runs the scheduler, within 10 s", ArgsUsage: "FINGERPRINT",
-				Description: "Release a request once the servers are fixed. A request that still ends servers ends\nthree more before it is quarantined again.",
+				Name: "list", Usage: "list quarantined requests, prompt parts and callers", Flags: []cli.Flag{address}, Action: listQuarantine,
+				Description: "A request is quarantined by its fingerprint. A prompt part is for the accounts listed, or for\n" +
+					"all (*), in requests that have the parts listed after WITH as well; a caller is by account and route.",
+			},
+			{
+				Name: "release", Usage: "allow requests to run again; takes effect on the home, the host that runs the scheduler, within 10 s", ArgsUsage: "KEY",
+				Description: "Release a request, a prompt part or a caller, by its key from the list, once the servers are fixed.\nIf it still ends servers, it ends a few more before it is quarantined again.",
 				Flags:       []cli.Flag{address}, Action: releaseQuarantine,
 			},
 		},
@@ -37,33 +41,83 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "FINGERPRINT\tACCOUNT\tSERVICE\tSINCE\tTRIED IN\tBY\tSERVERS")
+	fmt.Fprintln(w, "KEY\tWHAT\tACCOUNTS\tSERVICE\tSINCE\tTRIED IN\tBY\tSERVERS")
 	for _, r := range rows {
-		fingerprint, row, err := quarantine.DecodeRow(r.Key, r.Value)
+		line, err := formatQuarantined(time.Now(), r.Key, r.Value)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, failure.From(err).Message)
 			continue
 		}
-		retryIn := max(0, time.UnixMilli(row.RetryMs).Sub(now)).Round(time.Second).String()
-		if row.Released {
-			retryIn = "released"
-		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", fingerprint, row.Account, row.Service,
-			row.Age(now).Round(time.Second), retryIn, row.By, strings.Join(row.Servers, " "))
+		fmt.Fprintln(w, line)
 	}
 	return w.Flush()
 }
 
+// formatQuarantined formats a row of the store as a line of the list.
+func formatQuarantined(now time.Time, key string, value []byte) (string, error) {
+	if !quarantine.IsTraitKey(key) {
+		_, row, err := quarantine.DecodeRow(key, value)
+		return formatLine(key, "request", row.Account, row.Service, row.Age(now), formatRetry(now, row.RetryMs, row.Released), row.By, row.Servers), err
+	}
+	trait, row, err := quarantine.DecodeTraitRow(key, value)
+	what, accounts := "part "+trait.PartName(), strings.Join(row.Accounts, " ")
+	switch {
+	case trait.Kind == quarantine.AccountRoute:
+		what, accounts = "route "+trait.Route, trait.Account
+	case trait.Kind == quarantine.AccountPart:
+		accounts = trait.Account
+	case accounts == "":
+		accounts = "*"
+	}
+	for _, with := range row.With {
+		what += " with " + with.Part
+	}
+	return formatLine(key, what, accounts, trait.Service, row.Age(now), formatRetry(now, row.RetryMs, row.Released), row.By, row.Servers), err
+}
+
+func formatLine(key, what, accounts, service string, age time.Duration, retryIn, by string, servers []string) string {
+	return strings.Join([]string{key, what, accounts, service, age.Round(time.Second).String(), retryIn, by, strings.Join(servers, " ")}, "\t")
+}
+
+func formatRetry(now time.Time, retryMs int64, released bool) string {
+	if released {
+		return "released"
+	}
+	return max(0, time.UnixMilli(retryMs).Sub(now)).Round(time.Second).String()
+}
+
 func releaseQuarantine(ctx context.Context, c *cli.Command) error {
-	fingerprint, ok := quarantine.ParseFingerprint(c.Args().First())
-	if !ok {
-		return failure.New(failure.BadRequest, "a fingerprint, as printed by gentianctl platform quarantine list, is required")
+	key := c.Args().First()
+	store := platform.NewStore(c.String("store"))
+	if _, ok := quarantine.ParseFingerprint(key); ok {
+		return releaseRow(ctx, store, key, quarantine.Row{Released: true})
 	}
-	text, err := quarantine.Row{Released: true}.Encode()
+	if !quarantine.IsTraitKey(key) {
+		return failure.New(failure.BadRequest, "a key, as printed by gentianctl platform quarantine list, is required")
+	}
+	rows, _, err := store.Snapshot(ctx, platform.QuarantineTable)
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.Key != key {
+			continue
+		}
+		_, row, err := quarantine.DecodeTraitRow(key, r.Value)
+		if err != nil {
+			return err
+		}
+		row.Released = true
+		return releaseRow(ctx, store, key, row)
+	}
+	return failure.New(failure.BadRequest, "%s is not in quarantine", key)
+}
+
+func releaseRow(ctx context.Context, store *platform.Store, key string, row interface{ Encode() ([]byte, error) }) error {
+	text, err := row.Encode()
 	if err != nil {
 		return err
 	}
-	return platform.NewStore(c.String("store")).Put(ctx, platform.QuarantineTable, fingerprint.String(), text)
+	return store.Put(ctx, platform.QuarantineTable, key, text)
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -87,7 +88,7 @@
 type RequestHistory struct {
 	Request []Line // of the request
 	Host    []Line // of its host and servers around that time
-	Ends    []Line // of servers that ended while they ran the same request, under whatever id
+	Ends    []Line // of servers that ended while they ran the same request, under whatever id, or others like it
 }
 
 // Find collects the lines about a request. It fails with UnknownRequest when no line names it.
@@ -116,7 +117,7 @@
 		}
 	}
 	sortByTime(history.Host)
-	history.Ends = serverEndsByFingerprint(lines, textField(history.Request[len(history.Request)-1].Detail, "fingerprint"))
+	history.Ends = serverEndsBehind(lines, history.Request[len(history.Request)-1].Detail)
 	return history, nil
 }
 
@@ -124,18 +125,29 @@
 const (
 	serverEnded        = "server_ended"
 	requestQuarantined = "request_quarantined"
+	traitQuarantined   = "trait_quarantined"
 )
 
-// serverEndsByFingerprint lists the ends of servers while they ran the request with a
-// fingerprint, and its quarantine, in order of time.
-func serverEndsByFingerprint(lines []Line, fingerprint string) []Line {
-	if fingerprint == "" {
-		return nil
-	}
+// serverEndsBehind lists the ends of servers and the quarantine that led to the refusal in a detail, in order
+// of time: under requests with the part for which it was refused, or under those of the account on the route,
+// otherwise under the same request.
+func serverEndsBehind(lines []Line, detail string) []Line {
+	part, caller, fingerprint := textField(detail, "part"), textField(detail, "requests_of"), textField(detail, "fingerprint")
+	route := textField(detail, "on_route")
 	var out []Line
 	for _, line := range lines {
-		relevant := line.Name == serverEnded || line.Name == requestQuarantined
-		if relevant && textField(line.Detail, "fingerprint") == fingerprint {
+		field := func(name string) string { return textField(line.Detail, name) }
+		ended := line.Name == serverEnded
+		relevant := false
+		switch {
+		case part != "":
+			relevant = ended && slices.Contains(strings.Split(field("parts"), ","), part) || line.Name == traitQuarantined && field("part") == part
+		case caller != "":
+			relevant = ended && field("account") == caller && field("route") == route || line.Name == traitQuarantined && field("requests_of") == caller
+		case fingerprint != "":
+			relevant = (ended || line.Name == requestQuarantined) && field("fingerprint") == fingerprint
+		}
+		if relevant {
 			out = append(out, line)
 		}
 	}
@@ -162,6 +174,8 @@
 
 // causes maps phrases in a request's last line to the usual cause.
 var causes = []struct{ phrase, cause string }{
+	{"part of the prompt is in quarantine", "Servers ended while they ran requests with one of its prompt parts, whatever else these had, so requests with the part are kept from further ones; this attempt did not run unless it says that it may have. See the servers below and the answers that spoke for the part; gentianctl platform quarantine releases it."},
+	{"requests on this route are in quarantine", "Servers ended while they ran requests of its account on its route, and none of these was answered; this attempt did not run unless it says that it may have. gentianctl platform quarantine releases them."},
 	{"in quarantine", "Servers ended while they ran the same request, under whatever id, so it is kept from further ones; this attempt did not run unless it says that it may have. See the servers below; gentianctl platform quarantine releases it."},
 	{"software version the stream began", "Its caller took a stream up, and neither this host nor the home knew within 1.5 s at which software version it began; it did not run. The attempt that it names may be of another account, too old, or lost with its hosts."},
 	{"began the stream is left", "Its caller took a stream up whose software version has no server any more; it did not run."},
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -26,6 +26,10 @@
 level=warn ts=2026-12-02T20:00:00Z host=front-1 event=611 name=server_ended request=r6 service=s server=i-5 detail="fingerprint=cd34 ran=2s"
 level=error ts=2026-12-02T20:00:01Z host=front-2 event=217 name=request_quarantined service=s detail="fingerprint=ab12 account=a ended: i-5 1.0s ago; in quarantine by front-2 for 0.0s"
 level=info ts=2026-12-02T20:00:03Z host=front-1 event=214 name=request_refused request=r4 service=s detail="503 quarantined: the same request is in quarantine: servers ended while they ran it; this attempt was not run fingerprint=ab12 ended: i-5 3.0s ago; in quarantine by front-2 for 2.0s"
+level=warn ts=2026-12-02T20:00:00Z host=front-2 event=611 name=server_ended request=r7 service=s server=i-6 detail="fingerprint=ef56 ran=90ms first=0s route=a account=x parts=f0,bad0bad0"
+level=warn ts=2026-12-02T20:00:00Z host=front-2 event=611 name=server_ended request=r8 service=s server=i-7 detail="fingerprint=ef57 ran=90ms first=0s route=a account=x parts=f0,c0"
+level=error ts=2026-12-02T20:00:01Z host=front-2 event=219 name=trait_quarantined service=s detail="key=trait-1 part=bad0bad0 ended: i-6 1.0s ago answers_begun=0 answers_whole=0; in quarantine by front-2 for 0.0s"
+level=info ts=2026-12-02T20:00:03Z host=front-1 event=214 name=request_refused request=r9 service=s detail="503 quarantined: a part of the prompt is in quarantine: servers ended while they ran requests with it; this attempt was not run fingerprint=ab99 parts=f1,bad0bad0 part=bad0bad0 ended: i-6 3.0s ago; in quarantine by front-2 for 2.0s"
 level=info ts=2026-12-02T20:00:02Z host=front-1 event=214 name=request_refused request=r2 detail="429 overload: the account is over its quota (3 waiting, 9 servers usable)"
 `
 
@@ -53,6 +57,13 @@
 		))
 		Expect(ServerEnd(lines, "i-5")).To(ConsistOf(HaveField("Request", "r5"), HaveField("Request", "r6")))
 	})
+	// No two requests with the part are alike, so no fingerprint leads from one to the others.
+	It("returns the servers that ended under requests with the same part", func() {
+		s, err := Find(lines, "r9")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Cause()).To(ContainSubstring("one of its prompt parts"))
+		Expect(s.Ends).To(HaveExactElements(And(HaveField("Request", "r7"), HaveField("Server", "i-6")), HaveField("Name", "trait_quarantined")))
+	})
 	It("names the usual cause", func() {
 		s, err := Find(lines, "r2")
 		Expect(err).NotTo(HaveOccurred())
