sched: the suspicion of waiting requests is reused, and accounts alone aren't suspect after one end

A request that isn't suspect is judged again after 20 ms at the earliest: thousands may wait, and each is looked at whenever a server has room. Traits of one account restrict nothing before the second end.

--- a/internal/quarantine/traitjudge.go
+++ b/internal/quarantine/traitjudge.go
@@ -109,8 +109,9 @@
 	case a.units < suspectUnits:
 		return Unrestricted, false
 	case a.units < isolatedUnits:
-		if a.wholeRuns && (e.known || e.whole > 0) {
-			return Unrestricted, false // streams beside the culprit are lost as well, most of them begun
+		// Streams beside the culprit are lost as well, most of them begun, with all parts of their accounts.
+		if p.Kind != PromptPart || a.wholeRuns && (e.known || e.whole > 0) {
+			return Unrestricted, false
 		}
 		return Suspect, a.wholeRuns
 	case !settled:
--- a/internal/quarantine/traits.go
+++ b/internal/quarantine/traits.go
@@ -18,7 +18,7 @@
 	maxTraitEnds    = 16
 	maxTraitServers = 256
 	// maxKnownTraits bounds the traits of which it is known when a request was answered.
-	maxKnownTraits = 8192
+	maxKnownTraits = 4096
 	// knownFor is how long an answer before a server's end speaks for a trait.
 	knownFor = 30 * time.Second
 	// maxRequestsPerEnd is the number of requests remembered for an end.
--- a/internal/sched/traits.go
+++ b/internal/sched/traits.go
@@ -42,11 +42,11 @@
 
 // quarantinedTrait returns the trait for which a request is in quarantine, if there is one.
 func (s *Scheduler) quarantinedTrait(now Time, r *Request) (p quarantine.Trait, found bool) {
-	s.traitVerdicts(now, r, func(v quarantine.TraitVerdict) bool {
-		p, found = v.Trait, v.Verdict == quarantine.Quarantined
-		return !found
-	})
-	return p, found
+	suspicion := s.suspicionOf(now, r)
+	if suspicion.verdict != quarantine.Quarantined {
+		return p, false
+	}
+	return suspicion.traits[0], true
 }
 
 // suspicion is how a request must be treated because of its most suspect traits.
@@ -57,7 +57,7 @@
 	score     float64
 }
 
-// suspicionOf returns how a request must be treated because of its traits, beyond quarantine.
+// suspicionOf returns how a request must be treated because of its traits.
 //
 // A run of the request tests its most suspect traits. Sound requests share most of their traits with the
 // bad ones; if a run tested all of them, bad requests would keep the sound ones from proving these innocent.
@@ -65,21 +65,39 @@
 	if s.traits.Empty() {
 		return suspicion{}
 	}
-	if r.suspicion.at != now || r.suspicion.revision != s.traits.Revision() {
+	if !r.suspicion.valid(now, s.traits.Revision()) {
 		r.suspicion = cachedSuspicion{s.judgeSuspicion(now, r), now, s.traits.Revision()}
 	}
 	return r.suspicion.suspicion
 }
 
-// cachedSuspicion is the suspicion of a request at a time, for decisions that compare many servers.
+// unrestrictedTTL is how long it is reused that a request is not suspect. Thousands may wait, and each is
+// looked at whenever a server has room.
+const unrestrictedTTL = 20 * time.Millisecond
+
+// cachedSuspicion is the suspicion of a request at a time.
 type cachedSuspicion struct {
 	suspicion
 	at       Time
 	revision uint64 // of the traits; 0: not judged yet
 }
 
+func (c *cachedSuspicion) valid(now Time, revision uint64) bool {
+	switch {
+	case c.revision == 0:
+		return false
+	case c.verdict == quarantine.Unrestricted:
+		return now-c.at < unrestrictedTTL
+	}
+	return c.at == now && c.revision == revision
+}
+
 func (s *Scheduler) judgeSuspicion(now Time, r *Request) (most suspicion) {
 	s.traitVerdicts(now, r, func(v quarantine.TraitVerdict) bool {
+		if v.Verdict == quarantine.Quarantined {
+			most = suspicion{verdict: v.Verdict, traits: []quarantine.Trait{v.Trait}}
+			return false
+		}
 		if len(most.traits) > 0 && v.Score < most.score-scoreTolerance {
 			return true
 		}
