test/platform: a soak of a bad prompt part under faults of hosts and store

Hosts are killed, paused and restarted, the store is away and loses its history, while requests with the part go on.

--- a/test/platform/parts_test.go
+++ b/test/platform/parts_test.go
@@ -168,6 +168,16 @@
 	return float64(begun) / float64(max(1, n)), n
 }
 
+// countRefused counts the sound requests that were refused as quarantined.
+func countRefused(sent []sentParts) (n int) {
+	for _, c := range sent {
+		if !c.bad && strings.Contains(c.reply.Body, "quarantine") {
+			n++
+		}
+	}
+	return n
+}
+
 // checkParts checks that the bad parts were found in time, and that no sound request paid for it.
 func (s *site) checkParts(restarter *serverRestarter, sent []sentParts, began time.Time, bad ...string) {
 	restarter.mu.Lock()
@@ -183,12 +193,7 @@
 	}
 	before, nBefore := shareBegun(sent, func(c sentParts) bool { return !c.bad && c.at.Before(began) })
 	after, nAfter := shareBegun(sent, func(c sentParts) bool { return !c.bad && c.at.After(recovered) })
-	refused := 0
-	for _, c := range sent {
-		if !c.bad && strings.Contains(c.reply.Body, "quarantine") {
-			refused++
-		}
-	}
+	refused := countRefused(sent)
 	fmt.Printf("parts: %d servers ended, %d runs late, sound begun %.3f of %d before and %.3f of %d after, %d sound refused\n",
 		len(crashes), late, before, nBefore, after, nAfter, refused)
 	Expect(late).To(BeNumerically("<=", maxFatalRuns*len(bad)), "runs with a bad part later than %v after the crashes that are tolerable", detectionTime)
@@ -258,6 +263,37 @@
 		s.checkParts(restarter, sent, began, badPart)
 	})
 
+	// Hosts are killed, frozen and restarted and the store is unreachable at times while requests with the part
+	// go on coming. After the faults it may reach at most three more engines, and sound requests begin.
+	It("is found, or stays known, under faults of hosts and store", func() {
+		faults := []func(*soak) string{
+			(*soak).killHost, (*soak).pauseHost, (*soak).restartHost, (*soak).reloadSettings, (*soak).loseStoreHistory, (*soak).takeStoreDown,
+		}
+		for _, seed := range soakSeeds(failedPartSeeds) {
+			By(fmt.Sprint("seed ", seed))
+			s, _ := fatalSite(siteOptions{hosts: 4}, badPart)
+			k := &soak{site: s, rng: rand.New(rand.NewPCG(seed, 3))}
+			var settled time.Time
+			var before int
+			load := partsLoad{sound: soundEvery, bad: badEvery, badParts: partInMiddle(badPart)}
+			sent := s.play(load, func() {
+				k.runOf(faults, soakLength())
+				k.waitForRecovery(seed)
+				time.Sleep(detectionTime)
+				settled, before = time.Now(), len(s.runsWithPart(badPart))
+				time.Sleep(detectionTime)
+			})
+			after := len(s.runsWithPart(badPart)) - before
+			share, n := shareBegun(sent, func(c sentParts) bool { return !c.bad && c.at.After(settled) })
+			refused := countRefused(sent)
+			fmt.Printf("parts soak: seed %d: %d runs under faults, %d after; %.3f of %d sound begun after, %d refused\n", seed, before, after, share, n, refused)
+			Expect(after).To(BeNumerically("<=", maxFatalRuns), "seed %d", seed)
+			Expect(share).To(BeNumerically(">=", minBegunShare), "seed %d", seed)
+			Expect(refused).To(BeZero(), "seed %d: sound requests refused as quarantined", seed)
+			s.stop()
+		}
+	})
+
 	// The engines were fixed. Requests with the part are refused until an operator releases it. From the id
 	// of a refused one, the logs must lead to the part and to the servers that ended under others with it.
 	It("is explained from the logs, and runs again when an operator releases it", func() {
@@ -287,9 +323,7 @@
 		Expect(store.Put(context.Background(), platform.QuarantineTable, rows[0].Key, released)).To(Succeed())
 		Eventually(func() int { return s.send(s.hosts[0], c).Status }).WithTimeout(15 * time.Second).Should(Equal(http.StatusOK))
 		Eventually(s.quarantineRows).Should(BeZero())
-		for _, c := range sent {
-			Expect(c.bad || !strings.Contains(c.reply.Body, "quarantine")).To(BeTrue())
-		}
+		Expect(countRefused(sent)).To(BeZero())
 	})
 
 	// All hosts lose their power at once and start again while requests with the part go on coming.
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -27,10 +27,11 @@
 	recoveryTime  = 6 * time.Second // from the last fault until all hosts serve again
 )
 
-// failedSeeds and failedLinkSeeds are seeds of the two soaks that failed once, each with a comment on its
-// failure.
+// failedSeeds, failedPartSeeds and failedLinkSeeds are seeds of the soaks that failed once, each with a comment
+// on its failure.
 var (
 	failedSeeds     = []uint64{}
+	failedPartSeeds = []uint64{}
 	failedLinkSeeds = []uint64{
 		28, // three servers crashed under the same request, which was then rightly in quarantine
 	}
