--- a/internal/quarantine/traitjudge.go
+++ b/internal/quarantine/traitjudge.go
@@ -22,6 +22,9 @@
 	// minBlamedRequests is the number of different requests under which servers must have ended.
 	// One alone is judged by its fingerprint.
 	minBlamedRequests = 2
+	// minOtherAnswers is the number of runs without the trait that must have begun to answer since the
+	// first end. If none does, the servers may be at fault.
+	minOtherAnswers = 3
 	// maxEndsPerBody is the number of ends that count against a trait for one request.
 	maxEndsPerBody = 2
 	// accountHandicap is added to the threshold for traits of one account. Requests of one account
@@ -116,7 +119,7 @@
 		return Suspect, a.wholeRuns
 	case !settled:
 		return Undecided, a.wholeRuns
-	case a.score < threshold(p.Kind) || a.requests < minBlamedRequests:
+	case a.score < threshold(p.Kind) || a.requests < minBlamedRequests || t.answersWithout(p, e) < minOtherAnswers:
 		return Isolated, a.wholeRuns
 	case t.requests.partial || t.mayProveCorrelated(now, proven, servers):
 		return Undecided, a.wholeRuns
@@ -125,6 +128,16 @@
 	return Quarantined, a.wholeRuns
 }
 
+// answersWithout returns how many runs of the service without the trait have begun to answer since the first
+// end under it.
+func (t *TraitTable) answersWithout(p Trait, e *traitEntry) int {
+	o := t.outcomes[p.Service]
+	if o == nil {
+		return 0
+	}
+	return o.answers - e.answersAt - e.begun
+}
+
 func threshold(kind TraitKind) float64 {
 	if kind == PromptPart {
 		return traitThreshold
--- a/internal/quarantine/traits.go
+++ b/internal/quarantine/traits.go
@@ -25,6 +25,7 @@
 	maxRequestsPerEnd = 8
 	// outcomeHalfLife is how fast the outcomes from which the risk of a run is estimated fade.
 	outcomeHalfLife = 20 * time.Second
+	expiryInterval  = 30 * time.Second
 )
 
 // TraitTable holds what one host knows of the traits of requests that ran on servers as these
@@ -46,6 +47,7 @@
 	unreported  map[Trait]bool // changed since the last TakeChanges
 	quarantined []Trait        // since the last TakeQuarantined
 	revision    uint64         // incremented with each change of the table
+	nextExpiry  Time
 }
 
 // traitEntry holds the facts about one trait.
@@ -55,6 +57,7 @@
 	// and that were answered completely, after the newest end at that time.
 	begun, whole int
 	known        bool // a request with it had been answered shortly before the first end
+	answersAt    int  // outcomes.answers of the service at the first end
 
 	quarantined   bool
 	quarantinedAt Time
@@ -94,6 +97,7 @@
 	at                   Time
 	begun, lostBefore    float64 // runs that began to answer, or were lost before that
 	whole, lostBeforeEnd float64 // answers that were complete, or runs lost at any time
+	answers              int     // all runs that began to answer, suspect or not
 }
 
 // NewTraitTable returns an empty table. requests knows the ends of all servers.
@@ -170,7 +174,7 @@
 	if e == nil {
 		t.evictIfFull(now)
 		at, known := t.answered.Peek(p)
-		e = &traitEntry{known: known && end.at-at <= knownFor}
+		e = &traitEntry{known: known && end.at-at <= knownFor, answersAt: t.outcomesOf(now, p.Service).answers}
 		t.entries[p] = e
 	}
 	t.recordServer(p, end, alone)
@@ -284,6 +288,22 @@
 	}
 }
 
+// Expire drops the traits outside quarantine whose newest end is past endRetention. It looks at them once in
+// expiryInterval.
+func (t *TraitTable) Expire(now Time) {
+	if now < t.nextExpiry {
+		return
+	}
+	t.nextExpiry = now + expiryInterval
+	for p, e := range t.entries {
+		if !e.quarantined && now-e.last() > endRetention {
+			t.drop(p)
+		}
+	}
+	maps.DeleteFunc(t.servers, func(_ string, s *traitServer) bool { return now-s.at > endRetention })
+	maps.DeleteFunc(t.cleared, func(_ Trait, at Time) bool { return now-at > endRetention })
+}
+
 // compareValue orders entries by when they are evicted.
 func (e *traitEntry) compareValue(other *traitEntry) int {
 	inQuarantine := func(e *traitEntry) int {
@@ -318,8 +338,10 @@
 // Begun records that a run began to answer at a time. It speaks for its traits against the ends
 // before it.
 func (t *TraitTable) Begun(now, at Time, service string, traits []Trait) {
+	o := t.outcomesOf(now, service)
+	o.answers++
 	if !t.suspicious(traits) {
-		t.outcomesOf(now, service).begun++
+		o.begun++
 	}
 	t.count(now, at, traits, false)
 }
--- a/internal/quarantine/traits_test.go
+++ b/internal/quarantine/traits_test.go
@@ -196,6 +196,16 @@
 		})
 	})
 
+	// Every server crashes at once with whatever it runs, after an update of their hosts, say. The system prompt
+	// is on all requests, and nothing is answered that could speak for it.
+	It("blames no part while nothing is answered without it", func() {
+		for range 12 {
+			p.lose(fmt.Sprint("e", p.n), "a", systemPart, soundPart+uint64(p.n))
+			p.now += time.Second
+			Expect(p.verdict("a", systemPart).Verdict).To(BeNumerically("<", Quarantined))
+		}
+	})
+
 	// Half of the servers fail together, again and again, with new parts on them.
 	It("blames no part for servers that end together", func() {
 		for round := range 6 {
@@ -274,6 +284,15 @@
 
 	// A stream that is resumed, or sent again, is lost beside bad requests several times. Each of those was
 	// there at one end only, so the stream was taken for the cause and refused.
+	It("forgets a part some time after the last server ended under it", func() {
+		crash(2, "a", badPart)
+		p.Expire(p.now)
+		Expect(p.Empty()).To(BeFalse())
+		p.now += endRetention + expiryInterval
+		p.Expire(p.now)
+		Expect(p.Empty()).To(BeTrue())
+	})
+
 	It("doesn't blame a sound stream that was lost with several servers of a bad part", func() {
 		stream := request("a", -1)
 		judge := func(sharedCause func(string) bool) Verdict {
--- a/internal/sched/traits.go
+++ b/internal/sched/traits.go
@@ -204,6 +204,7 @@
 // reviewTraits judges the traits again under which servers ended recently, and revokes the runs of
 // requests that are in quarantine for one of them.
 func (s *Scheduler) reviewTraits(now Time) {
+	s.traits.Expire(now)
 	for p, r := range s.traitReview {
 		v := s.traits.Judge(now, p, r.account, r.traits, serviceServers{s.services[p.Service]})
 		if v.Verdict != quarantine.Undecided {
