--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -130,7 +130,7 @@
 }
 
 // OnRevoke sets f to be called when the placement is revoked because its request was put in
-// quarantine. The refusal passed to f states when to retry and why the request is
+// quarantine, at once if it has been. The refusal passed to f states when to retry and why the request is
 // quarantined; f must not block.
 func (c *Client) OnRevoke(id uint64, f func(*Refused)) {
 	c.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,7 +35,7 @@
 	// answered.
 	RecordServerFault(server string)
 	// OnRevoke sets f to be called when the placement is revoked because its request was
-	// put in quarantine.
+	// put in quarantine, at once if it has been.
 	OnRevoke(id uint64, f func(*dispatch.Refused))
 	// RecordNotice records the notice in a server's answer.
 	RecordNotice(server string, n notice.Notice) (change notice.Change, changed bool)
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -107,6 +107,7 @@
 	if state := x.h.Placer.ServerNotice(placement.Server); state.Leaving || state.Backoff(time.Now()) > 0 {
 		return t.returnPlacement(state)
 	}
+	// The placement may have been revoked while the connection was made.
 	x.h.Placer.OnRevoke(placement.ID, t.revoke)
 	if t.phase.Load() == revoked {
 		x.h.Placer.Finish(placement.ID, sched.Unused, 0, 0)
--- a/internal/quarantine/traits.go
+++ b/internal/quarantine/traits.go
@@ -45,7 +45,7 @@
 	cleared  map[Trait]Time              // facts up to this time are ignored
 
 	unreported  map[Trait]bool // changed since the last TakeChanges
-	quarantined []Trait        // since the last TakeQuarantined
+	quarantined []Trait        // put in quarantine since the last TakeQuarantined
 	revision    uint64         // incremented with each change of the table
 	nextExpiry  Time
 }
--- a/internal/sched/traits.go
+++ b/internal/sched/traits.go
@@ -7,8 +7,9 @@
 	"github.com/gentianflow/gentianflow/internal/quarantine"
 )
 
-// Traits of requests that end servers: prompt parts, and the requests of an account on a route. While a
-// trait is suspect, its requests run one at a time and apart from others; package quarantine decides.
+// Traits are what requests have in common and servers may end under: a prompt part, a part in one account's
+// requests, or an account's requests on a route. Package quarantine judges them. While a trait is suspect, its
+// requests run one at a time, and after the second end apart from others; see docs/design/prompt-parts.md.
 
 // traitsOf returns the traits of a request.
 func traitsOf(r *Request) []quarantine.Trait {
@@ -124,12 +125,12 @@
 	case suspicion.verdict >= quarantine.Undecided, suspicion.verdict == quarantine.Isolated && s.share.Servers < 1:
 		return true
 	}
-	return slices.ContainsFunc(suspicion.traits, func(p quarantine.Trait) bool { return s.tests(p, suspicion.wholeRuns) })
+	return slices.ContainsFunc(suspicion.traits, func(p quarantine.Trait) bool { return s.isTested(p, suspicion.wholeRuns) })
 }
 
-// tests reports whether a run tests a trait, which it does until it has begun to be answered or, with
-// toEnd, until the answer is complete.
-func (s *Scheduler) tests(p quarantine.Trait, toEnd bool) bool {
+// isTested reports whether a run tests a trait, which it does until it has begun to be answered or, with
+// toEnd, until the answer is complete. Runs that were placed before anything was suspect test all of theirs.
+func (s *Scheduler) isTested(p quarantine.Trait, toEnd bool) bool {
 	return slices.ContainsFunc(s.listed[p.Service], func(srv *server) bool {
 		return slices.ContainsFunc(srv.runs, func(r *run) bool {
 			return (toEnd || !r.begun) && (slices.Contains(r.tested, p) || len(r.tested) == 0 && slices.Contains(traitsOf(r.req), p))
