sched, node: refusals name the size class of a request and how often it is served; gauges by class

Logs could not tell whether the home counts the largest class as underserved when it refuses them. Change: size_class, class_served, all_served and return in the refusal, gauges sizes.*. No decision changes.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -292,6 +293,11 @@
 		gauge("share_accounts_waiting", int64(shares.Waiting))
 		gauge("share_accounts_over", int64(shares.Over))
 		gauge("share_error_ms", shares.Error.Milliseconds())
+		for _, c := range s.SizeClassStats() {
+			prefix := fmt.Sprintf("sizes.%s.priority_%d.class_%d", c.Service, c.Priority, c.Class)
+			gauge(prefix+".requests", int64(c.Requests))
+			gauge(prefix+".served_permille", int64(1000*c.Served))
+		}
 		load := s.LoadStats()
 		gauge("server_loads_used", int64(load.Received))
 		gauge("servers_slowed", int64(load.Slowed))
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -11,7 +11,8 @@
 	submittedAt    Time // when it was submitted here; Arrived may be earlier
 	rank           Time // sort key: Arrived, plus longAnswerDelay and rankShift; the expected turn of its account while that has not come
 	adjustedRank   Time // rank with the cache and connections of the choosing server considered
-	class          int  // size class within its priority
+	class          int  // size class within its priority, if classified
+	classified     bool
 	share          shareEntry
 	work           time.Duration // expected, once computed; see admission.go
 	summarized     bool          // counted in the summary of its priority, among the late ones if summarizedLate
--- a/internal/sched/returns.go
+++ b/internal/sched/returns.go
@@ -50,6 +50,11 @@
 	returnLate             // after it; otherwise an ordinary arrival
 )
 
+// String names the kind for logs.
+func (k returnKind) String() string {
+	return [...]string{"new", "kept", "early", "late"}[k]
+}
+
 // calendar holds the work that is booked for each step of the near future.
 type calendar struct {
 	next   int64 // first step that is not yet in the ring
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -175,7 +175,7 @@
 	if !s.policy.AccountShares || s.quotaWait(now, &r) == 0 {
 		pq.arrivalRate.add(now)
 	}
-	w.class = pq.sizeStats.classify(now, svc.work(&r))
+	w.class, w.classified = pq.sizeStats.classify(now, svc.work(&r)), true
 	if w.returned == newArrival {
 		s.recognizeReturn(now, w)
 	}
@@ -580,10 +580,11 @@
 
 func (s *Scheduler) refuse(now Time, w *waiting, why Reason, after time.Duration) {
 	d := Decision{Key: w.Key, Reason: why, RetryAfter: after, Detail: s.suspects.Explain(now, w.Fingerprint)}
-	if share := s.explainShare(now, s.services[w.Service], w); share != "" {
-		d.Detail = strings.TrimSpace(d.Detail + " " + share)
+	svc := s.services[w.Service]
+	for _, part := range []string{s.explainShare(now, svc, w), s.explainSize(now, svc, w)} {
+		d.Detail = strings.TrimSpace(d.Detail + " " + part)
 	}
-	if svc := s.services[w.Service]; svc != nil {
+	if svc != nil {
 		d.Waiting, d.Usable = svc.queue.size, s.countUsable(now, svc)
 	}
 	s.out = append(s.out, d)
--- a/internal/sched/sizes.go
+++ b/internal/sched/sizes.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -92,3 +93,62 @@
 	own := z.arrived[class].valueAt(now)
 	return own >= minClassArrivals && z.served[class].valueAt(now)*arrived < minShare*served*own
 }
+
+// servedShare returns the fraction of a class's recent requests that were served, and their number.
+func (z *sizeStats) servedShare(now Time, class int) (share, requests float64) {
+	requests = z.arrived[class].valueAt(now)
+	if requests <= 0 {
+		return 0, 0
+	}
+	return z.served[class].valueAt(now) / requests, requests
+}
+
+// servedShareOfAll is servedShare over all classes.
+func (z *sizeStats) servedShareOfAll(now Time) (share, requests float64) {
+	served := 0.0
+	for class := range z.arrived {
+		requests += z.arrived[class].valueAt(now)
+		served += z.served[class].valueAt(now)
+	}
+	if requests <= 0 {
+		return 0, 0
+	}
+	return served / requests, requests
+}
+
+// explainSize describes for logs the size class of w and how often it is served, empty for a plain call.
+func (s *Scheduler) explainSize(now Time, svc *service, w *waiting) string {
+	if svc == nil || !svc.Engine || !w.classified {
+		return ""
+	}
+	z := &svc.queue.priorityQueue(w.Priority).sizeStats
+	own, ownRequests := z.servedShare(now, w.class)
+	all, allRequests := z.servedShareOfAll(now)
+	return fmt.Sprintf("size_class=%d/%d class_served=%.2f/%.1f all_served=%.2f/%.1f return=%s", w.class+1, sizeClasses, own, ownRequests, all, allRequests, w.returned)
+}
+
+// SizeClassStats describes how often the requests of a size class are served.
+type SizeClassStats struct {
+	Service  string
+	Priority int
+	Class    int     // from 1, the smallest requests
+	Requests float64 // recent ones; older requests count less
+	Served   float64 // the fraction of them that were served
+}
+
+// SizeClassStats lists the size classes of the inference services that have had requests recently.
+func (s *Scheduler) SizeClassStats() (out []SizeClassStats) {
+	for name, svc := range s.services {
+		if !svc.Engine {
+			continue
+		}
+		for _, pq := range svc.queue.priorityQueues {
+			for class := range sizeClasses {
+				if share, requests := pq.sizeStats.servedShare(s.tickedAt, class); requests >= minClassArrivals {
+					out = append(out, SizeClassStats{Service: name, Priority: pq.priority, Class: class + 1, Requests: requests, Served: share})
+				}
+			}
+		}
+	}
+	return out
+}
