--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/gentianhost ] && [ -x target/review-stand ] || { echo "build first: the build line of deploy/system.toml, then review/build.sh"; exit 2; }
-exec target/review-stand cut-stream "$here/record.txt"
+exec target/review-stand drill "$here/record.txt"
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,6 +24,8 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(e *env) (broken bool, err error){
+	"drill":       drill,
+	"late-drain":  lateDrain,
 	"cut-stream":  cutStream,
 	"move-store":  moveStore,
 	"second-home": secondHome,
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -75,7 +75,7 @@
 func (b *backend) report() time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stopped {
+	if b.stopped || b.store.isAway() {
 		return time.Now()
 	}
 	b.sequence++
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -31,6 +33,59 @@
 	version int64
 	changed chan struct{}
 	started time.Time
+	era     int  // in the header Store-Era, if it is above 0
+	away    bool // every call gets 503
+}
+
+// storeCopy is what a store held at some time.
+type storeCopy struct {
+	rows    map[rowKey]row
+	history []row
+	version int64
+}
+
+// copy returns a copy of what the store holds.
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{rows: maps.Clone(s.rows), history: slices.Clone(s.history), version: s.version}
+}
+
+// leave makes the store refuse every call; calls that wait for changes end.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.notify()
+}
+
+// comeBack makes the store answer again with what a copy holds. Its versions go back to those of the copy.
+func (s *store) comeBack(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history, s.version = c.rows, c.history, c.version
+	s.era++
+	s.away = false
+}
+
+// isAway reports whether the store refuses calls now.
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
+// refuses answers a call while the store is away, and states the era otherwise.
+func (s *store) refuses(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	}
+	if s.away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	return s.away
 }
 
 func newStore() *store {
@@ -91,7 +146,11 @@
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("GET /rows-parts", s.parts)
 	mux.HandleFunc("POST /rows-tx", s.transact)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.refuses(w) {
+			mux.ServeHTTP(w, r)
+		}
+	})
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
@@ -156,7 +215,15 @@
 	}
 	timeout := time.After(min(maxFeedWait, time.Duration(waitMs)*time.Millisecond))
 	for {
+		if s.isAway() {
+			reply(w, http.StatusServiceUnavailable, map[string]any{})
+			return
+		}
 		rows, version, changed := s.changesSince(q.Get("table"), after)
+		if after > version {
+			reply(w, http.StatusGone, map[string]any{"ver": version, "nowMs": s.nowMs()})
+			return
+		}
 		if len(rows) > 0 {
 			reply(w, http.StatusOK, map[string]any{"rows": rows, "ver": version, "nowMs": s.nowMs()})
 			return
