--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -127,6 +127,7 @@
 	LeaseLost      Code = 706
 	HostListFailed Code = 707
 	StoreSource    Code = 708
+	StoreRestored  Code = 709
 )
 
 // Catalogue describes every code.
@@ -232,5 +233,6 @@
 	LeaseWon:       {"lease_won", Info, "A lease was acquired; detail gives its fencing number."},
 	LeaseLost:      {"lease_lost", Warn, "A lease lapsed or went to another holder."},
 	StoreSource:    {"store_source", Info, "A table is now read from another source: the entry host in peer or, without peer, the store itself."},
+	StoreRestored:  {"store_restored", Warn, "The store was restored from an older copy and lost what it acknowledged since; detail gives its old and new era."},
 	HostListFailed: {"host_list_failed", Warn, "The host list could not be read."},
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,9 +60,12 @@
 // Platform is what the platform adapter provides: the store, and the platform's formats of
 // header fields, table rows and small HTTP interfaces.
 type Platform struct {
-	Tables        store.Tables
-	Writer        store.Writer
-	Conditional   store.Conditional
+	Tables      store.Tables
+	Writer      store.Writer
+	Conditional store.Conditional
+	// StoreEra returns the era that the store states, which rises each time it is restored from an
+	// older copy, and since when this host has known it. The era is 0 if the store states none.
+	StoreEra      func() (era int64, since time.Time)
 	Dialect       entry.Dialect
 	OperatorTable string
 	ServerTable   string
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -215,16 +215,27 @@
 func (n *Node) tick(ctx context.Context) {
 	t := time.NewTicker(sweepPeriod)
 	defer t.Stop()
+	var era int64
 	for {
 		select {
 		case <-t.C:
 			n.servers.tick()
+			era = n.recordEra(era)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// recordEra records a rise of the store's era above the known one, and returns the current era.
+func (n *Node) recordEra(known int64) int64 {
+	era, _ := n.platform.StoreEra()
+	if known > 0 && era > known {
+		n.events.Record(event.StoreRestored, event.Fields{Detail: fmt.Sprintf("era %d to %d", known, era)})
+	}
+	return era
+}
+
 // shutDown stops the host without cutting off requests. Look-ups and readiness checks stop
 // naming this host at once, and if it is the home, another host becomes the home. Callers that
 // still have the address are served for shutdownDelay, and each answer closes its connection.
@@ -271,6 +282,10 @@
 	gauge("tunnels_carried", int64(n.tunnels.Active()))
 	gauge("server_loads_received", int64(n.client.LoadReports()))
 	gauge("servers_list_age_ms", n.servers.Age().Milliseconds())
+	if era, since := n.platform.StoreEra(); era > 0 {
+		gauge("store_era", era)
+		gauge("store_era_age_ms", time.Since(since).Milliseconds())
+	}
 	live := 0
 	for _, m := range n.members.All() {
 		if m.State == member.Alive {
