--- /dev/null
+++ b/test/platform/restore_test.go
@@ -0,0 +1,252 @@
+package platform
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/platform/standin"
+)
+
+// configTime is how long after its acknowledgement a configuration may still be missing at a host.
+const configTime = 2 * time.Second
+
+// lostVersions is the number of transactions on other tables between the copy and the restore.
+const lostVersions = 500
+
+// storeAway is how long the store is away before it comes back from a copy.
+const storeAway = 600 * time.Millisecond
+
+// restore makes the store go away and come back from a copy. write is called before the store answers
+// any host again; it may be nil. Entries of servers that the copy lacks return with their heartbeats.
+func (s *site) restore(c standin.StoreCopy, write func()) {
+	s.store.SetDown(true)
+	time.Sleep(storeAway)
+	s.store.Restore(c)
+	if write != nil {
+		write()
+	}
+	s.store.SetDown(false)
+}
+
+// changeConfig writes the next version of the configuration.
+func (s *site) changeConfig(change func(*standin.Config)) {
+	s.config.Version += 3
+	change(s.config)
+	s.config.Put(s.store)
+}
+
+// takeKeyAway removes the key of LowQuotaAccount.
+func takeKeyAway(c *standin.Config) {
+	c.Tenants = slices.DeleteFunc(slices.Clone(c.Tenants), func(t map[string]any) bool { return t["name"] == standin.LowQuotaAccount })
+}
+
+// statusOfKey returns a host's answer to a call with the key of LowQuotaAccount.
+func (s *site) statusOfKey(h *host) int {
+	return s.send(h, standin.Call{Path: standin.CheckPath + "a", Key: standin.LowQuotaKey}).Status
+}
+
+// expectInForce checks that all hosts refuse the key that takeKeyAway removed, configTime after now.
+func (s *site) expectInForce() {
+	written := time.Now()
+	var waits sync.WaitGroup
+	for _, h := range s.hosts {
+		waits.Go(func() {
+			defer GinkgoRecover()
+			Eventually(func() int { return s.statusOfKey(h) }).WithTimeout(configTime).WithPolling(50*time.Millisecond).
+				Should(Equal(http.StatusUnauthorized), h.name)
+		})
+	}
+	waits.Wait()
+	AddReportEntry(fmt.Sprintf("in force on %d hosts after %s", len(s.hosts), time.Since(written)))
+}
+
+var _ = Describe("a configuration that follows a restore of the store", func() {
+	// The store comes back from a copy and gives out its versions again. If hosts compare those with
+	// versions from before, a key that was taken away is accepted for as long as the store needs to
+	// pass them.
+	DescribeTable("is in force on all hosts in time",
+		func(hosts int, during func(s *site, old standin.StoreCopy)) {
+			s := newSite(siteOptions{hosts: hosts, apps: 3, largeFirst: true})
+			time.Sleep(time.Second)
+			old := s.store.Copy()
+			time.Sleep(2 * time.Second)
+			s.store.Skip(lostVersions)
+			s.changeConfig(func(c *standin.Config) { c.Limits["maxBodyBytes"] = 1 << 19 })
+			time.Sleep(500 * time.Millisecond)
+			during(s, old)
+			time.Sleep(2 * time.Second)
+			for _, h := range s.hosts {
+				Expect(s.statusOfKey(h)).To(Equal(http.StatusOK), h.name)
+			}
+			s.changeConfig(takeKeyAway)
+			s.expectInForce()
+		},
+		Entry("without a restore", 4, func(*site, standin.StoreCopy) {}),
+		Entry("of 4 hosts", 4, func(s *site, old standin.StoreCopy) { s.restore(old, func() { s.config.Put(s.store) }) }),
+		Entry("of 12 hosts", 12, func(s *site, old standin.StoreCopy) { s.restore(old, func() { s.config.Put(s.store) }) }),
+		Entry("that lost the newest configuration for good", 4, func(s *site, old standin.StoreCopy) { s.restore(old, nil) }),
+		Entry("whose versions pass the known ones before a host reads", 4, func(s *site, old standin.StoreCopy) {
+			s.restore(old, func() { s.store.Skip(2 * lostVersions) })
+		}),
+		Entry("with the home killed and started again", 4, func(s *site, old standin.StoreCopy) {
+			s.restore(old, func() { s.hosts[0].session.Kill().Wait() })
+			s.start(s.hosts[0])
+			Eventually(func() int { return s.ready(s.hosts[0]) }).Should(Equal(http.StatusOK))
+		}),
+		Entry("that comes twice within seconds", 4, func(s *site, old standin.StoreCopy) {
+			s.restore(old, func() { s.config.Put(s.store) })
+			time.Sleep(2300*time.Millisecond - storeAway)
+			s.restore(old, func() { s.config.Put(s.store) })
+		}),
+		Entry("while hosts stand still", 4, func(s *site, old standin.StoreCopy) {
+			s.hosts[0].session.Signal(syscall.SIGSTOP)
+			s.hosts[1].session.Signal(syscall.SIGSTOP)
+			s.restore(old, func() { s.config.Put(s.store) })
+			time.Sleep(time.Second)
+			s.hosts[0].session.Signal(syscall.SIGCONT)
+			s.hosts[1].session.Signal(syscall.SIGCONT)
+		}),
+	)
+
+	// The store is away for so short a time that no call fails, and its versions have passed the known
+	// ones. Nothing but the era shows the restore.
+	It("is in force on all hosts in time if no call to the store failed", func() {
+		s := newSite(siteOptions{hosts: 4, apps: 3, largeFirst: true})
+		time.Sleep(time.Second)
+		old := s.store.Copy()
+		s.store.Skip(lostVersions)
+		time.Sleep(2 * time.Second) // until hosts know the newest version
+		s.config.Version += 3
+		takeKeyAway(s.config)
+		s.store.RestoreAndSkip(old, 2*lostVersions, standin.Change{Table: "op", Key: "config", Value: s.config})
+		s.expectInForce()
+	})
+
+	// The copy holds an older configuration than the one in force. A host that applied it would undo
+	// a change that the store had acknowledged.
+	It("is never an older one than that in force", func() {
+		s := newSite(siteOptions{hosts: 4, apps: 3, largeFirst: true})
+		old := s.store.Copy()
+		time.Sleep(time.Second)
+		s.changeConfig(takeKeyAway)
+		s.expectInForce()
+		s.restore(old, nil)
+		for start := time.Now(); time.Since(start) < 3*time.Second; time.Sleep(100 * time.Millisecond) {
+			for _, h := range s.hosts {
+				Expect(s.statusOfKey(h)).To(Equal(http.StatusUnauthorized), h.name)
+			}
+		}
+	})
+})
+
+var _ = Describe("a server that leaves around a restore of the store", func() {
+	// Its word has a version that hosts take for known, or its row has the number of another row that
+	// they know. If they skip it, the server gets requests until the next whole read of the table.
+	DescribeTable("gets no requests after the drain time",
+		func(leave func(s *site, old standin.StoreCopy, leaving *standin.Server) time.Time) {
+			s := newSite(siteOptions{hosts: 4, apps: 5, largeFirst: true})
+			time.Sleep(time.Second)
+			old := s.store.Copy()
+			time.Sleep(2 * time.Second)
+			stop := make(chan struct{})
+			var load sync.WaitGroup
+			for _, h := range s.hosts {
+				load.Go(func() {
+					for {
+						select {
+						case <-stop:
+							return
+						case <-time.After(8 * time.Millisecond):
+							load.Go(func() { s.send(h, check()) })
+						}
+					}
+				})
+			}
+			s.store.Skip(lostVersions)
+			time.Sleep(1500 * time.Millisecond)
+			leaving := s.servers[2]
+			acknowledged := leave(s, old, leaving)
+			time.Sleep(drainTime + 4*time.Second)
+			close(stop)
+			load.Wait()
+			late, last := 0, time.Duration(0)
+			for _, run := range leaving.Runs() {
+				if after := run.At.Sub(acknowledged); after > drainTime {
+					late, last = late+1, max(last, after)
+				}
+			}
+			Expect(late).To(BeZero(), "requests after the drain time, the last one after %s", last)
+			ok, all := s.answered()
+			Expect(all-ok).To(BeNumerically("<", all/100+20), "of %d", all)
+		},
+		Entry("without a restore", func(s *site, _ standin.StoreCopy, leaving *standin.Server) time.Time {
+			leaving.RemoveEntry()
+			return time.Now()
+		}),
+		Entry("before it, with an entry in the copy that is removed again", func(s *site, old standin.StoreCopy, leaving *standin.Server) time.Time {
+			leaving.RemoveEntry()
+			at := time.Now()
+			time.Sleep(500 * time.Millisecond)
+			s.restore(old, nil)
+			time.Sleep(300 * time.Millisecond)
+			leaving.RemoveEntry()
+			return at
+		}),
+		Entry("before it, with an entry in the copy that nobody removes again", func(s *site, old standin.StoreCopy, leaving *standin.Server) time.Time {
+			leaving.RemoveEntry()
+			at := time.Now()
+			time.Sleep(500 * time.Millisecond)
+			s.restore(old, nil)
+			return at
+		}),
+		Entry("before it, draining, with a ready entry in the copy", func(s *site, old standin.StoreCopy, leaving *standin.Server) time.Time {
+			leaving.Drain()
+			at := time.Now()
+			time.Sleep(500 * time.Millisecond)
+			s.restore(old, nil)
+			return at
+		}),
+		Entry("removing its entry before a host reads, at a version that hosts know", func(s *site, old standin.StoreCopy, leaving *standin.Server) time.Time {
+			known := s.store.Version()
+			s.restore(old, func() {
+				leaving.RemoveEntry()
+				s.store.Skip(known + 50 - s.store.Version())
+			})
+			return time.Now()
+		}),
+		Entry("draining before a host reads, at a version that hosts know", func(s *site, old standin.StoreCopy, leaving *standin.Server) time.Time {
+			known := s.store.Version()
+			s.restore(old, func() {
+				leaving.Drain()
+				s.store.Skip(known + 50 - s.store.Version())
+			})
+			return time.Now()
+		}),
+		Entry("removing its entry in one that no call notices", func(s *site, old standin.StoreCopy, leaving *standin.Server) time.Time {
+			leaving.RemoveEntry()
+			s.store.RestoreAndSkip(old, 2*lostVersions, standin.Change{Table: "servers", Key: leaving.Spec.ID})
+			return time.Now()
+		}),
+		Entry("removing its entry after it with the home killed", func(s *site, old standin.StoreCopy, leaving *standin.Server) time.Time {
+			s.restore(old, func() { s.hosts[0].session.Kill().Wait() })
+			time.Sleep(2 * time.Second)
+			leaving.RemoveEntry()
+			return time.Now()
+		}),
+		Entry("removing its entry after two of them", func(s *site, old standin.StoreCopy, leaving *standin.Server) time.Time {
+			s.restore(old, nil)
+			time.Sleep(1500 * time.Millisecond)
+			s.restore(old, nil)
+			time.Sleep(time.Second)
+			leaving.RemoveEntry()
+			return time.Now()
+		}),
+	)
+})
