store, platform: a version holds the store's era, so that restores don't hide changes

What callers saw: after the store came back from an older copy, a change of the configuration was not in force on any host (0 of 4 and 0 of 12 after 2 s), and a server whose entry was removed got requests until 5.4 s after it (2 s asked), since hosts and relays passed over rows whose version was not above the newest one known.

Relays keep their history over a restore for hosts that knew no more than they did, and wake hosts that wait, so that all know the era.

--- a/cmd/gentianctl/rollout.go
+++ b/cmd/gentianctl/rollout.go
@@ -35,7 +35,7 @@
 }
 
 func listRollouts(ctx context.Context, c *cli.Command) error {
-	rows, now, err := platform.NewStore(c.String("store")).Rows(ctx, platform.RolloutTable)
+	rows, _, now, err := platform.NewStore(c.String("store")).Rows(ctx, platform.RolloutTable)
 	if err != nil {
 		return err
 	}
--- a/internal/node/fleetstart_test.go
+++ b/internal/node/fleetstart_test.go
@@ -114,14 +114,14 @@
 
 // Snapshot and Changes implement store.Tables.
 
-func (h *startingHost) Snapshot(_ context.Context, table string) ([]store.Row, int64, error) {
+func (h *startingHost) Snapshot(_ context.Context, table string) ([]store.Row, store.Version, error) {
 	h.storeCalls.Add(1)
 	time.Sleep(storeLatency)
 	rows, version := h.fleet.tables[table].snapshot()
 	return rows, version, nil
 }
 
-func (h *startingHost) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Row, int64, error) {
+func (h *startingHost) Changes(ctx context.Context, table string, after store.Version, wait time.Duration) ([]store.Row, store.Version, error) {
 	h.storeCalls.Add(1)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/internal/node/fleetstore_test.go
+++ b/internal/node/fleetstore_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,7 +31,7 @@
 	mu      sync.Mutex
 	rows    map[string]store.Row
 	history []store.Row
-	version int64
+	version store.Version
 	changed chan struct{}
 }
 
@@ -53,7 +55,38 @@
 	t.changed = make(chan struct{})
 }
 
-func (t *storeTable) snapshot() ([]store.Row, int64) {
+// copied returns what the table holds.
+func (t *storeTable) copied() *storeTable {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &storeTable{rows: maps.Clone(t.rows), history: slices.Clone(t.history), version: t.version}
+}
+
+// restore replaces what the table holds by a copy, in the next era, and writes rows before anyone reads
+// it. Then its version rises above the one from before.
+func (t *storeTable) restore(from *storeTable, rows ...store.Row) {
+	t.mu.Lock()
+	era, passed := t.version.Era()+1, t.version.Number()+1
+	rebase := func(r store.Row) store.Row {
+		r.Version, _ = store.NewVersion(era, r.Version.Number()) // never out of range
+		return r
+	}
+	t.rows, t.history = map[string]store.Row{}, nil
+	for key, r := range from.rows {
+		t.rows[key] = rebase(r)
+	}
+	for _, r := range from.history {
+		t.history = append(t.history, rebase(r))
+	}
+	t.version = rebase(store.Row{Version: from.version}).Version
+	t.mu.Unlock()
+	t.write(rows...)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version = max(t.version, rebase(store.Row{Version: store.Version(passed)}).Version)
+}
+
+func (t *storeTable) snapshot() ([]store.Row, store.Version) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var rows []store.Row
@@ -63,7 +96,7 @@
 	return rows, t.version
 }
 
-func (t *storeTable) since(after int64) ([]store.Row, int64, <-chan struct{}) {
+func (t *storeTable) since(after store.Version) ([]store.Row, store.Version, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var rows []store.Row
@@ -84,7 +117,7 @@
 
 // Snapshot and Changes implement store.Tables.
 
-func (h *fleetHost) Snapshot(ctx context.Context, table string) ([]store.Row, int64, error) {
+func (h *fleetHost) Snapshot(ctx context.Context, table string) ([]store.Row, store.Version, error) {
 	if err := h.respond(ctx, time.Now().Add(storeCallTimeout)); err != nil {
 		return nil, 0, err
 	}
@@ -92,7 +125,7 @@
 	return rows, version, nil
 }
 
-func (h *fleetHost) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Row, int64, error) {
+func (h *fleetHost) Changes(ctx context.Context, table string, after store.Version, wait time.Duration) ([]store.Row, store.Version, error) {
 	deadline := time.Now().Add(wait + storeWaitMargin)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -101,6 +134,9 @@
 			return nil, 0, err
 		}
 		rows, version, changed := h.fleet.tables[table].since(after)
+		if version.Era() != after.Era() {
+			return nil, 0, failure.New(failure.HistoryLost, "restored")
+		}
 		if len(rows) > 0 || !waiting {
 			return rows, version, nil
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,12 +60,9 @@
 // Platform is what the platform adapter provides: the store, and the platform's formats of
 // header fields, table rows and small HTTP interfaces.
 type Platform struct {
-	Tables      store.Tables
-	Writer      store.Writer
-	Conditional store.Conditional
-	// StoreEra returns the era that the store states, which rises each time it is restored from an
-	// older copy, and since when this host has known it. The era is 0 if the store states none.
-	StoreEra      func() (era int64, since time.Time)
+	Tables        store.Tables
+	Writer        store.Writer
+	Conditional   store.Conditional
 	Dialect       entry.Dialect
 	OperatorTable string
 	ServerTable   string
@@ -119,8 +116,9 @@
 	storedHosts      atomic.Pointer[hostList]
 	quarantined      *quarantineStore
 	rollouts         *rollouts
+	era              atomic.Pointer[storeEra]
 	joined           chan struct{} // closed when the wait for other hosts is over and tables may be read
-	configRowVersion int64         // version of the newest configuration row applied; only the watcher uses it
+	configRowVersion store.Version // version of the newest configuration row applied; only the watcher uses it
 	leaving          atomic.Bool
 	share            sched.Share // last passed to the loop; only the follower uses it
 	tasks            sync.WaitGroup
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -46,7 +46,7 @@
 	notBefore time.Time
 
 	mu          sync.Mutex
-	rowVersions map[string]int64 // by key, the newest version read of a row of the operator's table
+	rowVersions map[string]store.Version // by key, the newest version read of a row of the operator's table
 	orders      map[string]rollout.Order
 	outcomes    map[string]rollout.Status // by service, how trials ended; not yet written
 }
@@ -54,14 +54,14 @@
 func newRollouts(host string, platform Platform, loop *dispatch.Loop, leads func() bool, events *event.Recorder) *rollouts {
 	return &rollouts{
 		host: host, platform: platform, loop: loop, leads: leads, events: events, wake: make(chan struct{}, 1),
-		handled: map[string]int64{}, rowVersions: map[string]int64{}, orders: map[string]rollout.Order{}, outcomes: map[string]rollout.Status{},
+		handled: map[string]int64{}, rowVersions: map[string]store.Version{}, orders: map[string]rollout.Order{}, outcomes: map[string]rollout.Status{},
 	}
 }
 
 // applyOrder applies a row of the operator's table if it is an order. After an invalid
 // order, the previous one stays in force.
 func (r *rollouts) applyOrder(row store.Row) {
-	o, ok, err := r.platform.DecodeOrder(row.Key, row.Value, row.Version)
+	o, ok, err := r.platform.DecodeOrder(row.Key, row.Value, row.Version.Number())
 	if !ok {
 		return
 	}
@@ -164,22 +164,24 @@
 	if len(unhandledOrders) == 0 {
 		return
 	}
-	rows, storeNow, err := r.platform.Conditional.Rows(ctx, r.platform.RolloutTable)
+	rows, version, storeNow, err := r.platform.Conditional.Rows(ctx, r.platform.RolloutTable)
 	if !r.callSucceeded(err) {
 		return
 	}
 	for _, o := range unhandledOrders {
-		r.claimOrder(ctx, o, findRow(rows, o.Service), storeNow)
+		r.claimOrder(ctx, o, findRow(rows, version, o.Service), storeNow)
 	}
 }
 
-func findRow(rows []store.Row, key string) store.Row {
+// findRow returns the row with a key of a table that was read at a version. A row that does not exist has
+// the number 0.
+func findRow(rows []store.Row, version store.Version, key string) store.Row {
 	for _, row := range rows {
 		if row.Key == key {
 			return row
 		}
 	}
-	return store.Row{}
+	return store.Row{Key: key, Version: version.Start()}
 }
 
 // claimOrder makes this host handle an order, unless the store shows that it has been carried
@@ -190,7 +192,7 @@
 // fails.
 func (r *rollouts) claimOrder(ctx context.Context, o rollout.Order, current store.Row, storeNow time.Duration) {
 	row, resumed := rollout.Row{Order: o.RowVersion, To: o.To, Phase: rollout.Trying, BegunMs: storeNow.Milliseconds()}, false
-	if current.Version != 0 {
+	if current.Version.Number() != 0 {
 		if previous, err := rollout.DecodeRow(current.Value); err == nil && previous.Order == o.RowVersion {
 			if previous.Over() {
 				r.handled[o.Service] = o.RowVersion
@@ -216,7 +218,7 @@
 }
 
 // write updates the scheduler's own row and the status shown to operators in one commit.
-func (r *rollouts) write(ctx context.Context, o rollout.Order, row rollout.Row, version int64) error {
+func (r *rollouts) write(ctx context.Context, o rollout.Order, row rollout.Row, version store.Version) error {
 	encoded, err := row.Encode()
 	if err != nil {
 		return err
@@ -245,12 +247,12 @@
 	if len(unwritten) == 0 {
 		return
 	}
-	rows, _, err := r.platform.Conditional.Rows(ctx, r.platform.RolloutTable)
+	rows, version, _, err := r.platform.Conditional.Rows(ctx, r.platform.RolloutTable)
 	if !r.callSucceeded(err) {
 		return
 	}
 	for _, status := range unwritten {
-		if r.writeOutcome(ctx, status, findRow(rows, status.Order.Service)) {
+		if r.writeOutcome(ctx, status, findRow(rows, version, status.Order.Service)) {
 			r.forgetOutcome(status)
 		}
 	}
@@ -282,7 +284,7 @@
 		return
 	}
 	r.commandsRead = time.Now()
-	rows, _, err := r.platform.Conditional.Rows(ctx, r.platform.RolloutTable)
+	rows, _, _, err := r.platform.Conditional.Rows(ctx, r.platform.RolloutTable)
 	if !r.callSucceeded(err) {
 		return
 	}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -100,7 +100,10 @@
 // watch follows a table. Whether this host reads the store itself or follows one of the readers
 // depends on its rank.
 func (n *Node) watch(ctx context.Context, table string, apply func(store.Update)) {
-	w := newWatcher(n.platform.Tables, tableReaders{n}, n.relays, table, n.events, apply)
+	w := newWatcher(n.platform.Tables, tableReaders{n}, n.relays, table, n.events, func(u store.Update) {
+		n.noteEra(u.Version.Era())
+		apply(u)
+	})
 	n.tasks.Go(func() {
 		select {
 		case <-n.joined:
@@ -110,6 +113,22 @@
 	})
 }
 
+// storeEra is the highest era of the store that this host has read of, from the store or a relay.
+type storeEra struct {
+	number int64
+	since  time.Time
+}
+
+// noteEra records the era of an update.
+func (n *Node) noteEra(number int64) {
+	for {
+		known := n.era.Load()
+		if known != nil && known.number >= number || n.era.CompareAndSwap(known, &storeEra{number, time.Now()}) {
+			return
+		}
+	}
+}
+
 // newWatcher returns a watcher for a table. It gets updates from the hosts that read the store
 // for all, or from the store if this host is one of them, and forwards them through this host's
 // relay.
@@ -215,27 +234,16 @@
 func (n *Node) tick(ctx context.Context) {
 	t := time.NewTicker(sweepPeriod)
 	defer t.Stop()
-	var era int64
 	for {
 		select {
 		case <-t.C:
 			n.servers.tick()
-			era = n.recordEra(era)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// recordEra records a rise of the store's era above the known one, and returns the current era.
-func (n *Node) recordEra(known int64) int64 {
-	era, _ := n.platform.StoreEra()
-	if known > 0 && era > known {
-		n.events.Record(event.StoreRestored, event.Fields{Detail: fmt.Sprintf("era %d to %d", known, era)})
-	}
-	return era
-}
-
 // shutDown stops the host without cutting off requests. Look-ups and readiness checks stop
 // naming this host at once, and if it is the home, another host becomes the home. Callers that
 // still have the address are served for shutdownDelay, and each answer closes its connection.
@@ -282,9 +290,9 @@
 	gauge("tunnels_carried", int64(n.tunnels.Active()))
 	gauge("server_loads_received", int64(n.client.LoadReports()))
 	gauge("servers_list_age_ms", n.servers.Age().Milliseconds())
-	if era, since := n.platform.StoreEra(); era > 0 {
-		gauge("store_era", era)
-		gauge("store_era_age_ms", time.Since(since).Milliseconds())
+	if era := n.era.Load(); era != nil {
+		gauge("store_era", era.number)
+		gauge("store_era_age_ms", time.Since(era.since).Milliseconds())
 	}
 	live := 0
 	for _, m := range n.members.All() {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -37,16 +37,16 @@
 	apply  func(serverChanges)
 
 	mu         sync.Mutex
-	known      map[string]sched.Server // by name
-	names      map[string]string       // of the known servers, by incarnation
-	versions   map[string]int64        // by name, of the row from which the known entry was decoded
-	changes    serverChanges           // since the last publish
-	unrecorded []event.Fields          // of the events of these changes
-	missing    map[string]time.Time    // by name, since when; the entry expired during an outage of the store
-	invalid    map[string]string       // by name, why its entry was rejected
-	gone       map[string]time.Time    // by incarnation, since when
-	outageEnd  time.Time               // end of the store's last outage
-	lastUpdate time.Time               // when the store or one of its readers last reported on servers
+	known      map[string]sched.Server  // by name
+	names      map[string]string        // of the known servers, by incarnation
+	versions   map[string]store.Version // by name, of the row from which the known entry was decoded
+	changes    serverChanges            // since the last publish
+	unrecorded []event.Fields           // of the events of these changes
+	missing    map[string]time.Time     // by name, since when; the entry expired during an outage of the store
+	invalid    map[string]string        // by name, why its entry was rejected
+	gone       map[string]time.Time     // by incarnation, since when
+	outageEnd  time.Time                // end of the store's last outage
+	lastUpdate time.Time                // when the store or one of its readers last reported on servers
 }
 
 // serverChanges are the changes of the list of servers. An incarnation may be in both lists; it is
@@ -59,7 +59,7 @@
 func newServers(decode func(string, []byte) (sched.Server, error), events *event.Recorder, apply func(serverChanges)) *servers {
 	return &servers{
 		decode: decode, events: events, apply: apply,
-		known: map[string]sched.Server{}, names: map[string]string{}, versions: map[string]int64{}, missing: map[string]time.Time{},
+		known: map[string]sched.Server{}, names: map[string]string{}, versions: map[string]store.Version{}, missing: map[string]time.Time{},
 		invalid: map[string]string{}, gone: map[string]time.Time{},
 	}
 }
@@ -97,7 +97,7 @@
 // serverRow is a decoded row.
 type serverRow struct {
 	server    sched.Server
-	version   int64
+	version   store.Version
 	err       error // the entry is invalid
 	deleted   bool
 	unchanged bool // the known entry was decoded from this row
--- a/internal/node/serversgrowth_test.go
+++ b/internal/node/serversgrowth_test.go
@@ -16,7 +16,7 @@
 // manyRows are the entries of n servers as the store has them.
 func manyRows(n int) (rows []store.Row) {
 	for i := range n {
-		rows = append(rows, store.Row{Key: serverName(i), Value: []byte("ready"), Version: int64(i + 1)})
+		rows = append(rows, store.Row{Key: serverName(i), Value: []byte("ready"), Version: store.Version(i + 1)})
 	}
 	return rows
 }
@@ -33,15 +33,15 @@
 			}
 			s := newServers(decode, event.NewRecorder("h", "i", 16, kitlog.NewNopLogger()), func(c serverChanges) { passedOn += len(c.changed) + len(c.removed) })
 			rows := manyRows(n)
-			s.update(store.Update{Rows: rows, Whole: true, Version: int64(n)})
+			s.update(store.Update{Rows: rows, Whole: true, Version: store.Version(n)})
 			Expect(decoded).To(Equal(n))
 			Expect(passedOn).To(Equal(n))
 			decoded, passedOn = 0, 0
-			s.update(store.Update{Rows: rows, Whole: true, Version: int64(n)})
+			s.update(store.Update{Rows: rows, Whole: true, Version: store.Version(n)})
 			Expect([]int{decoded, passedOn}).To(Equal([]int{0, 0}), "a full read without changes")
-			rows[1].Value, rows[1].Version = []byte("draining"), int64(n+1)
-			s.update(store.Update{Rows: rows[1:2], Version: int64(n + 1)})
-			s.update(store.Update{Rows: append(rows[:0:0], rows[1:]...), Whole: true, Version: int64(n + 2)})
+			rows[1].Value, rows[1].Version = []byte("draining"), store.Version(n+1)
+			s.update(store.Update{Rows: rows[1:2], Version: store.Version(n + 1)})
+			s.update(store.Update{Rows: append(rows[:0:0], rows[1:]...), Whole: true, Version: store.Version(n + 2)})
 			Expect([]int{decoded, passedOn}).To(Equal([]int{1, 2}), "one draining, one gone")
 			Expect(s.Leaving(serverName(0))).To(BeTrue())
 			Expect(s.Leaving(serverName(1))).To(BeTrue())
--- a/internal/store/pack.go
+++ b/internal/store/pack.go
@@ -29,7 +29,7 @@
 // that changed after the version after.
 type rowRange struct {
 	whole         bool
-	after, newest int64
+	after, newest Version
 }
 
 // compressedRows are the rows of a reply, compressed once for all hosts.
@@ -68,7 +68,7 @@
 func wireRows(rows []Row) []*wire.TableRow {
 	out := make([]*wire.TableRow, 0, len(rows))
 	for _, r := range rows {
-		out = append(out, &wire.TableRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		out = append(out, &wire.TableRow{Key: r.Key, Value: r.Value, Version: int64(r.Version), Deleted: r.Deleted})
 	}
 	return out
 }
@@ -108,7 +108,7 @@
 	}
 	rows := make([]Row, 0, len(encoded))
 	for _, w := range encoded {
-		rows = append(rows, Row{Key: w.Key, Value: w.Value, Version: w.Version, Deleted: w.Deleted})
+		rows = append(rows, Row{Key: w.Key, Value: w.Value, Version: Version(w.Version), Deleted: w.Deleted})
 	}
 	return rows, nil
 }
--- a/internal/store/relay.go
+++ b/internal/store/relay.go
@@ -25,6 +25,8 @@
 	// table.
 	minHistory    = 1024
 	historyPerRow = 4
+	// maxRestores is the number of restores of the store over which the history goes on.
+	maxRestores = 8
 )
 
 // Relay serves to other hosts what one host reads of a table. Calls to the store are billed: if
@@ -35,8 +37,11 @@
 	rows         map[string]Row
 	digest       uint64 // of rows
 	history      []change
-	historyStart int64 // history holds the changes after this version
-	version      int64
+	historyStart Version // history holds the changes after this version
+	version      Version
+	// restoredFrom holds the newest version of each era that ended while this relay knew the table. The
+	// history goes on over the restore for hosts that knew no more than this relay.
+	restoredFrom []Version
 	// lastAnswer is when the store itself gave its newest answer, zero while it fails. Answers
 	// of another relay don't count: two hosts that follow each other would take each other's
 	// answers for the store's.
@@ -55,7 +60,7 @@
 	Row
 	// newest is the highest version up to this entry. Versions mostly rise from one entry to the
 	// next, but a table that is read page by page may contain newer rows.
-	newest int64
+	newest Version
 }
 
 // NewRelay returns an empty relay, which can't answer calls until the first Apply.
@@ -76,6 +81,10 @@
 		r.gap, r.outageEnd = u.Gap, now
 	}
 	rows := u.Rows
+	restored := !firstUpdate && u.Version.Era() > r.version.Era()
+	if restored {
+		r.restoredFrom = append(r.restoredFrom[max(0, len(r.restoredFrom)-maxRestores+1):], r.version)
+	}
 	if u.Whole {
 		rows = r.difference(u)
 		clear(r.rows)
@@ -90,7 +99,7 @@
 		rows = nil
 	}
 	r.appendHistory(rows)
-	if len(rows) > 0 || firstUpdate {
+	if len(rows) > 0 || firstUpdate || restored {
 		r.wakeWaiters()
 	}
 }
@@ -127,7 +136,7 @@
 // Verify compares the rows that a caller knows as of version after, given their digest, with the
 // relay's. It returns the changes after that version, or the whole table if the rows differ or the
 // history does not reach back that far. While changes are on their way the rows are not compared.
-func (r *Relay) Verify(ctx context.Context, after int64, digest uint64) (rows []Row, version int64, whole bool, err error) {
+func (r *Relay) Verify(ctx context.Context, after Version, digest uint64) (rows []Row, version Version, whole bool, err error) {
 	rows, version, _, err = r.changesSince(after)
 	current := len(rows) == 0 && version == after
 	if err == nil && (!current || digest == r.Digest()) {
@@ -138,13 +147,15 @@
 }
 
 // difference returns the changes between the known rows and a whole table. They get the version
-// of the read. The caller holds mu.
+// of the read. A restore of the store gives all rows other versions; only those with other values are
+// changes then. The caller holds mu.
 func (r *Relay) difference(u Update) []Row {
 	var rows []Row
 	listed := map[string]bool{}
+	restored := u.Version.Era() > r.version.Era()
 	for _, row := range u.Rows {
 		listed[row.Key] = true
-		if known, ok := r.rows[row.Key]; !ok || known.Version != row.Version || !bytes.Equal(known.Value, row.Value) {
+		if known, ok := r.rows[row.Key]; !ok || known.Version != row.Version && !restored || !bytes.Equal(known.Value, row.Value) {
 			row.Version = max(row.Version, u.Version)
 			rows = append(rows, row)
 		}
@@ -215,7 +226,7 @@
 const firstReadWait = 300 * time.Millisecond
 
 // Snapshot returns the table as last read. It fails with StoreDown if that was too long ago.
-func (r *Relay) Snapshot(context.Context) ([]Row, int64, error) {
+func (r *Relay) Snapshot(context.Context) ([]Row, Version, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if time.Since(r.lastAnswer) > staleAfter {
@@ -249,15 +260,17 @@
 // errStale makes the caller try the next reader or the store.
 var errStale = failure.New(failure.StoreDown, "the relay has no fresh answer of the store")
 
-// Changes waits up to wait for changes after a version, or until release is called. It fails with
-// StoreDown if the relay's data is stale, with HistoryLost if after is older than the history.
-func (r *Relay) Changes(ctx context.Context, after int64, wait time.Duration) ([]Row, int64, error) {
+// Changes waits up to wait for changes after a version, until the store is restored or until release is
+// called. It fails with
+// StoreDown if the relay's data is stale or of an older era, with HistoryLost if after is older than the
+// history.
+func (r *Relay) Changes(ctx context.Context, after Version, wait time.Duration) ([]Row, Version, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	releasesAtStart := r.releases()
 	for {
 		rows, version, changed, err := r.changesSince(after)
-		if err != nil || len(rows) > 0 || r.releases() != releasesAtStart {
+		if err != nil || len(rows) > 0 || version.Era() > after.Era() || r.releases() != releasesAtStart {
 			return rows, version, err
 		}
 		select {
@@ -278,6 +291,15 @@
 	return staleAfter - time.Since(r.lastAnswer) + time.Millisecond
 }
 
+// leadsTo reports whether a table as of a version is one that this relay's table developed from. A host
+// that knew more of an era that has ended than this relay may know rows that the relay never had. The
+// caller holds mu.
+func (r *Relay) leadsTo(version Version) bool {
+	return version.Era() == r.version.Era() || slices.ContainsFunc(r.restoredFrom, func(end Version) bool {
+		return version.Era() == end.Era() && version <= end
+	})
+}
+
 func (r *Relay) releases() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -286,16 +308,16 @@
 
 // changesSince returns the changes after a version, and a channel that is closed at the next
 // change.
-func (r *Relay) changesSince(after int64) ([]Row, int64, <-chan struct{}, error) {
+func (r *Relay) changesSince(after Version) ([]Row, Version, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if time.Since(r.lastAnswer) > staleAfter {
+	if time.Since(r.lastAnswer) > staleAfter || after.Era() > r.version.Era() {
 		return nil, 0, nil, errStale
 	}
-	if after < r.historyStart {
-		return nil, 0, nil, failure.New(failure.HistoryLost, "the relay's history begins at %d", r.historyStart)
+	if after < r.historyStart || !r.leadsTo(after) {
+		return nil, 0, nil, failure.New(failure.HistoryLost, "the relay's history begins at %v", r.historyStart)
 	}
-	first, _ := slices.BinarySearchFunc(r.history, after+1, func(c change, version int64) int { return cmp.Compare(c.newest, version) })
+	first, _ := slices.BinarySearchFunc(r.history, after+1, func(c change, version Version) int { return cmp.Compare(c.newest, version) })
 	var rows []Row
 	for _, c := range r.history[first:] {
 		if c.Version > after {
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -21,7 +21,7 @@
 	"github.com/gentianflow/gentianflow/internal/store"
 )
 
-func wholeTable(version int64, keys ...string) store.Update {
+func wholeTable(version store.Version, keys ...string) store.Update {
 	u := store.Update{Whole: true, Version: version}
 	for _, k := range keys {
 		u.Rows = append(u.Rows, store.Row{Key: k, Version: 1})
@@ -85,13 +85,13 @@
 })
 
 // fixedStore is the store itself, with one row and a version.
-type fixedStore struct{ version int64 }
+type fixedStore struct{ version store.Version }
 
-func (d fixedStore) Snapshot(context.Context, string) ([]store.Row, int64, error) {
+func (d fixedStore) Snapshot(context.Context, string) ([]store.Row, store.Version, error) {
 	return []store.Row{{Key: "direct"}}, d.version, nil
 }
 
-func (d fixedStore) Changes(_ context.Context, _ string, after int64, _ time.Duration) ([]store.Row, int64, error) {
+func (d fixedStore) Changes(_ context.Context, _ string, after store.Version, _ time.Duration) ([]store.Row, store.Version, error) {
 	return []store.Row{{Key: "direct"}}, max(after, d.version), nil
 }
 
@@ -197,7 +197,7 @@
 		for i := range 3000 {
 			value := fmt.Appendf(nil, `{"service":"engines","address":"10.1.%d.%d:8202","zone":"fukuoka-hall","version":"v1","slots":6,"state":"ready","coldRemainingMs":0,"sequence":%d}`, i/250, i%250, i)
 			size += len(value)
-			rows = append(rows, store.Row{Key: fmt.Sprintf("i-%010x", 7919*i), Value: value, Version: int64(i + 1)})
+			rows = append(rows, store.Row{Key: fmt.Sprintf("i-%010x", 7919*i), Value: value, Version: store.Version(i + 1)})
 		}
 		relays := store.NewRelays()
 		relays.Table("t").Apply(store.Update{Whole: true, Version: 2})
@@ -449,7 +449,7 @@
 	It("has the changes of a third of its rows being replaced, at any size", func() {
 		for _, rows := range []int{300, 3000, 6000, 12000} {
 			r := store.NewRelay()
-			version := int64(0)
+			version := store.Version(0)
 			row := func(key string, deleted bool) store.Row {
 				version++
 				return store.Row{Key: key, Version: version, Deleted: deleted}
@@ -475,7 +475,7 @@
 
 	It("keeps a bounded history", func() {
 		r := store.NewRelay()
-		for version := range int64(20_000) {
+		for version := range store.Version(20_000) {
 			r.Apply(store.Update{Rows: []store.Row{{Key: "one", Version: version + 1}}, Version: version + 1})
 		}
 		_, _, err := r.Changes(ctx, 15_000, time.Millisecond)
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -68,7 +68,7 @@
 	turn               float64          // rounds from turnFrom until it may read the store
 	storeFailedAt      time.Time        // last failed call to the store, zero if it answered since
 	roundsBetweenReads int              // rounds from one read of the store to the next
-	newestVersion      int64            // newest version seen; a relay may be behind
+	newestVersion      Version          // newest version seen; a relay may be behind
 	lastAnswer         time.Time        // when the store last answered this host or its reader
 	lastConfirmed      time.Time        // latest time at which the store has certainly answered
 	interrupted        bool             // since the newest answer, the store failed or the followed reader was lost
@@ -100,28 +100,28 @@
 func (r *RelayedTables) Reader() string { return r.answeredBy }
 
 // Snapshot implements Tables.
-func (r *RelayedTables) Snapshot(ctx context.Context, table string) ([]Row, int64, error) {
+func (r *RelayedTables) Snapshot(ctx context.Context, table string) ([]Row, Version, error) {
 	call := &wire.TableCall{Table: table, Snapshot: true}
-	return r.read(ctx, call, relayMargin, func() ([]Row, int64, error) { return r.direct.Snapshot(ctx, table) })
+	return r.read(ctx, call, relayMargin, func() ([]Row, Version, error) { return r.direct.Snapshot(ctx, table) })
 }
 
 // Verify implements Verifier.
-func (r *RelayedTables) Verify(ctx context.Context, table string, after int64, digest uint64) (rows []Row, version int64, whole bool, err error) {
-	call := &wire.TableCall{Table: table, Snapshot: true, After: after, Digest: digest}
+func (r *RelayedTables) Verify(ctx context.Context, table string, after Version, digest uint64) (rows []Row, version Version, whole bool, err error) {
+	call := &wire.TableCall{Table: table, Snapshot: true, After: int64(after), Digest: digest}
 	r.partial = false
-	rows, version, err = r.read(ctx, call, relayMargin, func() ([]Row, int64, error) { return r.direct.Snapshot(ctx, table) })
+	rows, version, err = r.read(ctx, call, relayMargin, func() ([]Row, Version, error) { return r.direct.Snapshot(ctx, table) })
 	return rows, version, !r.partial, err
 }
 
 // Changes implements Tables.
-func (r *RelayedTables) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
-	call := &wire.TableCall{Table: table, After: after, WaitMs: uint32(relayWait.Milliseconds())}
-	return r.read(ctx, call, relayWait+relayMargin, func() ([]Row, int64, error) { return r.direct.Changes(ctx, table, after, wait) })
+func (r *RelayedTables) Changes(ctx context.Context, table string, after Version, wait time.Duration) ([]Row, Version, error) {
+	call := &wire.TableCall{Table: table, After: int64(after), WaitMs: uint32(relayWait.Milliseconds())}
+	return r.read(ctx, call, relayWait+relayMargin, func() ([]Row, Version, error) { return r.direct.Changes(ctx, table, after, wait) })
 }
 
 // read sends a call to the hosts that this host asks before the store, to the store, and to the
 // other hosts, until one has a fresh answer.
-func (r *RelayedTables) read(ctx context.Context, call *wire.TableCall, timeout time.Duration, direct func() ([]Row, int64, error)) ([]Row, int64, error) {
+func (r *RelayedTables) read(ctx context.Context, call *wire.TableCall, timeout time.Duration, direct func() ([]Row, Version, error)) ([]Row, Version, error) {
 	order := r.readers.ReaderOrder()
 	before, after := order.peers()
 	r.dropUnlisted(order.Names)
@@ -145,7 +145,7 @@
 func isAnswer(err error) bool { return err == nil || failure.Is(err, failure.HistoryLost) }
 
 // readStore reads the store itself if this host may do so now.
-func (r *RelayedTables) readStore(role Role, read func() ([]Row, int64, error)) ([]Row, int64, error) {
+func (r *RelayedTables) readStore(role Role, read func() ([]Row, Version, error)) ([]Row, Version, error) {
 	if !r.mayRead(time.Now(), role) {
 		return nil, 0, errNotDue
 	}
@@ -156,6 +156,9 @@
 		r.onLost()
 		return rows, version, err
 	}
+	if err == nil && version.Era() < r.newestVersion.Era() {
+		return nil, 0, errStale // a late answer; a relay already told of the restore
+	}
 	r.gap, r.storeFailedAt = 0, time.Time{}
 	if r.interrupted {
 		r.gap = now.Sub(r.lastAnswer)
@@ -212,7 +215,7 @@
 //
 // A relay may be behind what this host has read. Its table could list a server that has already
 // left, so it is treated as stale.
-func (r *RelayedTables) askReaders(ctx context.Context, names []string, call *wire.TableCall, timeout time.Duration) ([]Row, int64, error) {
+func (r *RelayedTables) askReaders(ctx context.Context, names []string, call *wire.TableCall, timeout time.Duration) ([]Row, Version, error) {
 	for _, name := range names {
 		if time.Now().Before(r.pauses[name].until) {
 			continue
@@ -250,7 +253,7 @@
 }
 
 // ask sends one call to a reader.
-func (r *RelayedTables) ask(ctx context.Context, name string, call *wire.TableCall, timeout time.Duration) ([]Row, int64, error) {
+func (r *RelayedTables) ask(ctx context.Context, name string, call *wire.TableCall, timeout time.Duration) ([]Row, Version, error) {
 	start := time.Now()
 	reply, err := r.exchange(ctx, name, call, timeout)
 	if err == nil {
@@ -271,7 +274,7 @@
 	now := time.Now()
 	r.gap = r.reportedGap(name, reply, now)
 	r.recordAnswer(now, name)
-	return rows, reply.Version, nil
+	return rows, Version(reply.Version), nil
 }
 
 // replyError returns the failure in a reply, or nil.
--- a/internal/store/relays.go
+++ b/internal/store/relays.go
@@ -67,12 +67,12 @@
 func (s *Relays) answer(ctx context.Context, call *wire.TableCall, role Role) *wire.TableReply {
 	relay := s.Table(call.Table)
 	var rows []Row
-	var version int64
+	var version Version
 	var err error
 	whole := false
 	switch {
 	case call.Snapshot && call.After > 0:
-		rows, version, whole, err = relay.Verify(ctx, call.After, call.Digest)
+		rows, version, whole, err = relay.Verify(ctx, Version(call.After), call.Digest)
 	case call.Snapshot:
 		if role == Reader {
 			relay.awaitFirstRead(ctx)
@@ -80,16 +80,16 @@
 		whole = true
 		rows, version, err = relay.Snapshot(ctx)
 	default:
-		rows, version, err = relay.Changes(ctx, call.After, time.Duration(call.WaitMs)*time.Millisecond)
+		rows, version, err = relay.Changes(ctx, Version(call.After), time.Duration(call.WaitMs)*time.Millisecond)
 	}
 	if err != nil {
 		return &wire.TableReply{Failure: string(failure.From(err).Code)}
 	}
-	reply := &wire.TableReply{Version: version, Partial: call.Snapshot && !whole}
+	reply := &wire.TableReply{Version: int64(version), Partial: call.Snapshot && !whole}
 	reply.GapMs, reply.ReturnedMs = relay.outage()
 	requested := rowRange{whole: whole, newest: version}
 	if !whole {
-		requested.after = call.After
+		requested.after = Version(call.After)
 	}
 	relay.pack(reply, requested, rows)
 	return reply
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/event"
@@ -21,7 +22,7 @@
 type Row struct {
 	Key     string
 	Value   []byte
-	Version int64
+	Version Version
 	Deleted bool
 }
 
@@ -29,10 +30,11 @@
 // Snapshot before it calls Changes again) and StoreDown.
 type Tables interface {
 	// Snapshot reads a whole table at one point in time and returns its version.
-	Snapshot(ctx context.Context, table string) ([]Row, int64, error)
+	Snapshot(ctx context.Context, table string) ([]Row, Version, error)
 	// Changes waits up to wait for rows changed after a version and returns them with the
-	// version to continue from.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error)
+	// version to continue from. It fails with HistoryLost if the store was restored from a copy since
+	// that version.
+	Changes(ctx context.Context, table string, after Version, wait time.Duration) ([]Row, Version, error)
 }
 
 // AnswerSource is implemented by Tables that read through other hosts, and therefore know more
@@ -50,7 +52,7 @@
 	// Verify reads a table that is known up to version after and whose known rows have a digest. It
 	// returns the changes after that version, or the whole table if the known rows differ or cannot
 	// be compared.
-	Verify(ctx context.Context, table string, after int64, digest uint64) (rows []Row, version int64, whole bool, err error)
+	Verify(ctx context.Context, table string, after Version, digest uint64) (rows []Row, version Version, whole bool, err error)
 }
 
 // Writer changes rows of the system's own tables.
@@ -66,17 +68,18 @@
 	Value []byte
 }
 
-// Condition is the version that a row must have, 0 if it must not exist.
+// Condition is the version that a row must have. Its number is 0 if the row must not exist. A commit
+// fails with Conflict once the store has been restored since the era of the condition.
 type Condition struct {
 	Table   string
 	Key     string
-	Version int64
+	Version Version
 }
 
 // Conditional reads and changes rows that several hosts may write.
 type Conditional interface {
-	// Rows reads a table at one point in time, and the store's own clock.
-	Rows(ctx context.Context, table string) (rows []Row, now time.Duration, err error)
+	// Rows reads a table at one point in time, its version, and the store's own clock.
+	Rows(ctx context.Context, table string) (rows []Row, version Version, now time.Duration, err error)
 	// Commit writes all rows if the condition holds. Otherwise it writes none and fails with
 	// Conflict. After any other failure the write may have taken effect, or may do so later.
 	Commit(ctx context.Context, condition Condition, writes ...Write) error
@@ -121,8 +124,11 @@
 // Update is an answer to a read of a table.
 type Update struct {
 	Rows    []Row
-	Whole   bool  // Rows are the whole table, not only the changes
-	Version int64 // of the table after this update
+	Whole   bool    // Rows are the whole table, not only the changes
+	Version Version // of the table after this update
+	// Restored is set if the store was restored from an older copy since the update before: what the
+	// rows lack may have been lost, and what they have may have been removed since the copy.
+	Restored bool
 	// Gap is how long the store had given no answer before this one, not even an answer without
 	// changes.
 	Gap    time.Duration
@@ -136,6 +142,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	retryPause := minRetryPause
 	down, hasRead, source := false, false, unknownSource
+	var newest Version
 	lastAnswer := time.Now()
 	for ctx.Err() == nil {
 		err := w.follow(ctx, func(u Update) {
@@ -144,6 +151,11 @@
 			if answers, ok := w.Tables.(AnswerSource); ok {
 				u.Gap, u.Reader = answers.Gap(), answers.Reader()
 			}
+			if u.Restored = newest != 0 && u.Version.Era() > newest.Era(); u.Restored {
+				w.Events.Record(event.StoreRestored, event.Fields{Peer: u.Reader, Detail: fmt.Sprintf(
+					"table %s era %d to %d version %d to %d rows %d whole %t", w.Table, newest.Era(), u.Version.Era(), newest.Number(), u.Version.Number(), len(u.Rows), u.Whole)})
+			}
+			newest = max(newest, u.Version)
 			if u.Reader != source {
 				source = u.Reader
 				w.Events.Record(event.StoreSource, event.Fields{Peer: source, Detail: "table " + w.Table})
@@ -192,7 +204,8 @@
 		return err
 	}
 	onAnswer(Update{Rows: rows, Whole: true, Version: version})
-	for lastRead := time.Now(); ctx.Err() == nil; {
+	lastRead := time.Now()
+	for ctx.Err() == nil {
 		if time.Since(lastRead) >= w.reread() {
 			whole := true
 			if rows, version, whole, err = w.readAgain(ctx, version); err != nil {
@@ -202,10 +215,14 @@
 			onAnswer(Update{Rows: rows, Whole: whole, Version: version})
 			continue
 		}
-		rows, version, err = w.Tables.Changes(ctx, w.Table, version, changeWait)
+		known := version
+		rows, version, err = w.Tables.Changes(ctx, w.Table, known, changeWait)
 		if err != nil {
 			return err
 		}
+		if version.Era() > known.Era() {
+			lastRead = time.Time{} // compare with a relay that told what a restore of the store changed
+		}
 		// An answer without rows still shows that the store is available.
 		onAnswer(Update{Rows: rows, Version: version})
 		if len(rows) == 0 {
@@ -220,7 +237,7 @@
 }
 
 // readAgain verifies the table that is known up to a version, or reads all of it.
-func (w *Watcher) readAgain(ctx context.Context, known int64) (rows []Row, version int64, whole bool, err error) {
+func (w *Watcher) readAgain(ctx context.Context, known Version) (rows []Row, version Version, whole bool, err error) {
 	if v, ok := w.Tables.(Verifier); ok && w.Digest != nil {
 		return v.Verify(ctx, w.Table, known, w.Digest())
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -35,14 +35,14 @@
 	err   error
 }
 
-func (s *scriptedTables) Snapshot(context.Context, string) ([]store.Row, int64, error) {
+func (s *scriptedTables) Snapshot(context.Context, string) ([]store.Row, store.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.snapshots++
 	return []store.Row{{Key: "a", Version: 1}}, 1, nil
 }
 
-func (s *scriptedTables) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]store.Row, int64, error) {
+func (s *scriptedTables) Changes(ctx context.Context, _ string, after store.Version, wait time.Duration) ([]store.Row, store.Version, error) {
 	s.mu.Lock()
 	next := scriptedAnswer{pause: wait}
 	if len(s.answers) > 0 {
--- a/internal/store/verify_test.go
+++ b/internal/store/verify_test.go
@@ -17,7 +17,7 @@
 func entries(n int) (rows []store.Row) {
 	for i := range n {
 		value := fmt.Appendf(nil, `{"service":"engines","address":"10.1.%d.%d:8202","state":"ready"}`, i/250, i%250)
-		rows = append(rows, store.Row{Key: fmt.Sprintf("i-%010x", 7919*i), Value: value, Version: int64(i + 1)})
+		rows = append(rows, store.Row{Key: fmt.Sprintf("i-%010x", 7919*i), Value: value, Version: store.Version(i + 1)})
 	}
 	return rows
 }
@@ -29,7 +29,7 @@
 		received := map[int]int{}
 		for _, servers := range []int{300, 3000, 6000} {
 			home := &fakeHome{relays: store.NewRelays(), isHome: always, name: "h"}
-			home.relays.Table("t").Apply(store.Update{Rows: entries(servers), Whole: true, Version: int64(servers)})
+			home.relays.Table("t").Apply(store.Update{Rows: entries(servers), Whole: true, Version: store.Version(servers)})
 			own := store.NewRelay()
 			verified := 0
 			ctx, cancel := context.WithCancel(context.Background())
--- a/test/platform/restore_test.go
+++ b/test/platform/restore_test.go
@@ -163,6 +163,8 @@
 						select {
 						case <-stop:
 							return
+						case <-h.session.Exited:
+							return
 						case <-time.After(8 * time.Millisecond):
 							load.Go(func() { s.send(h, check()) })
 						}
