node, sched: a restore of the store brings no server back that has left

What callers saw: after a restore, servers that had said that they leave, or whose entries were removed, were listed as ready again from the copy, and got requests unless the home remembered that they had been handed back.

Cause: an entry in the copy was taken for its server's word of now, and an entry that the copy lacks for a removal (which drops a sound server and blames its runs) or, after an outage, for one that lapsed (which sends requests to a server that may have left).

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -97,7 +97,7 @@
 		usable[id] = false
 	}
 	for _, srv := range c.changed {
-		usable[srv.ID] = !srv.Draining
+		usable[srv.ID] = !srv.Draining && !srv.Unlisted
 	}
 	for id, isUsable := range usable {
 		last, known := h.usableUntil[id]
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"sync"
@@ -45,6 +46,9 @@
 	missing    map[string]time.Time     // by name, since when; the entry expired during an outage of the store
 	invalid    map[string]string        // by name, why its entry was rejected
 	gone       map[string]time.Time     // by incarnation, since when
+	lost       map[string]time.Time     // by name, since when; the entry is missing since a restore of the store
+	outdated   map[string][]byte        // by name, entries of incarnations that had left, as restored from a copy
+	unlisted   int                      // number of servers that get no requests since their entries were lost
 	outageEnd  time.Time                // end of the store's last outage
 	lastUpdate time.Time                // when the store or one of its readers last reported on servers
 }
@@ -60,7 +64,7 @@
 	return &servers{
 		decode: decode, events: events, apply: apply,
 		known: map[string]sched.Server{}, names: map[string]string{}, versions: map[string]store.Version{}, missing: map[string]time.Time{},
-		invalid: map[string]string{}, gone: map[string]time.Time{},
+		invalid: map[string]string{}, gone: map[string]time.Time{}, lost: map[string]time.Time{}, outdated: map[string][]byte{},
 	}
 }
 
@@ -83,6 +87,8 @@
 			s.remove(name, now, u)
 		case row.unchanged:
 			delete(s.missing, name)
+			delete(s.lost, name)
+		case s.isOutdated(name, row, u):
 		default:
 			s.add(name, row)
 		}
@@ -91,12 +97,14 @@
 		s.removeUnlisted(listed, now, u)
 	}
 	s.sweep(now)
+	s.markLost()
 	s.publish()
 }
 
 // serverRow is a decoded row.
 type serverRow struct {
 	server    sched.Server
+	value     []byte
 	version   store.Version
 	err       error // the entry is invalid
 	deleted   bool
@@ -111,7 +119,7 @@
 	entries := make(map[string]serverRow, len(rows))
 	anyStartTime := false
 	for _, row := range rows {
-		e := serverRow{version: row.Version, deleted: row.Deleted}
+		e := serverRow{value: row.Value, version: row.Version, deleted: row.Deleted}
 		if known, decoded := s.versions[row.Key]; decoded && !row.Deleted && row.Version != 0 && row.Version == known {
 			e.unchanged = true
 		} else if !row.Deleted {
@@ -141,6 +149,7 @@
 	}
 	delete(s.invalid, name)
 	delete(s.missing, name)
+	delete(s.lost, name)
 	srv := e.server
 	current, ok := s.known[name]
 	if ok && current.ID != srv.ID {
@@ -150,6 +159,7 @@
 	delete(s.gone, srv.ID)
 	if ok {
 		srv.WarmUp = current.WarmUp // the warm-up counts from when the server was first seen
+		srv.Draining = srv.Draining || current.Draining
 	}
 	if !ok || current.Draining != srv.Draining {
 		s.unrecorded = append(s.unrecorded, event.Fields{Server: srv.ID, Service: srv.Service, Detail: describeState(srv)})
@@ -188,6 +198,10 @@
 			s.remove(name, now, u)
 		}
 	}
+	maps.DeleteFunc(s.outdated, func(name string, _ []byte) bool {
+		_, ok := listed[name]
+		return !ok
+	})
 	maps.DeleteFunc(s.invalid, func(name, _ string) bool {
 		_, ok := listed[name]
 		return !ok
@@ -199,12 +213,26 @@
 // During an outage of the store, heartbeats cannot renew the entries of live servers. Dropping
 // all servers when the store returns would stop all work. Live servers write their entries
 // again within seconds; the others are dropped after expiredEntryGrace.
+//
+// An entry that a restore of the store has taken away may be written again within seconds as well. The
+// server gets no requests until then, since the entry may have been removed instead.
 func (s *servers) remove(name string, now time.Time, u store.Update) {
 	delete(s.invalid, name)
+	delete(s.outdated, name)
 	srv, ok := s.known[name]
 	if !ok {
 		return
 	}
+	if u.Restored && !srv.Draining {
+		s.lost[name] = now
+		s.events.Record(event.ServerMissing, event.Fields{
+			Server: srv.ID, Service: srv.Service, Peer: u.Reader, Detail: "since a restore of the store",
+		})
+		return
+	}
+	if _, waits := s.lost[name]; waits && u.Whole {
+		return
+	}
 	if since := now.Sub(s.outageEnd); since < expiredEntryGrace {
 		if _, ok := s.missing[name]; !ok {
 			s.missing[name] = now
@@ -226,11 +254,62 @@
 	delete(s.names, srv.ID)
 	delete(s.versions, name)
 	delete(s.missing, name)
+	delete(s.lost, name)
 	s.gone[srv.ID] = time.Now()
 }
 
-// sweep drops the missing servers once expiredEntryGrace is over.
+// isOutdated reports whether an entry is of an incarnation that had left, from the copy from which the store
+// was restored. Such an incarnation is used again once its entry changes: then it writes it.
+func (s *servers) isOutdated(name string, row serverRow, u store.Update) bool {
+	value, outdated := s.outdated[name]
+	_, gone := s.gone[row.server.ID]
+	if row.err == nil && gone && (u.Restored || outdated && bytes.Equal(value, row.value)) {
+		s.outdated[name] = row.value
+		return true
+	}
+	delete(s.outdated, name)
+	return false
+}
+
+// markLost keeps requests from servers whose entries a restore of the store has taken away, as long as
+// at least half of the slots of their service are at servers with an entry. Otherwise requests would be
+// refused that these servers can run.
+func (s *servers) markLost() {
+	if len(s.lost) == 0 && s.unlisted == 0 {
+		return
+	}
+	all, lost := map[string]int{}, map[string]int{}
+	for name, srv := range s.known {
+		if srv.Draining {
+			continue
+		}
+		all[srv.Service] += srv.Slots
+		if _, ok := s.lost[name]; ok {
+			lost[srv.Service] += srv.Slots
+		}
+	}
+	s.unlisted = 0
+	for name, srv := range s.known {
+		_, isLost := s.lost[name]
+		unlisted := isLost && 2*lost[srv.Service] <= all[srv.Service]
+		if unlisted {
+			s.unlisted++
+		}
+		if srv.Unlisted != unlisted {
+			srv.Unlisted = unlisted
+			s.known[name] = srv
+			s.changes.changed = append(s.changes.changed, srv)
+		}
+	}
+}
+
+// sweep drops the missing servers, and those whose entries were lost, once expiredEntryGrace is over.
 func (s *servers) sweep(now time.Time) {
+	for name, since := range s.lost {
+		if now.Sub(since) >= expiredEntryGrace {
+			s.drop(name)
+		}
+	}
 	if len(s.missing) == 0 || now.Sub(s.outageEnd) < expiredEntryGrace {
 		return
 	}
@@ -246,6 +325,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.sweep(now)
+	s.markLost()
 	maps.DeleteFunc(s.gone, func(_ string, since time.Time) bool { return now.Sub(since) > goneRetention })
 	s.publish()
 }
@@ -290,7 +370,7 @@
 			ready++
 		}
 	}
-	return ready, draining, len(s.missing)
+	return ready, draining, len(s.missing) + len(s.lost)
 }
 
 // Age implements dispatch.ServerList.
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -218,7 +218,7 @@
 		}
 	}
 	e := &srv.entry
-	if srv.Draining || opensAt == never {
+	if srv.Draining || srv.Unlisted || opensAt == never {
 		if e.closedPos >= 0 {
 			heap.Remove(&x.closed, e.closedPos)
 		}
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -158,6 +158,32 @@
 		Expect(out[0].Server).To(Equal("e2"))
 	})
 
+	// Its entry was lost in a restore of the store, or removed: nobody knows until it is written again.
+	It("does not place at a server whose entry was lost, and places there again once it is written", func() {
+		s := newScheduler(2, 4)
+		e0 := Server{ID: "e0", Service: engine, Address: "e0", Slots: 4}
+		unlisted := e0
+		unlisted.Unlisted = true
+		s.UpdateServers(0, []Server{unlisted}, nil)
+		for id := range uint64(8) {
+			out, _ := s.Submit(0, stream(id+1, 0, 0))
+			for _, d := range out {
+				Expect(d.Server).NotTo(Equal("e0"))
+			}
+		}
+		s.UpdateServers(0, []Server{e0}, nil)
+		var placed []string
+		out := s.Tick(0)
+		for _, d := range out {
+			placed = append(placed, d.Server)
+		}
+		next, _ := s.Submit(0, stream(20, 0, 0))
+		for _, d := range next {
+			placed = append(placed, d.Server)
+		}
+		Expect(placed).To(ContainElement("e0"))
+	})
+
 	// A server answers every second call with a failure while its health check is good. Callers
 	// see failures for as long as the server gets an even share of the calls.
 	It("avoids a server that fails its requests, and tries it again later", func() {
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -79,9 +79,9 @@
 	return s
 }
 
-// usable reports whether s is neither draining nor ejected.
+// usable reports whether s is neither draining nor unlisted nor ejected.
 func (s *server) usable(now Time) bool {
-	return !s.Draining && now >= s.ejectedUntil
+	return !s.Draining && !s.Unlisted && now >= s.ejectedUntil
 }
 
 // hasRoom reports whether s may be sent one more request now, with at most maxRunning at
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -44,6 +44,7 @@
 	Zone      string
 	Slots     int // concurrent requests
 	Draining  bool
+	Unlisted  bool          // its entry was lost in a restore of the store; it gets no requests until it writes one
 	WarmUp    time.Duration // remaining warm-up time, in which it is slower
 	StartedMs int64         // start time in Unix milliseconds by its own clock, 0 if unknown
 }
