peer, node: the silence of a host is noticed in a time that fits the drain time

A probe is now due a probe period after the last message, its answer within the deadline, sending included. The period follows from the drain time in the settings, 0.5 to 1 s, so large fleets probe as seldom as before (an idle session each second).

Ruled out: a shorter deadline (hosts with a fifth of a core answer late).

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -49,15 +49,17 @@
 	if kind != frozen {
 		return
 	}
-	time.AfterFunc(sessionDetectionTime, func() {
+	time.AfterFunc(sessionDetectionTime(len(h.fleet.hosts)), func() {
 		if h.availability() == frozen {
 			h.fleet.breakStreams(h)
 		}
 	})
 }
 
-// sessionDetectionTime is how long sessions take to detect a frozen host.
-const sessionDetectionTime = peer.ProbePeriod + peer.ProbeDeadline
+// sessionDetectionTime is how long sessions take to detect a frozen host in a fleet of a size.
+func sessionDetectionTime(hosts int) time.Duration {
+	return probePeriod(drainBound(hosts)) + peer.ProbeDeadline
+}
 
 // fleetHost is the part of an entry host that follows the tables. mu guards the fields below
 // it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,6 +182,7 @@
 	n.peers = peer.NewManager(peer.Identity{Incarnation: n.incarnation, Host: n.settings.Host, Fleet: fleetName},
 		n.peerAddress(), n.serveStream, peerObserver{n.members}, n.events, &n.traffic)
 	n.peers.SetLocalIP(net.ParseIP(n.settings.IP))
+	n.peers.SetProbePeriod(probePeriod(n.settings.DrainTime))
 	n.loop = dispatch.NewLoop(n.settings.Policy, n.events, n.deliver)
 	n.quarantined = newQuarantineStore(n.settings.Host, n.platform.QuarantineTable, n.platform.Tables, n.platform.Writer, n.isHome, n.events)
 	n.loop.OnSuspects(n.publishSuspects)
@@ -230,6 +231,19 @@
 	n.entry = entry.NewHandler(deps)
 }
 
+// Sessions that are probed seldom cost the hosts of a large fleet less; their silence is noticed later.
+const (
+	probesPerDrainTime = 4
+	maxProbePeriod     = 1 * time.Second
+)
+
+// probePeriod returns how long a session between hosts may be idle before it is probed. A host hears from
+// its reader over a session, so the time in which its silence is noticed is part of the time in which
+// news of the store reach all hosts: docs/design/change-propagation.md has the sum.
+func probePeriod(drainTime time.Duration) time.Duration {
+	return min(maxProbePeriod, max(peer.ProbePeriod, drainTime/probesPerDrainTime))
+}
+
 // fleetName is announced when sessions open, so that hosts of different fleets do not connect.
 // A platform runs one fleet.
 const fleetName = "platform"
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -32,6 +32,9 @@
 	MemoryBytes      int64
 	LinkMbps         uint32        // bandwidth of the host's link, 0: unknown
 	Grace            time.Duration // from SIGTERM to SIGKILL
+	// DrainTime is how long after the store's acknowledgement a server that leaves may get requests; 0
+	// means unknown.
+	DrainTime time.Duration
 	// EntryTTL is the longest time that the store lists a server after it has ended; 0 means
 	// unknown.
 	EntryTTL time.Duration
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -26,17 +26,15 @@
 	"github.com/gentianflow/gentianflow/internal/wire"
 )
 
-// Timeouts of a session. The host that opened a session detects its silence within
-// ProbePeriod plus ProbeDeadline, the other host within about acceptedIdleTimeout.
+// Timeouts of a session. The host that opened a session detects its silence within the probe period,
+// ProbePeriod unless SetProbePeriod sets another one, plus ProbeDeadline. The other host detects it within
+// one and a half times as long.
 const (
 	DialTimeout   = 1 * time.Second
 	ProbePeriod   = 500 * time.Millisecond
 	ProbeDeadline = 1 * time.Second
-	// acceptedIdleTimeout is how long nothing may arrive on a session that another
-	// host opened. That host probes the session each ProbePeriod unless it is busy.
-	acceptedIdleTimeout = ProbePeriod + ProbeDeadline
-	helloTimeout        = 1 * time.Second
-	acceptBacklog       = 256
+	helloTimeout  = 1 * time.Second
+	acceptBacklog = 256
 )
 
 // Identity identifies a host in the handshake of a session.
@@ -85,6 +83,8 @@
 	observer Observer
 	events   *event.Recorder
 	traffic  *Traffic
+	// probePeriod is how long a session may be idle before it is probed.
+	probePeriod time.Duration
 
 	mu       sync.Mutex
 	sessions map[string]*sessionSlot // by remote control address
@@ -103,11 +103,15 @@
 // NewManager returns a Manager. handler serves the streams that other hosts open.
 func NewManager(self Identity, address string, handler Handler, observer Observer, events *event.Recorder, traffic *Traffic) *Manager {
 	return &Manager{
-		self: self, address: address, handler: handler, observer: observer, events: events, traffic: traffic,
+		self: self, address: address, handler: handler, observer: observer, events: events, traffic: traffic, probePeriod: ProbePeriod,
 		sessions: map[string]*sessionSlot{}, accepted: map[*session]bool{},
 	}
 }
 
+// SetProbePeriod sets how long a session is idle before it is probed. It must be the same on all hosts, and
+// set before the first session.
+func (m *Manager) SetProbePeriod(d time.Duration) { m.probePeriod = d }
+
 // SetLocalIP sets the local IP address of the sessions that this host opens, so that
 // other hosts see the same address of a host that has several.
 func (m *Manager) SetLocalIP(ip net.IP) { m.dialFrom = &net.TCPAddr{IP: ip} }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -172,6 +172,35 @@
 		}
 	})
 
+	// Probes at fixed ticks skip one after any message, so that the silence of a host whose last message
+	// came just after a tick was noticed half a second later than that of others.
+	It("notices a host that stands still in the same time whenever its last message came", func() {
+		a, _, _ := startHost(1)
+		_, l, _ := startHost(2)
+		const phases = 8
+		silences := make(chan time.Duration, phases)
+		for i := range phases {
+			go func() {
+				defer GinkgoRecover()
+				p := startFreezer(l.Addr().String())
+				st, err := a.OpenStream(context.Background(), Target{Address: p.address}, wire.StreamKind_STREAM_TABLES, "")
+				Expect(err).NotTo(HaveOccurred())
+				time.Sleep(ProbePeriod + time.Duration(i)*ProbePeriod/phases)
+				_, err = st.Write([]byte("x"))
+				Expect(err).NotTo(HaveOccurred())
+				_, err = io.ReadFull(st.Reader, make([]byte, 1))
+				Expect(err).NotTo(HaveOccurred())
+				p.frozen.Store(true)
+				start := time.Now()
+				_, _ = st.Reader.ReadByte()
+				silences <- time.Since(start)
+			}()
+		}
+		for range phases {
+			Eventually(silences).WithTimeout(10 * time.Second).Should(Receive(BeNumerically("<", ProbePeriod+ProbeDeadline+ProbePeriod/4)))
+		}
+	})
+
 	// A middlebox may drop a connection from its state: the connection stays open and
 	// carries nothing. The host that accepted it sends no probes, so without a timeout it
 	// would keep the other host's waiting requests forever.
@@ -245,3 +274,48 @@
 	Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &u)).To(Succeed())
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// acceptedIdleTimeout is how long nothing may arrive on a session that another host opened.
+const acceptedIdleTimeout = ProbePeriod + ProbeDeadline
+
+// freezer forwards connections to a target until it is frozen.
+type freezer struct {
+	address string
+	frozen  atomic.Bool
+}
+
+func startFreezer(target string) *freezer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	f := &freezer{address: l.Addr().String()}
+	forward := func(to, from net.Conn) {
+		buf := make([]byte, 4096)
+		for {
+			n, err := from.Read(buf)
+			if err != nil {
+				_ = to.Close()
+				return
+			}
+			if f.frozen.Load() {
+				continue
+			}
+			_, _ = to.Write(buf[:n])
+		}
+	}
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			go forward(far, near)
+			go forward(near, far)
+		}
+	}()
+	return f
+}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -178,34 +178,53 @@
 }
 
 // probe pings a session that this host opened and closes it if a ping is not answered in
-// time. It skips the ping if both hosts have sent something within ProbePeriod.
+// time. A ping is due when one of the hosts has sent nothing for the probe period.
 //
 // Only the host that opened a session probes, so that a home (the host that runs the scheduler),
 // to which hundreds of hosts have sessions, answers probes but sends none. If both hosts
 // probed, busy or not, 195 sessions would cost it 1,600 messages a second.
 func (m *Manager) probe(s *session) {
-	tick := time.NewTicker(ProbePeriod)
-	defer tick.Stop()
+	timer := time.NewTimer(m.probePeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case <-s.mux.CloseChan():
 			return
-		case <-tick.C:
+		case <-timer.C:
 		}
-		if max(s.conn.receiveIdle(), s.conn.sendIdle()) < ProbePeriod {
+		if due := m.probePeriod - max(s.conn.receiveIdle(), s.conn.sendIdle()); due > 0 {
+			timer.Reset(due)
 			continue
 		}
-		if _, err := s.mux.Ping(); err != nil {
+		if err := s.ping(); err != nil {
 			m.closeSilent(s, err.Error())
 			return
 		}
+		timer.Reset(m.probePeriod)
+	}
+}
+
+// ping fails if the other host does not answer within ProbeDeadline. Sending a ping and waiting for its
+// answer have a timeout each.
+func (s *session) ping() error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := s.mux.Ping()
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(ProbeDeadline):
+		return yamux.ErrTimeout
 	}
 }
 
 // watchIdle closes a session that another host opened if nothing, not even a probe, has
-// arrived for acceptedIdleTimeout.
+// arrived for the time within which the other host detects silence.
 func (m *Manager) watchIdle(s *session) {
-	tick := time.NewTicker(acceptedIdleTimeout / 2)
+	timeout := m.probePeriod + ProbeDeadline
+	tick := time.NewTicker(timeout / 2)
 	defer tick.Stop()
 	for {
 		select {
@@ -213,7 +232,7 @@
 			return
 		case <-tick.C:
 		}
-		if receiveIdle := s.conn.receiveIdle(); receiveIdle > acceptedIdleTimeout {
+		if receiveIdle := s.conn.receiveIdle(); receiveIdle > timeout {
 			m.closeSilent(s, "nothing received for "+receiveIdle.String())
 			return
 		}
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -25,9 +25,9 @@
 	// answer when the call began: a reader without one lets a call wait for firstReadWait at
 	// most.
 	minHeldCall = 2 * firstReadWait
-	// relayPause is how long a reader that had no fresh answer, or did not answer, is not asked
+	// RelayPause is how long a reader that had no fresh answer, or did not answer, is not asked
 	// again. It doubles each time, up to maxStalePause or maxUnreachablePause.
-	relayPause          = 300 * time.Millisecond
+	RelayPause          = 300 * time.Millisecond
 	maxStalePause       = 1 * time.Second
 	maxUnreachablePause = 2 * time.Second
 	// storeBackoff is how long a host asks only other hosts after the store did not answer it;
@@ -247,7 +247,7 @@
 	if answered {
 		limit = maxStalePause
 	}
-	p.length = min(limit, max(relayPause, 2*p.length))
+	p.length = min(limit, max(RelayPause, 2*p.length))
 	p.until = time.Now().Add(p.length)
 	return p
 }
