--- a/cmd/gentianhost/main.go
+++ b/cmd/gentianhost/main.go
@@ -77,11 +77,6 @@
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	go func() {
-		for range reload {
-			reloaded, err := platform.ReadSettings()
-			n.Reload(reloaded, err)
-		}
-	}()
+	go platform.WatchSettings(ctx, reload, n.Reload)
 	return n.Run(ctx)
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -138,7 +138,7 @@
 	HostIsolated:    {"host_isolated", Alarm, "Neither the table service nor a peer answers; new requests are refused as not run."},
 	HostRejoined:    {"host_rejoined", Info, "The table service or a peer answers again; new requests are accepted."},
 	LinesDropped:    {"lines_dropped", Warn, "Log lines were dropped because of the rate limit or a stalled log reader; count gives their number."},
-	SettingsRead:    {"settings_read", Info, "SIGHUP: the settings file was read again."},
+	SettingsRead:    {"settings_read", Info, "The settings file was read again, after SIGHUP or since it changed; detail names a new address of the store."},
 	DutyFailed:      {"duty_failed", Alarm, "A background task failed unexpectedly; detail gives the error."},
 
 	RequestAccepted:   {"request_accepted", Trace, "The entry host received the whole request."},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,13 +60,16 @@
 // Platform is what the platform adapter provides: the store, and the platform's formats of
 // header fields, table rows and small HTTP interfaces.
 type Platform struct {
-	Tables        store.Tables
-	Writer        store.Writer
-	Conditional   store.Conditional
-	Dialect       entry.Dialect
-	OperatorTable string
-	ServerTable   string
-	HostTable     string
+	Tables      store.Tables
+	Writer      store.Writer
+	Conditional store.Conditional
+	// SetStoreAddress makes further calls go to another address of the store, and reports whether it differs
+	// from the one before.
+	SetStoreAddress func(address string) (changed bool)
+	Dialect         entry.Dialect
+	OperatorTable   string
+	ServerTable     string
+	HostTable       string
 	// QuarantineTable holds the requests in quarantine (requests that are not run, since servers
 	// ended under them), so that hosts that start can read them.
 	QuarantineTable string
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -362,8 +362,8 @@
 	return 0
 }
 
-// Reload applies settings that were read again after SIGHUP. Only the memory limit can change
-// while the process runs; addresses stay, since callers are connected to them.
+// Reload applies settings that were read again. The memory limit and the store's address can change while
+// the process runs; this host's own addresses stay, since callers are connected to them.
 func (n *Node) Reload(settings Settings, err error) {
 	if err != nil {
 		n.events.Record(event.ConfigRefused, event.Fields{Detail: "settings: " + err.Error()})
@@ -373,5 +373,9 @@
 	if n.load != nil {
 		n.load.setMemoryLimit(settings.MemoryBytes)
 	}
-	n.events.Record(event.SettingsRead, event.Fields{})
+	detail := ""
+	if n.platform.SetStoreAddress(settings.Store) {
+		detail = "store at " + settings.Store
+	}
+	n.events.Record(event.SettingsRead, event.Fields{Detail: detail})
 }
--- a/test/platform/site_test.go
+++ b/test/platform/site_test.go
@@ -202,14 +202,20 @@
 	return srv
 }
 
-// start writes the host's settings file and starts its process.
-func (s *site) start(h *host) {
+// writeSettings writes the host's settings file and returns its path.
+func (s *site) writeSettings(h *host) string {
 	path := filepath.Join(s.dir, h.name+".conf")
 	set := standin.HostSettings{Name: h.name, IP: h.ip, Zone: cmp.Or(h.zone, s.zone(len(h.name))), Store: cmp.Or(h.store, s.storeAddress), Cores: h.cores}
 	for i := range min(3, len(s.hosts)) {
 		set.Seeds = append(set.Seeds, s.hosts[i].ip)
 	}
 	Expect(set.Write(path)).To(Succeed())
+	return path
+}
+
+// start writes the host's settings file and starts its process.
+func (s *site) start(h *host) {
+	path := s.writeSettings(h)
 	if s.inProcess {
 		s.startInProcess(h, path)
 		return
