node: what the system wrote is written again after a restore of the store

What callers saw: a request that crashes servers was in no row after a restore, and after a restart of all hosts it was run again and crashed servers anew; a request that an operator had released was refused again by the next home.

Cause: rows were written once, when something changed, and taken to stay. At a rise of the era the home now writes the rows it knows (hosts, quarantine, versions) and deletes those of what has left quarantine since the copy.

Evidence: two specs with real hosts, red on the code before (no row 4 s after the restore; the released row was back for good), green now.

--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -105,12 +105,22 @@
 type hostTableSync struct {
 	node             *Node
 	versions         versionStore
-	writtenSize      int           // the size in this host's row, 0 if it has none
-	nextReleaseCheck time.Time     // when to check next whether an operator released something
-	nextRead         time.Time     // when to read the table next
+	writtenSize      int       // the size in this host's row, 0 if it has none
+	nextReleaseCheck time.Time // when to check next whether an operator released something
+	nextRead         time.Time // when to read the table next
+	restored         restoreCheck
 	retry            time.Duration // between reads while this host has no contacts
 }
 
+// restoreCheck tells when the store has been restored since the last check. Its field belongs to one goroutine.
+type restoreCheck struct{ era *storeEra }
+
+func (c *restoreCheck) check(era *storeEra) (restored bool) {
+	restored = c.era != nil && era.number > c.era.number
+	c.era = era
+	return restored
+}
+
 // check writes this host's row and reads the table when they are due. Only the home and a host
 // without contacts do so.
 func (t *hostTableSync) check(ctx context.Context, now time.Time) {
@@ -118,6 +128,12 @@
 	live := n.members.LiveCount()
 	alone := live == 1
 	home := n.isHome() && n.gossip.Settled()
+	if t.restored.check(n.era.Load()) {
+		// What this host wrote may be lost. Rows that it knows are written again, if it is the home.
+		n.quarantined.loaded.Store(false)
+		t.versions.written = map[string]versionRow{}
+		t.writtenSize, t.nextRead = 0, now
+	}
 	t.loadQuarantine(ctx, now, home)
 	t.versions.check(ctx, home)
 	if !alone && !home {
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,9 @@
 	mu      sync.Mutex
 	pending map[string]encodable // rows to write, by key; nil: row to delete
 	known   map[string]encodable // rows of what is in quarantine
+	// lifted holds what has left quarantine, since when: rows of it are deleted, also if the store is restored from
+	// a copy that has them.
+	lifted map[string]time.Time
 }
 
 // encodable is a row that can be written.
@@ -58,7 +62,7 @@
 func newQuarantineStore(host, table string, tables store.Tables, writer store.Writer, isHome func() bool, events *event.Recorder) *quarantineStore {
 	return &quarantineStore{
 		host: host, table: table, tables: tables, writer: writer, isHome: isHome, events: events, wake: make(chan struct{}, 1),
-		pending: map[string]encodable{}, known: map[string]encodable{},
+		pending: map[string]encodable{}, known: map[string]encodable{}, lifted: map[string]time.Time{},
 	}
 }
 
@@ -94,12 +98,14 @@
 // schedules the write. The caller holds mu.
 func (q *quarantineStore) apply(key string, quarantined bool, by string, row encodable) {
 	if quarantined {
+		delete(q.lifted, key)
 		q.known[key] = row
 		if by == q.host {
 			q.pending[key] = row
 		}
 	} else {
 		delete(q.known, key)
+		q.noteLifted(key)
 		if q.isHome() {
 			q.pending[key] = nil
 		}
@@ -107,6 +113,25 @@
 	q.wakeUp()
 }
 
+// liftedRetention is how long this host remembers what has left quarantine. A copy from which the store is
+// restored is seconds old.
+const liftedRetention = 5 * time.Minute
+
+// noteLifted notes that something has left quarantine. The caller holds mu.
+func (q *quarantineStore) noteLifted(key string) {
+	now := time.Now()
+	maps.DeleteFunc(q.lifted, func(_ string, since time.Time) bool { return now.Sub(since) > liftedRetention })
+	q.lifted[key] = now
+}
+
+// hasLeft reports whether a row is of something that has left quarantine.
+func (q *quarantineStore) hasLeft(key string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	since, ok := q.lifted[key]
+	return ok && time.Since(since) <= liftedRetention
+}
+
 func (q *quarantineStore) wakeUp() {
 	select {
 	case q.wake <- struct{}{}:
@@ -193,6 +218,11 @@
 	var requests []quarantine.Record
 	var traits []quarantine.TraitRecord
 	for _, r := range rows {
+		if q.hasLeft(r.Key) {
+			listed[r.Key] = true
+			q.scheduleDelete(r.Key)
+			continue
+		}
 		inForce, released, err := decodeQuarantined(now, r, &requests, &traits)
 		if err != nil {
 			q.events.Record(event.ConfigRefused, event.Fields{Detail: "quarantine: " + failure.From(err).Message})
@@ -247,6 +277,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.known, key)
+	q.noteLifted(key)
 	q.pending[key] = nil
 	q.wakeUp()
 }
--- a/test/platform/restore_test.go
+++ b/test/platform/restore_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -11,6 +12,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/gentianflow/gentianflow/internal/quarantine"
+	"github.com/gentianflow/gentianflow/platform"
 	"github.com/gentianflow/gentianflow/platform/standin"
 )
 
@@ -252,3 +255,48 @@
 		}),
 	)
 })
+
+var _ = Describe("the system's own rows after a restore of the store", func() {
+	// They are in the store for a fleet that starts anew. If nobody wrote them again, a request that crashes
+	// servers would end as many again after a power loss.
+	It("are written again if the copy lacks them", func() {
+		s, _ := newFatalSite(siteOptions{hosts: 3, engines: 5, apps: 1, largeFirst: true})
+		old := s.store.Copy()
+		s.sendUntilRefused()
+		Eventually(s.quarantineRows).Should(Equal(1))
+		Eventually(func() []string { return s.store.Keys("hosts") }).ShouldNot(BeEmpty())
+		Eventually(func() []string { return s.store.Keys("versions") }).Should(HaveLen(2))
+		for _, table := range []string{"hosts", "versions"} {
+			for _, key := range s.store.Keys(table) {
+				old = old.Without(table, key)
+			}
+		}
+		s.restore(old, nil)
+		Eventually(s.quarantineRows).WithTimeout(4 * time.Second).Should(Equal(1))
+		Eventually(func() []string { return s.store.Keys("hosts") }).WithTimeout(4 * time.Second).ShouldNot(BeEmpty())
+		Eventually(func() []string { return s.store.Keys("versions") }).WithTimeout(4 * time.Second).Should(HaveLen(2))
+		s.killAndRestartAll()
+		s.expectRefusal(s.hosts[1])
+	})
+
+	// An operator has released a request from quarantine, and the row was deleted. The copy still has it.
+	It("are deleted again if they were deleted since the copy", func() {
+		s, restarter := newFatalSite(siteOptions{hosts: 3, engines: 5, apps: 1, largeFirst: true})
+		s.sendUntilRefused()
+		Eventually(s.quarantineRows).Should(Equal(1))
+		s.waitForQuarantineEverywhere()
+		old := s.store.Copy()
+		restarter.fixServers()
+		rows, _, err := platform.NewStore(s.storeAddress).Snapshot(context.Background(), platform.QuarantineTable)
+		Expect(err).NotTo(HaveOccurred())
+		released, err := quarantine.Row{Released: true}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(platform.NewStore(s.storeAddress).Put(context.Background(), platform.QuarantineTable, rows[0].Key, released)).To(Succeed())
+		Eventually(s.quarantineRows).WithTimeout(15 * time.Second).Should(BeZero())
+		s.restore(old, nil)
+		Eventually(s.quarantineRows).WithTimeout(4 * time.Second).Should(BeZero())
+		for _, h := range s.hosts {
+			Expect(inQuarantine(s.send(h, fatalCall()))).To(BeFalse(), h.name)
+		}
+	})
+})
