node, sched: a restore of the store begins no roll-out twice and hides no order

What callers saw: an order that follows a restore was not carried out (its row's number is lower than that of the order before), and a version that had been rolled back was reported as never tried, or was tried on callers again.

Cause: an order's identity was the number of its row. It is now a version with its era; a row that a restore renumbered is recognised, and the home writes again how far each order is.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -191,6 +191,8 @@
 	n.loop.OnSuspects(n.publishSuspects)
 	n.loop.OnTraits(n.publishTraits)
 	n.rollouts = newRollouts(n.settings.Host+" "+n.incarnation.String(), n.platform, n.loop, func() bool { return n.home.Leads() }, n.events)
+	n.rollouts.era = n.era.Load
+	n.rollouts.announce = func(steps []rollout.Status) { n.home.SendRollouts(steps) }
 	n.loop.OnOrigins(func(now sched.Time, records []origin.Record) {
 		if n.home.Leads() {
 			n.home.SendOrigins(now, records)
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/dispatch"
@@ -24,6 +27,12 @@
 	// rollout's duration, so that each rollout takes a handful of calls.
 	minCommandInterval   = 3 * time.Second
 	commandIntervalShare = 0.15
+	// rewriteWindow is how long after a restore of the store an operator may write an order again that the
+	// restore took away. An equal order that comes later is a new one.
+	rewriteWindow = 10 * time.Second
+	// announceDelay is how long after a restore the home tells all hosts again how far orders are: by then
+	// they know the orders by their new row versions.
+	announceDelay = 2 * time.Second
 )
 
 // rollouts carries out the operators' rollout orders while this host is the home: it claims
@@ -37,7 +46,12 @@
 	leads    func() bool
 	events   *event.Recorder
 	wake     chan struct{}
+	era      func() *storeEra             // of the store, nil before the first read
+	announce func(steps []rollout.Status) // sends the progress of orders to all hosts
 
+	restored     restoreCheck
+	rewrite      atomic.Bool      // rows of orders are to be written again, since the store was restored
+	announceAt   time.Time        // when to call announce, zero: not
 	handled      map[string]int64 // by service, the row version of the order that this host handles
 	commandsRead time.Time
 	// retry is the delay after a failed call; it doubles with each further failure. No call is
@@ -48,20 +62,26 @@
 	mu          sync.Mutex
 	rowVersions map[string]store.Version // by key, the newest version read of a row of the operator's table
 	orders      map[string]rollout.Order
-	outcomes    map[string]rollout.Status // by service, how trials ended; not yet written
+	past        map[string][]rollout.Order // by service, orders that newer ones have replaced
+	renumbered  map[string][]int64         // by service, earlier row versions of the order in force
+	outcomes    map[string]rollout.Status  // by service, how trials ended; not yet written
 }
 
 func newRollouts(host string, platform Platform, loop *dispatch.Loop, leads func() bool, events *event.Recorder) *rollouts {
 	return &rollouts{
 		host: host, platform: platform, loop: loop, leads: leads, events: events, wake: make(chan struct{}, 1),
-		handled: map[string]int64{}, rowVersions: map[string]store.Version{}, orders: map[string]rollout.Order{}, outcomes: map[string]rollout.Status{},
+		handled: map[string]int64{}, rowVersions: map[string]store.Version{}, orders: map[string]rollout.Order{}, past: map[string][]rollout.Order{},
+		renumbered: map[string][]int64{}, outcomes: map[string]rollout.Status{},
 	}
 }
 
 // applyOrder applies a row of the operator's table if it is an order. After an invalid
 // order, the previous one stays in force.
+//
+// After a restore of the store the row may be that of the order in force, from the copy or written again, and so
+// not a new order; or that of an order that it has replaced.
 func (r *rollouts) applyOrder(row store.Row) {
-	o, ok, err := r.platform.DecodeOrder(row.Key, row.Value, row.Version.Number())
+	o, ok, err := r.platform.DecodeOrder(row.Key, row.Value, int64(row.Version))
 	if !ok {
 		return
 	}
@@ -75,11 +95,51 @@
 		r.events.Record(event.RolloutRefused, event.Fields{Service: o.Service, Detail: failure.From(err).Message})
 		return
 	}
+	if r.isPast(o) {
+		return
+	}
+	known, ok := r.orders[o.Service]
 	r.orders[o.Service] = o
+	if ok && r.isWrittenAgain(known, o) {
+		r.rewrite.Store(true)
+		r.renumbered[o.Service] = append(r.renumbered[o.Service], known.RowVersion)
+		r.loop.Do(func(_ sched.Time, s *sched.Scheduler) { s.RenumberOrder(o) })
+		return
+	}
+	if ok {
+		past := append(r.past[o.Service], known)
+		r.past[o.Service] = past[max(0, len(past)-maxPastOrders):]
+	}
+	delete(r.renumbered, o.Service)
 	r.loop.Do(func(_ sched.Time, s *sched.Scheduler) { s.SetOrder(o) })
 	r.wakeUp()
 }
 
+// maxPastOrders is the number of replaced orders of a service that are remembered.
+const maxPastOrders = 8
+
+// isPast reports whether an order is one that a newer one has replaced, from a copy of the store. The caller
+// holds mu.
+func (r *rollouts) isPast(o rollout.Order) bool {
+	return slices.ContainsFunc(r.past[o.Service], func(p rollout.Order) bool { return isRestored(p, o) })
+}
+
+// isRestored reports whether o is a known order, in the row that it had in an earlier era.
+func isRestored(known, o rollout.Order) bool {
+	before, now := store.Version(known.RowVersion), store.Version(o.RowVersion)
+	return known.SameContent(o) && before.Era() < now.Era() && before.Number() == now.Number()
+}
+
+// isWrittenAgain reports whether o is the order in force in its row after a restore. The caller holds mu.
+func (r *rollouts) isWrittenAgain(known, o rollout.Order) bool {
+	if isRestored(known, o) {
+		return true
+	}
+	era := r.era()
+	restored := era != nil && era.restored && time.Since(era.since) < rewriteWindow
+	return known.SameContent(o) && restored
+}
+
 // onSteps receives the progress of the scheduler's trials. It does not block.
 func (r *rollouts) onSteps(steps []rollout.Status) {
 	r.mu.Lock()
@@ -109,6 +169,9 @@
 		case <-ctx.Done():
 			return
 		}
+		if r.restored.check(r.era()) {
+			r.rewrite.Store(true)
+		}
 		if !r.leads() {
 			r.dropTrials()
 			continue
@@ -116,6 +179,7 @@
 		if time.Now().Before(r.notBefore) {
 			continue
 		}
+		r.rewriteOrders(ctx)
 		r.claimOrders(ctx)
 		r.writeOutcomes(ctx)
 		r.readCommands(ctx)
@@ -151,6 +215,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for service, o := range r.orders {
+		if slices.Contains(r.renumbered[service], r.handled[service]) {
+			r.handled[service] = o.RowVersion
+		}
 		if o.Check() == "" && r.handled[service] != o.RowVersion {
 			out = append(out, o)
 		}
@@ -173,6 +240,77 @@
 	}
 }
 
+// phases returns how far the orders are, by service, as far as this host's scheduler knows. ok is false if the
+// scheduler did not answer.
+func (r *rollouts) phases(ctx context.Context) (out map[string]rollout.Status, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, rolloutPollPeriod)
+	defer cancel()
+	answer := make(chan map[string]rollout.Status, 1)
+	r.loop.Query(ctx, func(s *sched.Scheduler) {
+		phases := map[string]rollout.Status{}
+		for _, status := range s.OrderPhases() {
+			phases[status.Order.Service] = status
+		}
+		answer <- phases
+	})
+	select {
+	case out = <-answer:
+		return out, true
+	default:
+		return nil, false
+	}
+}
+
+// rewriteOrders writes how far orders are after a restore of the store, which may have taken that away, and later
+// announces it to all hosts. The new rows also make a write fail that was on its way during the restore.
+func (r *rollouts) rewriteOrders(ctx context.Context) {
+	if !r.announceAt.IsZero() && time.Now().After(r.announceAt) {
+		r.announceAt = time.Time{}
+		if phases, ok := r.phases(ctx); ok {
+			r.announce(slices.Collect(maps.Values(phases)))
+		}
+	}
+	if !r.rewrite.CompareAndSwap(true, false) {
+		return
+	}
+	if !r.rewriteRows(ctx) {
+		r.rewrite.Store(true) // at the next poll
+		return
+	}
+	r.announceAt = time.Now().Add(announceDelay)
+}
+
+func (r *rollouts) rewriteRows(ctx context.Context) (done bool) {
+	phases, ok := r.phases(ctx)
+	if !ok || len(phases) == 0 {
+		return ok
+	}
+	rows, version, storeNow, err := r.platform.Conditional.Rows(ctx, r.platform.RolloutTable)
+	if !r.callSucceeded(err) {
+		return false
+	}
+	for service, status := range phases {
+		current := findRow(rows, version, service)
+		row := rollout.Row{
+			Order: int64(store.Version(status.Order.RowVersion).InEra(version.Era())), To: status.Order.To, Phase: status.Phase, By: r.host,
+			BegunMs: storeNow.Milliseconds(), Why: "written again after a restore of the store",
+		}
+		if previous, err := rollout.DecodeRow(current.Value); err == nil && isOf(previous, status.Order) {
+			row.BegunMs = min(row.BegunMs, previous.BegunMs)
+		}
+		if r.write(ctx, status.Order, row, current.Version) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// isOf reports whether a row is of an order. A restore of the store gives the order's row another version; the row
+// of an earlier era is of the order if it names the same version to move to.
+func isOf(row rollout.Row, o rollout.Order) bool {
+	return row.To == o.To && (row.Order == o.RowVersion || store.Version(row.Order).Era() < store.Version(o.RowVersion).Era())
+}
+
 // findRow returns the row with a key of a table that was read at a version. A row that does not exist has
 // the number 0.
 func findRow(rows []store.Row, version store.Version, key string) store.Row {
@@ -193,7 +331,7 @@
 func (r *rollouts) claimOrder(ctx context.Context, o rollout.Order, current store.Row, storeNow time.Duration) {
 	row, resumed := rollout.Row{Order: o.RowVersion, To: o.To, Phase: rollout.Trying, BegunMs: storeNow.Milliseconds()}, false
 	if current.Version.Number() != 0 {
-		if previous, err := rollout.DecodeRow(current.Value); err == nil && previous.Order == o.RowVersion {
+		if previous, err := rollout.DecodeRow(current.Value); err == nil && isOf(previous, o) {
 			if previous.Over() {
 				r.handled[o.Service] = o.RowVersion
 				r.settleOrder(o, previous.Phase)
@@ -202,11 +340,21 @@
 			row.BegunMs, resumed = previous.BegunMs, true
 		}
 	}
+	phases, _ := r.phases(ctx)
+	if known, ok := phases[o.Service]; ok && known.Order.RowVersion == o.RowVersion {
+		resumed = true // the row is lost, or from before the store was restored
+		if known.Phase == rollout.Moved || known.Phase == rollout.PhaseRolledBack {
+			row.Phase = known.Phase
+		}
+	}
 	row.By = r.host
 	if err := r.write(ctx, o, row, current.Version); err != nil {
 		return // read again at the next poll: the write may have been applied
 	}
 	r.handled[o.Service] = o.RowVersion
+	if row.Over() {
+		return
+	}
 	elapsed := storeNow - row.Begun()
 	r.events.Record(event.RolloutOrdered, event.Fields{Service: o.Service, Detail: "to " + o.To + " within " + (o.Timeout - elapsed).String()})
 	r.loop.Do(func(now sched.Time, s *sched.Scheduler) { s.StartTrial(now, o, elapsed, resumed) })
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -115,15 +115,16 @@
 
 // storeEra is the highest era of the store that this host has read of, from the store or a relay.
 type storeEra struct {
-	number int64
-	since  time.Time
+	number   int64
+	since    time.Time
+	restored bool // there was an earlier one
 }
 
 // noteEra records the era of an update.
 func (n *Node) noteEra(number int64) {
 	for {
 		known := n.era.Load()
-		if known != nil && known.number >= number || n.era.CompareAndSwap(known, &storeEra{number, time.Now()}) {
+		if known != nil && known.number >= number || n.era.CompareAndSwap(known, &storeEra{number, time.Now(), known != nil}) {
 			return
 		}
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -21,6 +21,11 @@
 	RowVersion int64         // version of the order's row in the store; a newer one replaces the order
 }
 
+// SameContent reports whether two orders ask for the same.
+func (o Order) SameContent(other Order) bool {
+	return o.Service == other.Service && o.To == other.To && o.Timeout == other.Timeout
+}
+
 // Check describes what is wrong with an order; empty if it is valid.
 func (o Order) Check() string {
 	switch {
--- a/internal/sched/rollout.go
+++ b/internal/sched/rollout.go
@@ -59,6 +59,19 @@
 	s.groupServers()
 }
 
+// RenumberOrder gives an order that is in force another row version: a restore of the store gave its row
+// another one.
+func (s *Scheduler) RenumberOrder(o rollout.Order) {
+	v := s.versionsOf(o.Service)
+	if v.order == nil || !v.order.SameContent(o) {
+		return
+	}
+	v.order = &o
+	if v.trial != nil {
+		v.trial.Order = o
+	}
+}
+
 // StartTrial makes this scheduler carry out an order that was given ago before now. resumed
 // is set when it takes the trial over from another scheduler.
 func (s *Scheduler) StartTrial(now Time, o rollout.Order, ago time.Duration, resumed bool) {
--- a/internal/store/version.go
+++ b/internal/store/version.go
@@ -35,6 +35,9 @@
 // Number returns the number that the store gave the transaction, which is unique within the era.
 func (v Version) Number() int64 { return int64(v) & maxNumber }
 
+// InEra returns the version with the same number in another era.
+func (v Version) InEra(era int64) Version { return Version(era<<numberBits | v.Number()) }
+
 // Start returns the version before the first transaction of the era.
 func (v Version) Start() Version { return v &^ maxNumber }
 
--- a/test/platform/rollout_test.go
+++ b/test/platform/rollout_test.go
@@ -39,6 +39,11 @@
 		srv.SetFault(fault)
 		s.newServers = append(s.newServers, srv)
 	}
+	s.writeOrder(version)
+}
+
+// writeOrder writes the order to roll out a version.
+func (s *rolloutSite) writeOrder(version string) {
 	s.store.Put("op", "rollout/"+standin.AppService, map[string]any{"service": standin.AppService, "to": version, "durationS": rolloutDuration.Seconds()})
 }
 
@@ -220,3 +225,77 @@
 		Expect(s.send(s.hosts[0], standin.Call{Path: standin.CheckPath}).Status).To(Equal(http.StatusOK))
 	})
 })
+
+var _ = Describe("a rollout around a restore of the store", func() {
+	// The copy has the order as if it had just been given, or lacks it until the operator writes it again. A bad
+	// version would be tried on callers a second time.
+	DescribeTable("that rolled a bad version back isn't tried again",
+		func(restore func(s *rolloutSite, beforeOrder, afterOrder standin.StoreCopy), killAll bool) {
+			s := newRolloutSite(siteOptions{hosts: 3, engines: 1, apps: 3, largeFirst: true})
+			stop := make(chan struct{})
+			defer close(stop)
+			s.load(stop)
+			time.Sleep(time.Second)
+			beforeOrder := s.store.Copy()
+			s.store.Skip(lostVersions)
+			s.order("v2", 3, standin.Fault{FailEvery: 1})
+			afterOrder := s.store.Copy()
+			Eventually(s.state).WithTimeout(2 * rolloutDuration).Should(Equal("rolled_back v2"))
+			restore(s, beforeOrder, afterOrder)
+			time.Sleep(time.Second)
+			if killAll {
+				s.killAndRestartAll()
+			}
+			tried := runsOn(s.newServers)
+			Consistently(func() int { return runsOn(s.newServers) }).WithTimeout(rolloutDuration + time.Second).Should(Equal(tried))
+			Eventually(s.state).Should(Equal("rolled_back v2"))
+		},
+		Entry("with the order in the copy", func(s *rolloutSite, _, after standin.StoreCopy) { s.restore(after, nil) }, false),
+		Entry("with the order written again", func(s *rolloutSite, before, _ standin.StoreCopy) {
+			s.restore(before, func() { s.writeOrder("v2") })
+		}, false),
+		Entry("with the order in the copy and written again", func(s *rolloutSite, _, after standin.StoreCopy) {
+			s.restore(after, nil)
+			time.Sleep(500 * time.Millisecond)
+			s.writeOrder("v2")
+		}, false),
+		Entry("with the order written again and all hosts restarted", func(s *rolloutSite, before, _ standin.StoreCopy) {
+			s.restore(before, func() { s.writeOrder("v2") })
+			time.Sleep(time.Second)
+		}, true),
+		Entry("with the home killed", func(s *rolloutSite, _, after standin.StoreCopy) {
+			s.restore(after, func() { s.hosts[0].session.Kill().Wait() })
+		}, false),
+	)
+
+	It("goes on to its end and is reported", func() {
+		s := newRolloutSite(siteOptions{hosts: 3, engines: 1, apps: 3, largeFirst: true})
+		stop := make(chan struct{})
+		defer close(stop)
+		_, failed := s.load(stop)
+		time.Sleep(time.Second)
+		old := s.store.Copy()
+		s.store.Skip(lostVersions)
+		s.order("v2", 3, standin.Fault{})
+		time.Sleep(rolloutDuration / 2)
+		s.restore(old, func() { s.writeOrder("v2") })
+		Eventually(s.state).WithTimeout(2 * rolloutDuration).Should(Equal("completed v2"))
+		Expect(failed()).To(BeNumerically("<", 20))
+	})
+
+	// Its row has a lower number than the order that the restore has taken away.
+	It("takes an order that follows", func() {
+		s := newRolloutSite(siteOptions{hosts: 3, engines: 1, apps: 3, largeFirst: true})
+		stop := make(chan struct{})
+		defer close(stop)
+		s.load(stop)
+		old := s.store.Copy()
+		s.store.Skip(lostVersions)
+		s.order("v2", 3, standin.Fault{FailEvery: 1})
+		Eventually(s.state).WithTimeout(2 * rolloutDuration).Should(Equal("rolled_back v2"))
+		s.restore(old, nil)
+		time.Sleep(time.Second)
+		s.order("v3", 3, standin.Fault{})
+		Eventually(s.state).WithTimeout(3 * rolloutDuration).Should(Equal("completed v3"))
+	})
+})
