--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -163,6 +163,7 @@
 	refusalDetail string             // the scheduler's detail of a refusal, for the log
 	timeToFirst   time.Duration      // from the newest send to its first event or complete answer
 	framing       upstream.Framing   // of the newest server's answer, empty before there is one
+	configVersion int64              // of the configuration by which it was handled, 0 before one is known
 	sentFraming   upstream.Framing   // of the answer to the caller, empty until its header is written
 	tail          int                // bytes of the newest server's answer after its last complete event
 	stream        stream
@@ -203,6 +204,7 @@
 	if table == nil {
 		return failure.Retry(failure.StoreDown, noConfigRetryAfter, "no configuration is known yet")
 	}
+	x.configVersion = table.Version
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	if x.route = table.Match(x.r.Host, path); x.route == nil {
 		return failure.New(failure.UnknownService, "no route for %s%s", x.r.Host, path)
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -145,6 +145,7 @@
 			f.Detail += " via=" + x.via
 		}
 	}
+	f.Detail += " config=" + strconv.FormatInt(x.configVersion, 10)
 	f.Detail += x.endFields()
 	if x.head.HasTokens {
 		f.Detail += " prompt=" + strconv.Itoa(x.head.PromptTokens) + " output=" + strconv.Itoa(x.head.OutputTokens) + " hint=" + strconv.Itoa(x.head.OutputHint)
--- a/test/platform/restore_test.go
+++ b/test/platform/restore_test.go
@@ -146,6 +146,10 @@
 				Expect(s.statusOfKey(h)).To(Equal(http.StatusUnauthorized), h.name)
 			}
 		}
+		for _, h := range s.hosts {
+			Expect(string(h.logged())).To(ContainSubstring(fmt.Sprint("config=", s.config.Version)), h.name)
+			Expect(string(h.logged())).To(ContainSubstring("name=store_restored"), h.name)
+		}
 	})
 })
 
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -75,8 +75,10 @@
 	*site
 	rng          *rand.Rand
 	undo         []func()
-	addedHosts   int            // number of hosts added
-	replacements int            // number of servers replaced
+	addedHosts   int // number of hosts added
+	replacements int // number of servers replaced
+	copied       standin.StoreCopy
+	steps        int
 	background   sync.WaitGroup // shutdowns and replacements in progress
 }
 
@@ -94,6 +96,7 @@
 	{"signal new settings", (*soak).reloadSettings},
 	{"lose the store's history", (*soak).loseStoreHistory},
 	{"make the store unreachable", (*soak).takeStoreDown},
+	{"restore the store from a copy", (*soak).restoreStore},
 	{"change the configuration", (*soak).changeConfig},
 	{"change quotas and keys", (*soak).changeAccounts},
 	{"make a server misbehave", (*soak).addServerFault},
@@ -208,6 +211,26 @@
 	return ""
 }
 
+// stepsBetweenCopies is the number of faults between two copies of the store, some seconds.
+const stepsBetweenCopies = 6
+
+// restoreStore restores the store from the newest copy. The operator writes the configuration again, servers
+// their entries, and the entries of servers that have ended expire.
+func (k *soak) restoreStore() string {
+	k.store.Restore(k.copied)
+	k.config.Put(k.store)
+	k.mu.Lock()
+	ended := slices.DeleteFunc(slices.Clone(k.replaced), func(srv *standin.Server) bool { return !srv.Ended() })
+	k.mu.Unlock()
+	k.background.Go(func() {
+		time.Sleep(standin.EntryTTL)
+		for _, srv := range ended {
+			srv.ExpireEntry()
+		}
+	})
+	return fmt.Sprint("era ", k.store.Era())
+}
+
 func (k *soak) changeConfig() string {
 	k.config.Version += int64(1 + k.rng.IntN(3))
 	k.config.Put(k.store)
@@ -315,6 +338,10 @@
 func (k *soak) runOf(kinds []func(*soak) string, length time.Duration) {
 	checked := 0
 	for end := time.Now().Add(length); time.Now().Before(end); {
+		if k.steps%stepsBetweenCopies == 0 {
+			k.copied = k.store.Copy()
+		}
+		k.steps++
 		fmt.Fprintf(GinkgoWriter, "%s fault: %s\n", time.Now().Format("05.000"), kinds[k.rng.IntN(len(kinds))](k))
 		time.Sleep(time.Duration(100+k.rng.IntN(600)) * time.Millisecond)
 		for len(k.undo) > 2 {
