--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -295,8 +295,12 @@
 			Order: int64(store.Version(status.Order.RowVersion).InEra(version.Era())), To: status.Order.To, Phase: status.Phase, By: r.host,
 			BegunMs: storeNow.Milliseconds(), Why: "written again after a restore of the store",
 		}
-		if previous, err := rollout.DecodeRow(current.Value); err == nil && isOf(previous, status.Order) {
+		if previous, err := rollout.DecodeRow(current.Value); err == nil && r.isRowOf(previous, status.Order) {
 			row.BegunMs = min(row.BegunMs, previous.BegunMs)
+			if previous.Over() {
+				row.Phase, row.Why = previous.Phase, previous.Why // this host may have missed its end
+				r.settleOrder(status.Order, previous.Phase)
+			}
 		}
 		if r.write(ctx, status.Order, row, current.Version) != nil {
 			return false
@@ -305,9 +309,19 @@
 	return true
 }
 
-// isOf reports whether a row is of an order. A restore of the store gives the order's row another version; the row
-// of an earlier era is of the order if it names the same version to move to.
-func isOf(row rollout.Row, o rollout.Order) bool {
+// isRowOf reports whether a row is of an order, under the version that the order's row has now or had before a
+// restore of the store.
+func (r *rollouts) isRowOf(row rollout.Row, o rollout.Order) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, now := store.Version(row.Order), store.Version(o.RowVersion)
+	return row.To == o.To && (known == now || known.Era() < now.Era() && known.Number() == now.Number() ||
+		slices.Contains(r.renumbered[o.Service], row.Order))
+}
+
+// mayBeRowOf is isRowOf for a host that doesn't know the order from before: a row of an earlier era is of the order
+// if it names the same version to move to.
+func mayBeRowOf(row rollout.Row, o rollout.Order) bool {
 	return row.To == o.To && (row.Order == o.RowVersion || store.Version(row.Order).Era() < store.Version(o.RowVersion).Era())
 }
 
@@ -330,18 +344,27 @@
 // fails.
 func (r *rollouts) claimOrder(ctx context.Context, o rollout.Order, current store.Row, storeNow time.Duration) {
 	row, resumed := rollout.Row{Order: o.RowVersion, To: o.To, Phase: rollout.Trying, BegunMs: storeNow.Milliseconds()}, false
+	phases, _ := r.phases(ctx)
+	known, isKnown := phases[o.Service]
+	isKnown = isKnown && known.Order.RowVersion == o.RowVersion
 	if current.Version.Number() != 0 {
-		if previous, err := rollout.DecodeRow(current.Value); err == nil && isOf(previous, o) {
+		if previous, err := rollout.DecodeRow(current.Value); err == nil && (r.isRowOf(previous, o) || !isKnown && mayBeRowOf(previous, o)) {
 			if previous.Over() {
+				if previous.Order != o.RowVersion {
+					// From now on an order to the same version is a new one.
+					previous.Order, previous.By = o.RowVersion, r.host
+					if r.write(ctx, o, previous, current.Version) != nil {
+						return
+					}
+				}
 				r.handled[o.Service] = o.RowVersion
 				r.settleOrder(o, previous.Phase)
 				return
 			}
-			row.BegunMs, resumed = previous.BegunMs, true
+			row.BegunMs, resumed = min(row.BegunMs, previous.BegunMs), true
 		}
 	}
-	phases, _ := r.phases(ctx)
-	if known, ok := phases[o.Service]; ok && known.Order.RowVersion == o.RowVersion {
+	if isKnown {
 		resumed = true // the row is lost, or from before the store was restored
 		if known.Phase == rollout.Moved || known.Phase == rollout.PhaseRolledBack {
 			row.Phase = known.Phase
