--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -237,16 +237,13 @@
 }
 
 // Sessions that are probed seldom cost the hosts of a large fleet less; their silence is noticed later.
-const (
-	probesPerDrainTime = 4
-	maxProbePeriod     = 1 * time.Second
-)
+const probesPerDrainTime = 4
 
 // probePeriod returns how long a session between hosts may be idle before it is probed. A host hears from
 // its reader over a session, so the time in which its silence is noticed is part of the time in which
 // news of the store reach all hosts: docs/design/change-propagation.md has the sum.
 func probePeriod(drainTime time.Duration) time.Duration {
-	return min(maxProbePeriod, max(peer.ProbePeriod, drainTime/probesPerDrainTime))
+	return min(peer.MaxProbePeriod, max(peer.ProbePeriod, drainTime/probesPerDrainTime))
 }
 
 // fleetName is announced when sessions open, so that hosts of different fleets do not connect.
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -27,14 +27,19 @@
 )
 
 // Timeouts of a session. The host that opened a session detects its silence within the probe period,
-// ProbePeriod unless SetProbePeriod sets another one, plus ProbeDeadline. The other host detects it within
-// one and a half times as long.
+// ProbePeriod unless SetProbePeriod sets another one, plus ProbeDeadline, the other host within about
+// acceptedIdleTimeout.
 const (
 	DialTimeout   = 1 * time.Second
 	ProbePeriod   = 500 * time.Millisecond
 	ProbeDeadline = 1 * time.Second
-	helloTimeout  = 1 * time.Second
-	acceptBacklog = 256
+	// MaxProbePeriod is the longest probe period. The rest of acceptedIdleTimeout is for a late probe.
+	MaxProbePeriod = 1 * time.Second
+	// acceptedIdleTimeout is how long nothing may arrive on a session that another
+	// host opened. That host probes the session in each probe period unless it is busy.
+	acceptedIdleTimeout = ProbePeriod + ProbeDeadline
+	helloTimeout        = 1 * time.Second
+	acceptBacklog       = 256
 )
 
 // Identity identifies a host in the handshake of a session.
@@ -108,8 +113,8 @@
 	}
 }
 
-// SetProbePeriod sets how long a session is idle before it is probed. It must be the same on all hosts, and
-// set before the first session.
+// SetProbePeriod sets how long a session is idle before it is probed, MaxProbePeriod at most. It must be set
+// before the first session.
 func (m *Manager) SetProbePeriod(d time.Duration) { m.probePeriod = d }
 
 // SetLocalIP sets the local IP address of the sessions that this host opens, so that
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -275,9 +275,6 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// acceptedIdleTimeout is how long nothing may arrive on a session that another host opened.
-const acceptedIdleTimeout = ProbePeriod + ProbeDeadline
-
 // freezer forwards connections to a target until it is frozen.
 type freezer struct {
 	address string
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -221,10 +221,9 @@
 }
 
 // watchIdle closes a session that another host opened if nothing, not even a probe, has
-// arrived for the time within which the other host detects silence.
+// arrived for acceptedIdleTimeout.
 func (m *Manager) watchIdle(s *session) {
-	timeout := m.probePeriod + ProbeDeadline
-	tick := time.NewTicker(timeout / 2)
+	tick := time.NewTicker(acceptedIdleTimeout / 2)
 	defer tick.Stop()
 	for {
 		select {
@@ -232,7 +231,7 @@
 			return
 		case <-tick.C:
 		}
-		if receiveIdle := s.conn.receiveIdle(); receiveIdle > timeout {
+		if receiveIdle := s.conn.receiveIdle(); receiveIdle > acceptedIdleTimeout {
 			m.closeSilent(s, "nothing received for "+receiveIdle.String())
 			return
 		}
