entry: an answer without an end mark is reset by any end of the process

Cause: only exchange.abort turned the close into a reset, when an answer broke off. http.Server.Close at the end of the grace time doesn't pass there, and after SIGKILL or a crash the kernel closes and none of our code runs.

Change: SO_LINGER 0 is set before the header of such an answer is written and taken back by endAnswer, after its last byte was handed to the kernel. Until then each close is a reset, whoever closes. Framed answers and kept connections are not touched: nothing is set there.

Ruled out: chunks towards the caller for what had none. A reset in shutDown alone: leaves SIGKILL and crashes as they are.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -50,6 +50,9 @@
 	x.writeHeader(a.status, a.framing)
 	_, err := x.w.Write(a.body)
 	x.h.bytes.Add(int64(len(a.body)))
+	if err == nil {
+		err = x.endAnswer()
+	}
 	if err != nil && x.r.Method != http.MethodHead {
 		x.recordEvent(event.RequestLeft, "before the answer was written")
 		return
@@ -100,6 +103,9 @@
 	}
 	copied, err := io.Copy(x.w, resp.Body)
 	x.h.bytes.Add(int64(len(a.body)) + copied)
+	if err == nil {
+		err = x.endAnswer()
+	}
 	if err != nil {
 		t.conn.Close()
 		go t.reportBroken()
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -41,9 +41,14 @@
 	return left || err != nil
 }
 
-// resetOnClose makes the close of the caller's connection a reset.
-func resetOnClose(ctx context.Context) {
+// setResetOnClose makes the close of the caller's connection a reset, or takes that back. It also holds for
+// the kernel's close when the process is killed.
+func setResetOnClose(ctx context.Context, reset bool) {
+	seconds := -1 // the default of the system
+	if reset {
+		seconds = 0
+	}
 	if c, ok := ctx.Value(callerConnKey{}).(interface{ SetLinger(seconds int) error }); ok {
-		_ = c.SetLinger(0) // fails only on a closed connection
+		_ = c.SetLinger(seconds) // fails only on a closed connection
 	}
 }
--- a/internal/entry/ending.go
+++ b/internal/entry/ending.go
@@ -63,6 +63,9 @@
 }
 
 // writeHeader writes the header of the answer to the caller. server is the framing of the server's answer.
+//
+// Where only the end of the connection marks the end of the answer, closing it is a reset until endAnswer.
+// An answer is cut off by any close before, also when the process is killed and the kernel closes it.
 func (x *exchange) writeHeader(status int, server upstream.Framing) {
 	h := x.w.Header()
 	switch {
@@ -78,9 +81,24 @@
 	default:
 		x.sentFraming = upstream.ByConnection
 	}
+	if x.sentFraming == upstream.ByConnection {
+		setResetOnClose(x.r.Context(), true)
+	}
 	x.w.WriteHeader(status)
 }
 
+// endAnswer ends an answer that was written completely.
+func (x *exchange) endAnswer() error {
+	if x.sentFraming != upstream.ByConnection {
+		return nil
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return failure.Wrap(failure.Withdrawn, err, "flush the end of the answer")
+	}
+	setResetOnClose(x.r.Context(), false)
+	return nil
+}
+
 // mayEnd reports whether the answer to the caller may end in order now that the newest server's has. Chunks
 // that end in order would say more than a server whose answer ended with its connection.
 func (x *exchange) mayEnd() bool {
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -13,7 +13,6 @@
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/sched"
-	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 // giveUp ends a request that gets no further placement.
@@ -115,13 +114,10 @@
 }
 
 // abort ends the caller's connection, so that a partly written answer does not look complete: without the
-// length or the last chunk that the header promised or, where nothing marks the end of the answer, with a
-// reset. It does not return: it panics with http.ErrAbortHandler.
+// length or the last chunk that the header promised or, where nothing marks the end of the answer, with the
+// reset that writeHeader has set. It does not return: it panics with http.ErrAbortHandler.
 func (x *exchange) abort(reason string) {
 	x.recordEvent(event.RequestCut, reason)
-	if x.sentFraming == upstream.ByConnection {
-		resetOnClose(x.r.Context())
-	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -202,11 +202,13 @@
 	if !x.mayEnd() {
 		x.abort("the last server's answer ended with its connection")
 	}
-	if len(tail) > 0 {
-		if _, err := x.w.Write(tail); err != nil {
-			x.recordEvent(event.RequestLeft, "before the end of the stream was written")
-			return done
-		}
+	_, err := x.w.Write(tail)
+	if err == nil {
+		err = x.endAnswer()
+	}
+	if err != nil {
+		x.recordEvent(event.RequestLeft, "before the end of the stream was written")
+		return done
 	}
 	x.h.Meter.Answered(x.route, resp.StatusCode, time.Since(x.arrived))
 	x.recordEvent(event.RequestAnswered, strconv.Itoa(resp.StatusCode)+" events="+strconv.Itoa(x.stream.events))
--- a/test/platform/site_test.go
+++ b/test/platform/site_test.go
@@ -117,6 +117,7 @@
 type siteOptions struct {
 	hosts, engines, apps int
 	engine               standin.ServerSpec // defaults where zero
+	framings             []standin.Framing  // of the engines' streams, in turn; by chunks if empty
 	proxied              bool               // servers and store are behind proxies
 	largeFirst           bool               // the first host is larger and therefore the home
 	large                int                // number of larger hosts, the first ones: the home and the readers
@@ -152,6 +153,9 @@
 	}
 	for i := range o.engines {
 		spec.ID, spec.Zone = fmt.Sprintf("i-engine%d", i), s.zone(i)
+		if len(o.framings) > 0 {
+			spec.Framing = o.framings[i%len(o.framings)]
+		}
 		s.addServer(spec)
 	}
 	for i := range o.apps {
