entry, callerapi: a caller that half closes gets no empty success

Cause: net/http cancels a request's context when it reads the end of the caller's sending side. The handler then returned without an answer, and net/http completes what a handler leaves: an empty 200, or the last chunk.

Change: an exchange whose caller has left ends with http.ErrAbortHandler, which closes the connection as it is. The product's own interface does the same. That the request is given up stays: a half close can't be told from a full one, and work for callers that have left is to stop.

Ruled out: serving half-closed callers to the end. It would run requests for callers that are gone.

--- a/internal/callerapi/encode.go
+++ b/internal/callerapi/encode.go
@@ -120,7 +120,9 @@
 	for {
 		data, ended, err := read(ctx, answer, offset)
 		if ctx.Err() != nil {
-			return
+			// The caller may only have closed its sending side, and would take a response that
+			// net/http completes for its answer.
+			panic(http.ErrAbortHandler)
 		}
 		if failure.Is(err, stillWaiting) {
 			if !started {
@@ -186,7 +188,9 @@
 	for {
 		data, ended, err := read(ctx, answer, len(body))
 		if ctx.Err() != nil {
-			return
+			// The caller may only have closed its sending side, and would take a response that
+			// net/http completes for its answer.
+			panic(http.ErrAbortHandler)
 		}
 		if failure.Is(err, stillWaiting) {
 			w.WriteHeader(http.StatusProcessing)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -54,8 +54,7 @@
 		err = x.endAnswer()
 	}
 	if err != nil && x.r.Method != http.MethodHead {
-		x.recordEvent(event.RequestLeft, "before the answer was written")
-		return
+		x.leave("before the answer was written")
 	}
 	x.h.Meter.Answered(x.route, a.status, time.Since(x.arrived))
 	x.recordEvent(event.RequestAnswered, strconv.Itoa(a.status))
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -19,7 +19,7 @@
 func (x *exchange) giveUp(ctx context.Context, err error) {
 	switch {
 	case x.r.Context().Err() != nil:
-		x.recordEvent(event.RequestLeft, "while the request waited for a placement")
+		x.leave("while the request waited for a placement")
 	case x.stream.started:
 		x.abort("no place to resume the stream: " + err.Error())
 	case x.errorAnswer != nil:
@@ -81,9 +81,7 @@
 func (x *exchange) refuse(err error) {
 	e := failure.From(err)
 	if e.Code == failure.Withdrawn {
-		x.recordEvent(event.RequestLeft, "while the request was read")
-		x.abort(e.Message)
-		return
+		x.leave("while the request was read: " + e.Message)
 	}
 	x.fail(e.Status(), e.Code, e.RetryAfter, e.Message)
 }
@@ -121,6 +119,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// leave ends a request whose caller has left. The caller may only have closed its sending side, and would
+// take the end of a response that net/http completes for the end of its answer. It does not return: it
+// panics with http.ErrAbortHandler.
+func (x *exchange) leave(when string) {
+	x.recordEvent(event.RequestLeft, when)
+	panic(http.ErrAbortHandler)
+}
+
 // recordEvent records an event of the request with the state of its exchange.
 func (x *exchange) recordEvent(code event.Code, detail string) {
 	f := event.Fields{Request: x.head.ID, Service: x.service, Server: x.placement.Server, Detail: detail}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -207,8 +207,7 @@
 		err = x.endAnswer()
 	}
 	if err != nil {
-		x.recordEvent(event.RequestLeft, "before the end of the stream was written")
-		return done
+		x.leave("before the end of the stream was written")
 	}
 	x.h.Meter.Answered(x.route, resp.StatusCode, time.Since(x.arrived))
 	x.recordEvent(event.RequestAnswered, strconv.Itoa(resp.StatusCode)+" events="+strconv.Itoa(x.stream.events))
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -92,8 +92,7 @@
 	t := &attempt{x: x, placement: placement}
 	if callerDisconnected(x.r.Context()) {
 		x.h.Placer.Finish(placement.ID, sched.Unused, 0, 0)
-		x.recordEvent(event.RequestLeft, "before the request was sent")
-		return done
+		x.leave("before the request was sent")
 	}
 	conn, via, err := x.h.Servers.Get(ctx, t.server(), min(maxDialTimeout, max(minDialTimeout, x.route.LatencyTarget/2)))
 	x.via = via
@@ -334,8 +333,7 @@
 	}
 	if x.r.Context().Err() != nil {
 		x.h.Placer.FinishStream(t.placement.ID, sched.CallerLeft, sched.RunReport{LongestGap: t.gaps.longest, OutputTokens: t.outputTokens})
-		x.recordEvent(event.RequestLeft, "while the request ran")
-		return done
+		x.leave("while the request ran")
 	}
 	if ctx.Err() != nil || !time.Now().Before(x.deadline) {
 		if x.stream.events == 0 { // nothing arrived before the deadline
--- a/test/badinput_test.go
+++ b/test/badinput_test.go
@@ -106,6 +106,34 @@
 		Expect(sendRaw(f.hosts[0].callerAddr, text)).To(ContainSubstring("431"))
 	})
 
+	// Guards against an empty success for a caller that closes only its sending side.
+	DescribeTable("from a caller that closes its sending side gets no empty success",
+		func(stream string) {
+			conn, err := net.Dial("tcp", f.hosts[0].callerAddr)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			body := `{"model":"tsumugi-llm","prompt":"a","max_tokens":400,"stream":` + stream + `}`
+			_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", secret, len(body), body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+			_ = conn.SetReadDeadline(time.Now().Add(8 * time.Second))
+			answer := bufio.NewReader(conn)
+			for status := http.StatusProcessing; status < http.StatusOK; {
+				resp, err := http.ReadResponse(answer, nil)
+				if err != nil {
+					return // the connection ended without an answer
+				}
+				status = resp.StatusCode
+				if status == http.StatusOK {
+					text, err := io.ReadAll(resp.Body)
+					Expect(err != nil || len(text) > 0).To(BeTrue(), "%v", resp.Header)
+				}
+			}
+		},
+		Entry("whole", "false"),
+		Entry("as a stream", "true"),
+	)
+
 	DescribeTable("on the internal port closes that connection only", func(send func(net.Conn)) {
 		conn, err := net.Dial("tcp", f.hosts[0].controlAddr)
 		Expect(err).NotTo(HaveOccurred())
