node, dispatch: gauges of what a host decides by

follows_home and hosts_reported, beside is_home: with share_changed in the logs they tell a host that schedules by itself from one that follows a home, and on what count of hosts its share rests.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -406,6 +406,13 @@
 	}
 }
 
+// FollowsHome reports whether new placement requests go to a home on another host.
+func (c *Client) FollowsHome() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.link != nil
+}
+
 // Pending returns the numbers of waiting placement requests and of current runs.
 func (c *Client) Pending() (waiting, running int) {
 	c.mu.Lock()
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -303,6 +303,8 @@
 	}
 	gauge("hosts_live", int64(live))
 	gauge("is_home", boolGauge(n.isHome()))
+	gauge("follows_home", boolGauge(n.client.FollowsHome()))
+	gauge("hosts_reported", int64(n.knownFleetSize()))
 	n.gaugeLoad(gauge)
 	n.loop.Query(r.Context(), func(s *sched.Scheduler) {
 		gauge("scheduler_waiting", int64(s.Waiting()))
