member, dispatch, node: a host that has just started has to be told of its fleet

Cause: the absence of evidence was taken for evidence. A host that had found nobody for 3 s took itself for the only one, whether or not anybody could have told it of others, and led with all quotas, retry budgets and limits. Two hosts that knew only each other led after 0.6 s, and each told the other "a fleet of two". When the store served again, the configuration was read within 0.15 s, the table of hosts after a delay that had doubled with each failed call, up to 30 s.

Change: what a host knows of its fleet is a chart (charts/discovery.yaml): searching, contacting, presumed, known. It is known once a host that knows it has told its size, a host of each entry of the store's table was found, or the table has nobody else (after this host's own entry was written, so that of two that start together one sees the other). Until then a host doesn't lead and has a thousandth of what is limited. Listed hosts that keep silent for 5 s are counted as missing for 10 s more, as on the smaller side of a partition. Only a host that knows the fleet reports its size. The table is read every 0.2 to 0.9 s until the fleet is known, and its hosts are contacted at once. A row also names three hosts beside its writer, which may just have been lost; a host that starts keeps what its former row said. The gauge is_home states whether the host schedules for all; a lone one stated it by rank alone. fleet_discovered (413) logs each step.

Ruled out: counting the 3 s from the store's first answer alone (pairs of new hosts lead by then, and while the home is killed nobody of the table answers); a claim in the store that the home renews (a home that the store turns away would lose it).

--- a/charts/charts.go
+++ b/charts/charts.go
@@ -26,14 +26,18 @@
 //go:embed rollout.yaml
 var rolloutYAML []byte
 
+//go:embed discovery.yaml
+var discoveryYAML []byte
+
 // Set holds the parsed charts.
 type Set struct {
-	Request *chart.Chart
-	Server  *chart.Chart
-	Lease   *chart.Chart
-	Member  *chart.Chart
-	Link    *chart.Chart
-	Rollout *chart.Chart
+	Request   *chart.Chart
+	Server    *chart.Chart
+	Lease     *chart.Chart
+	Member    *chart.Chart
+	Link      *chart.Chart
+	Rollout   *chart.Chart
+	Discovery *chart.Chart
 }
 
 // Load parses all charts and fails if any of them is invalid.
@@ -42,7 +46,7 @@
 	for _, c := range []struct {
 		text []byte
 		to   **chart.Chart
-	}{{requestYAML, &s.Request}, {serverYAML, &s.Server}, {leaseYAML, &s.Lease}, {memberYAML, &s.Member}, {linkYAML, &s.Link}, {rolloutYAML, &s.Rollout}} {
+	}{{requestYAML, &s.Request}, {serverYAML, &s.Server}, {leaseYAML, &s.Lease}, {memberYAML, &s.Member}, {linkYAML, &s.Link}, {rolloutYAML, &s.Rollout}, {discoveryYAML, &s.Discovery}} {
 		parsed, err := chart.Parse(c.text)
 		if err != nil {
 			return Set{}, err
--- a/internal/dispatch/follower.go
+++ b/internal/dispatch/follower.go
@@ -20,6 +20,8 @@
 	// listedHosts returns the number of hosts that other hosts or the store report, 0 if
 	// unknown.
 	listedHosts func() int
+	// fleet tells what this host knows of the fleet since its start.
+	fleet func() member.Fleet
 	// setLeading sets whether this host leads, which means that it schedules for all hosts;
 	// followers counts the hosts that are linked to it.
 	setLeading      func(bool)
@@ -37,10 +39,10 @@
 }
 
 // NewFollower creates a Follower; Run starts it.
-func NewFollower(c *Client, m *member.Table, s Sessions, h *Home, events *event.Recorder, listedHosts func() int, setShare func(sched.Share)) *Follower {
+func NewFollower(c *Client, m *member.Table, s Sessions, h *Home, events *event.Recorder, listedHosts func() int, fleet func() member.Fleet, setShare func(sched.Share)) *Follower {
 	return &Follower{
 		client: c, members: m, sessions: s, events: events,
-		listedHosts: listedHosts, setLeading: h.Lead, followers: h.Followers, setShare: setShare, started: time.Now(),
+		listedHosts: listedHosts, fleet: fleet, setLeading: h.Lead, followers: h.Followers, setShare: setShare, started: time.Now(),
 	}
 }
 
@@ -93,7 +95,7 @@
 // period returns the interval at which Run checks the ranking and the share. It is shorter
 // while both are likely to change.
 func (f *Follower) period() time.Duration {
-	if time.Since(f.started) < discoveryTimeout || f.partialQuotas || f.lostHomes.any(time.Now()) {
+	if time.Since(f.started) < discoveryTimeout || !f.fleet().Known() || f.partialQuotas || f.lostHomes.any(time.Now()) {
 		return startupPeriod
 	}
 	return redialPeriod
--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -18,6 +18,8 @@
 	"github.com/gentianflow/gentianflow/internal/wire"
 )
 
+func knownFleet() member.Fleet { return member.Fleet{State: member.Known} }
+
 // shareSetBy creates a follower that has run for age, knows live and silent (unresponsive)
 // other hosts and finds hosts as the listed number, calls act and returns the share that the
 // follower has set last.
@@ -33,7 +35,7 @@
 	}
 	var got sched.Share
 	c := NewClient(ident.Incarnation(self), "z", NewLoop(sched.DefaultPolicy(), events, func([]sched.Decision) {}), serverListFunc(neverLeaving), events)
-	f := NewFollower(c, members, nil, NewHome(c.loop, func() []uint64 { return nil }), events, func() int { return hosts }, func(s sched.Share) { got = s })
+	f := NewFollower(c, members, nil, NewHome(c.loop, func() []uint64 { return nil }), events, func() int { return hosts }, knownFleet, func(s sched.Share) { got = s })
 	f.followers = func() int { return live }
 	f.started = time.Now().Add(-age)
 	act(f)
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -45,13 +45,16 @@
 // host that has just started schedules only for itself until it has had time to discover
 // others. A home on the smaller side of a network partition takes only that side's share.
 //
+// Until a host knows the fleet (charts/discovery.yaml), it has no proof that nobody else schedules, however
+// long it has run. If the listed hosts don't answer, it leads with the part of those that it has found.
+//
 // A host that takes over from a home which others may still follow leads once most hosts
 // follow it, with their share of the quotas. A home that most hosts have left, or have not
 // found within discoveryTimeout, takes the share of the hosts that follow it.
 func (f *Follower) lead(takesOver bool) {
 	live, silent := f.countHosts()
-	uptime := time.Since(f.started)
-	if uptime < settleTime && !f.membershipComplete(live) || live == 1 && f.listedHosts() != 1 && uptime < discoveryTimeout {
+	uptime, fleet := time.Since(f.started), f.fleet()
+	if !fleet.Known() || uptime < settleTime && !f.membershipComplete(live) || live == 1 && f.listedHosts() != 1 && uptime < discoveryTimeout {
 		f.goStandalone()
 		return
 	}
@@ -59,6 +62,9 @@
 	if all := live + silent; 2*live < all {
 		share.Quotas = float64(live) / float64(all)
 	}
+	if fleet.Missing > 0 {
+		share.Quotas = min(share.Quotas, float64(live)/float64(live+fleet.Missing))
+	}
 	followFraction := float64(f.followers()+1) / float64(live)
 	// Hosts that do not follow use their own shares, or another home uses theirs.
 	share.RateLimits = share.Quotas * roundUpFraction(followFraction)
@@ -128,9 +134,10 @@
 	f.setLeading(false)
 	f.leadsSince, f.partialQuotas = time.Time{}, false
 	live, silent := f.countHosts()
-	n, uptime := max(live+silent, f.listedHosts()), time.Since(f.started)
+	fleet := f.fleet()
+	n, uptime := max(live+silent+fleet.Missing, f.listedHosts()), time.Since(f.started)
 	f.standaloneHosts = n
-	if n == 1 && uptime < discoveryTimeout || f.listedHosts() == 0 && uptime < settleTime {
+	if !fleet.Known() || n == 1 && uptime < discoveryTimeout || f.listedHosts() == 0 && uptime < settleTime {
 		f.standaloneHosts = 0
 		f.setShare(sched.Share{Servers: standaloneServerShare / unknownFleetHosts, Quotas: unknownFleetLimitShare, RateLimits: unknownFleetLimitShare})
 		return
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -85,6 +85,7 @@
 	HostNearLimit     Code = 410
 	HostPathsLost     Code = 411
 	HostPathsRestored Code = 412
+	FleetDiscovered   Code = 413
 
 	ConfigInForce  Code = 501
 	ConfigRefused  Code = 502
@@ -190,6 +191,7 @@
 	HostNearLimit:     {"host_near_limit", Warn, "This host started or stopped turning callers away because a resource of it is nearly used up; detail gives the resource."},
 	HostPathsLost:     {"host_paths_lost", Warn, "This host reaches no backend server while other hosts do; other hosts do not ask it for tunnels, and look-ups leave it out while most hosts have their paths."},
 	HostPathsRestored: {"host_paths_restored", Info, "This host reaches backend servers again."},
+	FleetDiscovered:   {"fleet_discovered", Info, "What this host knows of the fleet since its start has changed (charts/discovery.yaml); detail gives the states, the hosts found, listed by the store and reported by others."},
 
 	ConfigInForce:  {"config_in_force", Info, "A configuration version is in force on this host."},
 	ConfigRefused:  {"config_refused", Warn, "A configuration could not be read or is invalid."},
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -42,7 +42,7 @@
 )
 
 // Gossip sends and answers the probes of one host over UDP.
-// mu guards seq, pending, lastAck and reportedSize.
+// mu guards seq, pending and lastAck.
 type Gossip struct {
 	table   *Table
 	conn    net.PacketConn
@@ -51,6 +51,8 @@
 	seeds   func() []string // control addresses from the settings and the host list
 	events  *event.Recorder
 	started time.Time
+	// discovery tells what this host knows of the fleet since its start.
+	discovery *Discovery
 
 	// Sent and Received count datagram bytes.
 	Sent     atomic.Int64
@@ -60,18 +62,19 @@
 	seq     uint32
 	pending map[uint32]chan struct{}
 	lastAck time.Time
-	// reportedSize is the largest fleet size that another host has reported.
-	reportedSize int
 }
 
 // NewGossip returns a Gossip that Run starts.
 func NewGossip(t *Table, conn net.PacketConn, fleet string, timing Timing, seeds func() []string, events *event.Recorder) *Gossip {
 	return &Gossip{
 		table: t, conn: conn, fleet: fleet, timing: timing, seeds: seeds, events: events,
-		pending: map[uint32]chan struct{}{}, lastAck: time.Now(), started: time.Now(),
+		pending: map[uint32]chan struct{}{}, lastAck: time.Now(), started: time.Now(), discovery: NewDiscovery(t, events),
 	}
 }
 
+// Discovery tells what this host knows of the fleet.
+func (g *Gossip) Discovery() *Discovery { return g.discovery }
+
 // Run sends and answers probes until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -146,6 +149,8 @@
 	// maxSeeds is the number of seeds pinged at once, drawn from a list that may have
 	// hundreds.
 	maxSeeds = 4
+	// maxSeedsInSearch is the same for a host that does not know the fleet.
+	maxSeedsInSearch = 32
 	// joinPeriod is how long a host that starts pings a seed in each round. When a whole fleet
 	// starts at once, the seeds are the hosts that hear from all others, and a host stops asking
 	// them when it knows joinedMembers.
@@ -159,6 +164,9 @@
 	return time.Since(g.started) < joinPeriod && (fleetRuns || g.table.LiveCount() < joinedMembers)
 }
 
+// ContactSeeds pings the hosts of the settings and of the store's list at once.
+func (g *Gossip) ContactSeeds() { g.pingSeeds(maxSeedsInSearch) }
+
 // pingSeeds pings up to n seeds.
 func (g *Gossip) pingSeeds(n int) {
 	self := g.table.Self().ControlAddress
@@ -178,13 +186,9 @@
 // Settled reports whether this host has run long enough to know the fleet.
 func (g *Gossip) Settled() bool { return time.Since(g.started) > SettleTime }
 
-// ReportedFleetSize returns the largest fleet size that a settled host has reported, or 0 if none
-// has.
-func (g *Gossip) ReportedFleetSize() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.reportedSize
-}
+// ReportedFleetSize returns the largest fleet size that a host which knows the fleet has reported, or 0
+// if none has.
+func (g *Gossip) ReportedFleetSize() int { return g.discovery.Reported() }
 
 // probe pings a member, then tries its TCP port, then asks other members to ping
 // it. A refused connection proves that the process has ended; silence only makes
@@ -265,7 +269,7 @@
 	if m.Members == nil {
 		m.Members = g.table.updates(sampleSize)
 	}
-	if g.Settled() {
+	if g.Settled() && g.discovery.Fleet().State == Known {
 		m.Size = uint32(g.table.LiveCount())
 	}
 	m.Lamport = g.events.Clock()
@@ -302,7 +306,7 @@
 	for _, reported := range m.Members {
 		g.table.ApplyReport(reported)
 	}
-	g.noteFleetSize(int(m.Size))
+	g.discovery.Told(int(m.Size))
 	switch m.Kind {
 	case wire.GossipKind_GOSSIP_PING:
 		updates := g.table.updatesFor(ident.Incarnation(m.From.Incarnation))
@@ -314,17 +318,6 @@
 	}
 }
 
-// noteFleetSize records the fleet size that another host reports. Once this host has
-// settled, it relies on its own member list instead.
-func (g *Gossip) noteFleetSize(n int) {
-	if g.Settled() {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.reportedSize = max(g.reportedSize, n)
-}
-
 func (g *Gossip) handleAck(seq uint32) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/member/join_test.go
+++ b/internal/member/join_test.go
@@ -49,6 +49,7 @@
 			seed.table.RecordContact(w)
 		}
 		seed.table.RecordContact(largest)
+		seed.discovery.Told(fleet)
 		runGossip(seed)
 		joiner, _ := newTestGossip(1000, 0, address)
 		runGossip(joiner)
@@ -77,6 +78,86 @@
 		Eventually(joiner.table.LiveCount).Should(Equal(2))
 		Expect(joiner.ReportedFleetSize()).To(BeZero())
 	})
+
+	// Guards against a count of hosts that rests on nothing: two hosts that know only each other would each
+	// take the other's count for the size of the fleet.
+	It("ignores the fleet size of a host that does not know the fleet, however long it has run", func() {
+		seed, address := newTestGossip(1, time.Minute)
+		runGossip(seed)
+		joiner, _ := newTestGossip(1000, 0, address)
+		runGossip(joiner)
+		Eventually(joiner.table.LiveCount).Should(Equal(2))
+		Consistently(joiner.ReportedFleetSize).WithTimeout(SettleTime).Should(BeZero())
+		Expect(joiner.Discovery().Fleet().State).To(Equal(Searching))
+	})
+})
+
+var _ = Describe("what a host knows of its fleet", func() {
+	const home, other = "10.0.0.1:7600", "10.0.0.2:7600"
+	fleetOf := func(hosts int, addresses ...string) []ListedHost {
+		return []ListedHost{{Addresses: addresses, Hosts: hosts}}
+	}
+	var d *Discovery
+	var t *Table
+	find := func(inc uint64, address string) {
+		w := newMember(inc, 1, wire.MemberState_MEMBER_ALIVE)
+		w.ControlAddress = address
+		t.RecordContact(w)
+	}
+	BeforeEach(func() {
+		t = newTable()
+		d = NewDiscovery(t, event.NewRecorder("h", "i", 64, log.NewNopLogger()))
+		d.started = time.Now().Add(-time.Minute)
+	})
+	later := func(by time.Duration) { d.entered = d.entered.Add(-by) }
+
+	It("is nothing for as long as neither the store nor a host has told", func() {
+		later(time.Hour)
+		Expect(d.Fleet().Known()).To(BeFalse())
+		find(2, other)
+		Expect(d.Fleet().Known()).To(BeFalse(), "a host that knows as little")
+	})
+	It("is complete once a host that knows the fleet has told", func() {
+		d.Told(7)
+		Expect(d.Fleet()).To(Equal(Fleet{State: Known}))
+	})
+	It("is complete once the host that is listed was found", func() {
+		d.Listed(fleetOf(7, home, other), false)
+		Expect(d.Fleet().Known()).To(BeFalse())
+		find(2, other)
+		Expect(d.Fleet()).To(Equal(Fleet{State: Known}))
+	})
+	It("is not complete while one of two entries has no host that was found", func() {
+		d.Listed(append(fleetOf(7, home), ListedHost{Addresses: []string{other}, Hosts: 1}), false)
+		find(2, other)
+		Expect(d.Fleet().Known()).To(BeFalse())
+	})
+	It("is presumed after the listed hosts kept silent, and complete later", func() {
+		d.Listed(fleetOf(7, home), false)
+		later(contactTimeout + time.Millisecond)
+		Expect(d.Fleet()).To(Equal(Fleet{State: Presumed, Missing: 7}))
+		later(presumeTimeout + time.Millisecond)
+		Expect(d.Fleet()).To(Equal(Fleet{State: Known}))
+	})
+	It("is that there are no others if the store lists just this one", func() {
+		d.Listed(nil, false)
+		Expect(d.Fleet().Known()).To(BeFalse(), "one that starts at the same time has not been listed")
+		d.Listed(nil, true)
+		Expect(d.Fleet()).To(Equal(Fleet{State: Known}))
+	})
+	It("is complete at once if as many as are listed were found right after the start", func() {
+		d.started = time.Now()
+		d.Listed(fleetOf(2, other), false)
+		Expect(d.Fleet().Known()).To(BeFalse())
+		find(2, other)
+		Expect(d.Fleet().Known()).To(BeTrue())
+	})
+	It("is not complete right after the start if fewer than listed were found", func() {
+		d.started = time.Now()
+		d.Listed(fleetOf(7, other), false)
+		find(2, other)
+		Expect(d.Fleet().Known()).To(BeFalse())
+	})
 })
 
 var _ = Describe("the list of members", func() {
--- a/internal/node/fleetstart_test.go
+++ b/internal/node/fleetstart_test.go
@@ -43,7 +43,7 @@
 	startServers   = 20
 )
 
-// startingFleet is a fleet of hosts that start together. mu guards inboxes.
+// startingFleet is a fleet of hosts that start together. mu guards hosts, byName and inboxes.
 type startingFleet struct {
 	ctx    context.Context
 	tables map[string]*storeTable
@@ -66,6 +66,10 @@
 	tableReaders
 	fleet       *startingFleet
 	address     string
+	ctx         context.Context // ends with the host
+	kill        context.CancelFunc
+	storeAway   atomic.Bool // the store rejects its calls
+	schedule    *schedulingHost
 	conn        *memoryConn
 	sentAtStart int64 // bytes of gossip in joinDuration
 	storeCalls  atomic.Int64
@@ -117,6 +121,9 @@
 func (h *startingHost) Snapshot(_ context.Context, table string) ([]store.Row, store.Version, error) {
 	h.storeCalls.Add(1)
 	time.Sleep(storeLatency)
+	if h.storeAway.Load() {
+		return nil, 0, errStoreAway
+	}
 	rows, version := h.fleet.tables[table].snapshot()
 	return rows, version, nil
 }
@@ -126,6 +133,9 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
+		if h.storeAway.Load() {
+			return nil, 0, errStoreAway
+		}
 		rows, version, changed := h.fleet.tables[table].since(after)
 		if len(rows) > 0 {
 			return rows, version, nil
@@ -144,11 +154,23 @@
 
 func (h *startingHost) Put(_ context.Context, table, key string, value []byte) error {
 	h.storeCalls.Add(1)
+	if h.storeAway.Load() {
+		return errStoreAway
+	}
 	h.fleet.tables[table].write(store.Row{Key: key, Value: value})
 	return nil
 }
 
-func (h *startingHost) Delete(context.Context, string, string) error { return nil }
+func (h *startingHost) Delete(_ context.Context, table, key string) error {
+	h.storeCalls.Add(1)
+	if h.storeAway.Load() {
+		return errStoreAway
+	}
+	h.fleet.tables[table].write(store.Row{Key: key, Deleted: true})
+	return nil
+}
+
+var errStoreAway = failure.New(failure.StoreDown, "the store rejects this host")
 
 // Open implements store.Readers.
 func (h *startingHost) Open(_ context.Context, name string) (*peer.Stream, error) {
@@ -169,6 +191,19 @@
 // twentieth host is large. The first three are the seeds.
 func startTogether(hosts int, seed uint64) *startingFleet {
 	rng := rand.New(rand.NewPCG(seed, uint64(hosts)))
+	f, cancel := newStartingFleet()
+	f.startAll(hosts, rng)
+	time.Sleep(joinDuration)
+	for _, h := range f.hosts {
+		h.sentAtStart = h.conn.sent.Load()
+	}
+	time.Sleep(steadyDuration)
+	cancel()
+	f.tasks.Wait()
+	return f
+}
+
+func newStartingFleet() (*startingFleet, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &startingFleet{ctx: ctx, byName: map[string]*startingHost{}, inboxes: map[string]chan datagram{}, tables: map[string]*storeTable{}}
 	for _, name := range []string{serverTable, operatorTable, hostTable, quarantineTable} {
@@ -176,15 +211,29 @@
 	}
 	f.tables[serverTable].write(manyRows(startServers)...)
 	f.tables[operatorTable].write(store.Row{Key: "config", Value: []byte("1")})
+	return f, cancel
+}
+
+// newHost adds a host that run starts.
+func (f *startingFleet) newHost(address string, rng *rand.Rand) *startingHost {
+	h := &startingHost{fleet: f, address: address, tableReaders: tableReaders{&Node{incarnation: ident.Incarnation(rng.Uint64())}}}
+	h.ctx, h.kill = context.WithCancel(f.ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = append(f.hosts, h)
+	f.byName[h.n.incarnation.String()] = h
+	return h
+}
+
+// startAll starts hosts within startSpread.
+func (f *startingFleet) startAll(hosts int, rng *rand.Rand) {
 	var seeds []string
 	for i := range hosts {
 		address := fmt.Sprintf("10.0.%d.%d:7600", i/250, i%250)
 		if i < 3 {
 			seeds = append(seeds, address)
 		}
-		h := &startingHost{fleet: f, address: address, tableReaders: tableReaders{&Node{incarnation: ident.Incarnation(rng.Uint64())}}}
-		f.hosts = append(f.hosts, h)
-		f.byName[h.n.incarnation.String()] = h
+		f.newHost(address, rng)
 	}
 	for i, h := range f.hosts {
 		delay, capacity := time.Duration(rng.Int64N(int64(startSpread))), uint32(192)
@@ -196,14 +245,6 @@
 			h.run(i, capacity, seeds)
 		})
 	}
-	time.Sleep(joinDuration)
-	for _, h := range f.hosts {
-		h.sentAtStart = h.conn.sent.Load()
-	}
-	time.Sleep(steadyDuration)
-	cancel()
-	f.tasks.Wait()
-	return f
 }
 
 const (
@@ -232,14 +273,17 @@
 	n.quarantined = newQuarantineStore(n.settings.Host, quarantineTable, h, h, n.isHome, n.events)
 	list := newServers(decodeState, n.events, func(c serverChanges) { h.listed.Add(int64(len(c.changed) - len(c.removed))) })
 	n.relays = store.NewRelays()
-	f.tasks.Go(func() { n.gossip.Run(f.ctx) })
-	f.tasks.Go(func() { n.join(f.ctx) })
-	f.tasks.Go(func() { n.endWaitsOnHomeChange(f.ctx) })
+	f.tasks.Go(func() { n.gossip.Run(h.ctx) })
+	f.tasks.Go(func() { n.join(h.ctx) })
+	f.tasks.Go(func() { n.endWaitsOnHomeChange(h.ctx) })
+	if h.schedule != nil {
+		h.schedule.run(h)
+	}
 	for table, apply := range map[string]func(store.Update){serverTable: list.update, operatorTable: func(store.Update) {}} {
 		w := newWatcher(h, h, n.relays, table, n.events, apply)
 		f.tasks.Go(func() {
 			<-n.joined
-			w.Run(f.ctx)
+			w.Run(h.ctx)
 		})
 	}
 }
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -7,7 +7,8 @@
 	"slices"
 	"time"
 
-	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/dispatch"
+	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/store"
 )
 
@@ -25,11 +26,18 @@
 	joinPollInterval = 10 * time.Millisecond // how often a joining host checks for contacts
 	// hostTablePeriod is how often the home reads the table of hosts, to find hosts on the
 	// other side of a healed network partition. A host without contacts starts with
-	// hostTableRetry and doubles the interval up to hostTablePeriod.
-	hostTablePeriod = 30 * time.Second
-	hostTableRetry  = 300 * time.Millisecond
-	// hostCheckPeriod is how often a host checks whether it is the home or alone.
-	hostCheckPeriod = 500 * time.Millisecond
+	// hostTableRetry and doubles the interval up to hostTablePeriod, or up to hostTableMaxRetry
+	// while it does not know the fleet.
+	hostTablePeriod   = 30 * time.Second
+	hostTableRetry    = 300 * time.Millisecond
+	hostTableMaxRetry = 600 * time.Millisecond
+	// hostCheckPeriod is how often a host checks whether it is the home or alone, and
+	// searchCheckPeriod the same while it does not know the fleet.
+	hostCheckPeriod   = 500 * time.Millisecond
+	searchCheckPeriod = 100 * time.Millisecond
+	// listedOthers is the number of other hosts that a row names beside the one that wrote it, which may
+	// just have been lost.
+	listedOthers = 3
 	// fleetSizeFactor is the factor by which the fleet's size must change for the home to write
 	// its row again.
 	fleetSizeFactor = 1.25
@@ -39,14 +47,21 @@
 // other host when they started. It gives other hosts an address to join through and the number
 // of hosts among which shared limits are divided.
 type hostRow struct {
-	Control string `json:"control"`
-	Hosts   int    `json:"hosts"` // known to the host that wrote the row
+	Control string   `json:"control"`
+	Hosts   int      `json:"hosts"`            // known to the host that wrote the row
+	Others  []string `json:"others,omitempty"` // control addresses of some of them
+}
+
+// addresses returns the addresses that the row names, without one of them.
+func (r hostRow) addresses(without string) []string {
+	return slices.DeleteFunc(append([]string{r.Control}, r.Others...), func(a string) bool { return a == "" || a == without })
 }
 
 // hostList is the content of the table of hosts.
 type hostList struct {
 	seeds     []string // control addresses
 	fleetSize int      // the largest size that a row gives
+	former    hostRow  // this host's row as it was when it started
 }
 
 // join finds the other hosts and helps others to find them.
@@ -61,14 +76,21 @@
 	if n.gossip.ReportedFleetSize() == 0 && n.role() == store.Reader {
 		// This host has no contacts, or may be the home of a restarting fleet, which schedules
 		// for all hosts as soon as it knows that they are there.
-		n.readHostTable(ctx)
+		_ = n.readHostTable(ctx) // tried again below
 	}
-	tableSync := hostTableSync{node: n, versions: versionStore{node: n}, retry: hostTableRetry}
-	for tableSync.check(ctx, time.Now()); sleep(ctx, hostCheckPeriod); {
+	tableSync := hostTableSync{node: n, versions: versionStore{node: n}, retry: hostTableRetry, ownRow: hostRowWriter{node: n}}
+	for tableSync.check(ctx, time.Now()); sleep(ctx, n.hostCheckPeriod()); {
 		tableSync.check(ctx, time.Now())
 	}
 }
 
+func (n *Node) hostCheckPeriod() time.Duration {
+	if n.gossip.Discovery().Fleet().State == member.Known {
+		return hostCheckPeriod
+	}
+	return searchCheckPeriod
+}
+
 // awaitFleet waits until another host has reported the size of the fleet, but no longer than
 // joinTimeout, and no longer than firstContactWait after the first contact.
 func (n *Node) awaitFleet(ctx context.Context) {
@@ -105,7 +127,7 @@
 type hostTableSync struct {
 	node             *Node
 	versions         versionStore
-	writtenSize      int       // the size in this host's row, 0 if it has none
+	ownRow           hostRowWriter
 	nextReleaseCheck time.Time // when to check next whether an operator released something
 	nextRead         time.Time // when to read the table next
 	restored         restoreCheck
@@ -121,8 +143,8 @@
 	return restored
 }
 
-// check writes this host's row and reads the table when they are due. Only the home and a host
-// without contacts do so.
+// check writes this host's row and reads the table when they are due. Only the home, a host without
+// contacts, and readers of the store that do not know the fleet yet do so.
 func (t *hostTableSync) check(ctx context.Context, now time.Time) {
 	n := t.node
 	live := n.members.LiveCount()
@@ -132,27 +154,33 @@
 		// What this host wrote may be lost. Rows that it knows are written again, if it is the home.
 		n.quarantined.loaded.Store(false)
 		t.versions.written = map[string]versionRow{}
-		t.writtenSize, t.nextRead = 0, now
+		t.ownRow.forget()
+		t.nextRead = now
 	}
+	known := n.gossip.Discovery().Fleet().State == member.Known
 	t.loadQuarantine(ctx, now, home)
-	t.versions.check(ctx, home)
-	if !alone && !home {
+	t.versions.check(ctx, home && known)
+	if !alone && !home && (known || n.role() != store.Reader) {
 		t.retry = hostTableRetry
 		return
 	}
-	if t.outdated(live) && n.writeHostRow(ctx, live) == nil {
-		t.writtenSize = live
+	if alone || home {
+		t.ownRow.update(ctx, live, known)
 	}
 	if now.Before(t.nextRead) {
 		return
 	}
-	n.readHostTable(ctx)
-	if alone {
+	err := n.readHostTable(ctx)
+	switch {
+	case err != nil || !known:
+		t.retry = min(hostTableMaxRetry, 2*t.retry)
+	case alone:
 		t.retry = min(hostTablePeriod, 2*t.retry)
-		t.nextRead = now.Add(t.retry/2 + rand.N(t.retry))
+	default:
+		t.nextRead = now.Add(hostTablePeriod)
 		return
 	}
-	t.nextRead = now.Add(hostTablePeriod)
+	t.nextRead = now.Add(t.retry/2 + rand.N(t.retry))
 }
 
 // loadQuarantine reads what is in quarantine when this host has become the home, since all hosts that
@@ -169,36 +197,89 @@
 	}
 }
 
-// outdated reports whether live differs from the size in this host's row by fleetSizeFactor.
-func (t *hostTableSync) outdated(live int) bool {
-	was, is := float64(t.writtenSize), float64(live)
-	return is > was*fleetSizeFactor || was > is*fleetSizeFactor
+// hostRowWriter writes this host's row. Its fields belong to the goroutine of join.
+type hostRowWriter struct {
+	node    *Node
+	written hostRow // zero if the row was not written since the start or a restore of the store
+	live    int     // members when it was written
 }
 
-func (n *Node) writeHostRow(ctx context.Context, live int) error {
-	row, err := json.Marshal(hostRow{Control: n.peerAddress(), Hosts: live})
+func (w *hostRowWriter) forget() { w.written, w.live = hostRow{}, 0 }
+
+// update writes the row if it is outdated. While the fleet is not known, what this host's row said of it
+// before its start is kept, and nothing is written before that was read.
+func (w *hostRowWriter) update(ctx context.Context, live int, known bool) {
+	n := w.node
+	list := n.storedHosts.Load()
+	if !known && list == nil || !w.outdated(live, known) {
+		return
+	}
+	row := hostRow{Control: n.peerAddress(), Hosts: live}
+	for _, m := range dispatch.ReadersOf(n.members) {
+		if m.Incarnation != n.incarnation && len(row.Others) < listedOthers {
+			row.Others = append(row.Others, m.ControlAddress)
+		}
+	}
+	if !known {
+		row.Hosts = max(row.Hosts, list.former.Hosts)
+		row.Others = append(row.Others, list.former.addresses(n.peerAddress())...)
+	}
+	value, err := json.Marshal(row)
 	if err != nil {
-		return failure.Wrap(failure.Internal, err, "encode this host's row")
+		return // cannot happen: texts and numbers always marshal
+	}
+	if n.platform.Writer.Put(ctx, n.platform.HostTable, n.settings.Host, value) == nil {
+		w.written, w.live = row, live
+		n.wroteHostRow.Store(true)
 	}
-	return n.platform.Writer.Put(ctx, n.platform.HostTable, n.settings.Host, row)
+}
+
+// outdated reports whether live differs by fleetSizeFactor from what it was when the row was written, or a
+// host that the row names has gone.
+func (w *hostRowWriter) outdated(live int, known bool) bool {
+	was, is := float64(w.live), float64(live)
+	return is > was*fleetSizeFactor || was > is*fleetSizeFactor ||
+		known && slices.ContainsFunc(w.written.Others, func(a string) bool { return !w.node.members.LiveAt(a) })
 }
 
 // readHostTable reads the table of hosts. If the store does not answer, the previous list
 // stays.
-func (n *Node) readHostTable(ctx context.Context) {
+func (n *Node) readHostTable(ctx context.Context) error {
 	rows, _, err := n.platform.Tables.Snapshot(ctx, n.platform.HostTable)
 	if err != nil {
-		return // the tables' watchers log that the store is down
+		return err // the tables' watchers log that the store is down
 	}
 	list := hostList{fleetSize: len(rows)}
+	if previous := n.storedHosts.Load(); previous != nil {
+		list.former = previous.former
+	}
+	var others []member.ListedHost
+	ownRow := false
 	for _, r := range rows {
 		var h hostRow
-		if json.Unmarshal(r.Value, &h) == nil && h.Control != "" {
-			list.seeds = append(list.seeds, h.Control)
-			list.fleetSize = max(list.fleetSize, h.Hosts)
+		if json.Unmarshal(r.Value, &h) != nil || h.Control == "" {
+			continue
+		}
+		list.seeds = append(list.seeds, h.addresses(n.peerAddress())...)
+		list.fleetSize = max(list.fleetSize, h.Hosts)
+		switch {
+		case r.Key != n.settings.Host:
+			others = append(others, member.ListedHost{Addresses: h.addresses(n.peerAddress()), Hosts: h.Hosts})
+		case n.wroteHostRow.Load():
+			ownRow = true
+		default:
+			list.former = h
 		}
 	}
+	if list.former.Hosts > 1 {
+		others = append(others, member.ListedHost{Addresses: list.former.addresses(n.peerAddress()), Hosts: list.former.Hosts})
+	}
 	n.storedHosts.Store(&list)
+	n.gossip.Discovery().Listed(others, ownRow)
+	if n.gossip.Discovery().Fleet().State != member.Known {
+		n.gossip.ContactSeeds()
+	}
+	return nil
 }
 
 // knownFleetSize is the largest fleet size reported by other hosts or the store, 0 before any
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,6 +117,7 @@
 	httpServers      []*http.Server
 	callerServer     *http.Server
 	storedHosts      atomic.Pointer[hostList]
+	wroteHostRow     atomic.Bool // since the start
 	quarantined      *quarantineStore
 	rollouts         *rollouts
 	era              atomic.Pointer[storeEra]
@@ -217,7 +218,7 @@
 	n.home = dispatch.NewHome(n.loop, func() []uint64 { return dispatch.HomeAndSuccessors(n.members) })
 	n.servers = newServers(n.platform.DecodeServer, n.events, n.applyServers)
 	n.client = dispatch.NewClient(n.incarnation, n.settings.AvailabilityZone, n.loop, n.servers, n.events)
-	n.follower = dispatch.NewFollower(n.client, n.members, n.peers, n.home, n.events, n.knownFleetSize, n.setShare)
+	n.follower = dispatch.NewFollower(n.client, n.members, n.peers, n.home, n.events, n.knownFleetSize, n.gossip.Discovery().Fleet, n.setShare)
 	n.opener = tunnel.NewOpener(n.peers, tunnel.Members{
 		Table: n.members, OwnZone: n.settings.AvailabilityZone, ZoneOf: n.servers.zoneOf,
 		Home: func() (member.Member, bool) { return dispatch.HomeOf(n.members) },
@@ -332,6 +333,8 @@
 		return
 	}
 	n.share = share
+	metrics.GetOrRegisterGauge("share_servers_permille", n.metrics).Update(int64(1000 * share.Servers))
+	metrics.GetOrRegisterGauge("share_quotas_permille", n.metrics).Update(int64(1000 * share.Quotas))
 	n.events.Record(event.ShareChanged, event.Fields{Detail: fmt.Sprintf("servers=%.2f limits=%.2f sends=%.2f", share.Servers, share.Quotas, share.RateLimits)})
 	n.loop.Do(func(now sched.Time, s *sched.Scheduler) { s.SetShare(now, share) })
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -302,7 +302,7 @@
 		}
 	}
 	gauge("hosts_live", int64(live))
-	gauge("is_home", boolGauge(n.isHome()))
+	gauge("is_home", boolGauge(n.home.Leads()))
 	gauge("follows_home", boolGauge(n.client.FollowsHome()))
 	gauge("hosts_reported", int64(n.knownFleetSize()))
 	n.gaugeLoad(gauge)
