dispatch, sched: homes that follow each other closely have no burst left to give

Cause: each new home begins with half of the burst of each quota and retry budget, because the one before may have given out the other half. That is right for one change of the home. The third home took it for granted that the first two had left its half; so did a home that had just joined and can't know of any change.

Change: a Follower remembers the last two changes of the home. If the one before was less than 10 s ago, or this host joined a running fleet less than 10 s ago, it begins to lead with Share.BurstsSpent: buckets are empty, and only what accrues is given out. A request of 1,060 units waits 36 ms at 30,000 units a second.

Ruled out: empty buckets at each change (costs every single loss of a home what it has today); sending the levels of all buckets to the successors (they are up to 2 s old, and a host that joins doesn't get them).

Specs of the share and of the buckets beside it.

--- a/internal/dispatch/follower.go
+++ b/internal/dispatch/follower.go
@@ -33,6 +33,8 @@
 	// set while it leads with less than the full quotas.
 	leadsSince    time.Time
 	partialQuotas bool
+	homes         homeChanges
+	burstsSpent   bool // the bursts may have been given out when this host began to lead
 	// setShare sets the local loop's share of all servers, quotas and rate limits: all of
 	// them on the home, less on a host that schedules only for itself.
 	setShare func(sched.Share)
@@ -60,6 +62,9 @@
 			timer.Reset(period)
 		}
 		desiredHome, ok := f.desiredHome(time.Now())
+		if ok {
+			f.homes.note(time.Now(), desiredHome.Incarnation)
+		}
 		switch {
 		case ok && desiredHome.Incarnation == f.client.self:
 			f.drop(link)
--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -52,6 +52,53 @@
 	// After all hosts were killed at once, each restarts knowing only itself. If it acted as
 	// the home, every host would use the whole quota of an account for the first third of a
 	// second.
+	It("has the bursts after one change of the home, and not after further ones that follow closely", func() {
+		changed := func(age time.Duration, homes ...time.Duration) bool {
+			return shareSetBy(age, 3, 2, 0, func(f *Follower) {
+				f.homes.note(time.Now().Add(-age), 1)
+				for i, ago := range homes {
+					f.homes.note(time.Now().Add(-ago), ident.Incarnation(2+i))
+				}
+				f.lead(false)
+			}).BurstsSpent
+		}
+		Expect(changed(time.Minute)).To(BeFalse())
+		Expect(changed(time.Minute, 0)).To(BeFalse())
+		Expect(changed(time.Minute, 2*burstMemory, 0)).To(BeFalse())
+		Expect(changed(time.Minute, burstMemory/2, 0)).To(BeTrue())
+	})
+
+	// Guards against a home that has just started: it can't know how often the home before it has changed.
+	It("has no bursts for a home that has just joined a running fleet", func() {
+		joined := func(age time.Duration) bool {
+			return shareSetBy(age, 3, 2, 0, func(f *Follower) {
+				f.fleet = func() member.Fleet { return member.Fleet{State: member.Known, Joined: true} }
+				f.lead(false)
+			}).BurstsSpent
+		}
+		Expect(joined(time.Second)).To(BeTrue())
+		Expect(joined(2 * burstMemory)).To(BeFalse())
+	})
+
+	It("is next to nothing of the limits for a host that nobody has told of its fleet, however long it has run", func() {
+		for _, others := range []int{0, 1} {
+			got := shareSetBy(time.Minute, 0, others, 0, func(f *Follower) {
+				f.fleet = func() member.Fleet { return member.Fleet{State: member.Searching} }
+				f.lead(false)
+			})
+			Expect(got.Quotas).To(BeNumerically("<", 1.0/390))
+			Expect(got.Servers).To(BeNumerically("<", 0.5))
+		}
+	})
+
+	It("is the part of the hosts that were found while the listed ones keep silent", func() {
+		got := shareSetBy(time.Minute, 7, 2, 0, func(f *Follower) {
+			f.fleet = func() member.Fleet { return member.Fleet{State: member.Presumed, Missing: 7} }
+			f.lead(false)
+		})
+		Expect(got.Quotas).To(BeNumerically("~", 3.0/10, 0.001))
+	})
+
 	It("is a fraction for a host that has just started", func() {
 		got := shareSetBy(100*time.Millisecond, 6, 0, 0, lead)
 		Expect(got.Quotas).To(BeNumerically("<", 1.0/6))
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/gentianflow/gentianflow/internal/ident"
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/sched"
 )
@@ -74,7 +75,9 @@
 	}
 	if f.leadsSince.IsZero() {
 		f.leadsSince = time.Now()
+		f.burstsSpent = f.homes.changedBefore(f.leadsSince) || fleet.Joined && uptime < burstMemory
 	}
+	share.BurstsSpent = f.burstsSpent
 	lostMajority := followFraction < majority && time.Since(f.leadsSince) > discoveryTimeout
 	if takesOver || lostMajority {
 		share = scaleShare(share, followFraction)
@@ -85,6 +88,32 @@
 	f.setShare(share)
 }
 
+// burstMemory is how long the bursts that a home has given out count, and how long a host that joins a fleet
+// has to run to know how often its home has changed. Each home begins with half of the bursts, since the one
+// before may have given out the other half; further homes within this time have nothing left of them.
+const burstMemory = 10 * time.Second
+
+// homeChanges remembers when the home changed.
+type homeChanges struct {
+	home           ident.Incarnation // 0 before one was known
+	last, previous time.Time         // when it changed from one to another
+}
+
+func (c *homeChanges) note(now time.Time, home ident.Incarnation) {
+	if home == c.home {
+		return
+	}
+	if c.home != 0 {
+		c.previous, c.last = c.last, now
+	}
+	c.home = home
+}
+
+// changedBefore reports whether the home changed within burstMemory before its newest change.
+func (c *homeChanges) changedBefore(now time.Time) bool {
+	return !c.previous.IsZero() && now.Sub(c.previous) < burstMemory
+}
+
 const (
 	// A home that at least the fraction fullShareThreshold of the live hosts follow has the
 	// full share: a few hosts are always switching from one home to another.
--- a/internal/member/discovery.go
+++ b/internal/member/discovery.go
@@ -108,6 +108,9 @@
 	State chart.State
 	// Missing is the number of listed hosts that may be scheduling although they did not answer.
 	Missing int
+	// Joined is set if another host, which knew the fleet, has told of it: the fleet ran before this host
+	// did.
+	Joined bool
 }
 
 // Known reports whether the host knows enough of the fleet to schedule for others.
@@ -123,7 +126,7 @@
 	case state == Contacting && since > contactTimeout, state == Presumed && since > presumeTimeout:
 		d.fire(expired)
 	}
-	f := Fleet{State: d.machine.State()}
+	f := Fleet{State: d.machine.State(), Joined: d.reported > 0}
 	if f.State == Presumed {
 		f.Missing = d.listedSize()
 	}
--- a/internal/member/join_test.go
+++ b/internal/member/join_test.go
@@ -119,7 +119,7 @@
 	})
 	It("is complete once a host that knows the fleet has told", func() {
 		d.Told(7)
-		Expect(d.Fleet()).To(Equal(Fleet{State: Known}))
+		Expect(d.Fleet()).To(Equal(Fleet{State: Known, Joined: true}))
 	})
 	It("is complete once the host that is listed was found", func() {
 		d.Listed(fleetOf(7, home, other), false)
--- a/internal/node/fleetstart_test.go
+++ b/internal/node/fleetstart_test.go
@@ -174,7 +174,9 @@
 
 // Open implements store.Readers.
 func (h *startingHost) Open(_ context.Context, name string) (*peer.Stream, error) {
+	h.fleet.mu.Lock()
 	to := h.fleet.byName[name]
+	h.fleet.mu.Unlock()
 	if to == nil || to.n.relays == nil {
 		return nil, failure.New(failure.PeerSilent, "host %s has not started", name)
 	}
--- a/internal/node/newhosts_test.go
+++ b/internal/node/newhosts_test.go
@@ -31,6 +31,7 @@
 	client *dispatch.Client
 	mu     sync.Mutex
 	share  sched.Share
+	bursts int // how often it began with half of the bursts of the quotas
 }
 
 type neverLeaving struct{}
@@ -47,6 +48,9 @@
 	n.follower = dispatch.NewFollower(s.client, n.members, s, n.home, n.events, n.knownFleetSize, n.gossip.Discovery().Fleet, func(share sched.Share) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if s.share.Quotas < 1 && share.Quotas == 1 && !share.BurstsSpent {
+			s.bursts++
+		}
 		s.share = share
 	})
 	tasks.Go(func() { n.loop.Run(h.ctx) })
@@ -314,3 +318,61 @@
 		})
 	}
 }
+
+// TestHomesKilledAgainAndAgain guards against homes that follow each other closely and each give out half of
+// the bursts of the quotas anew.
+func TestHomesKilledAgainAndAgain(t *testing.T) {
+	const (
+		// The quota of an account is rate x window + burst, here with a burst of burstSeconds x rate.
+		burstSeconds = 1.0
+		restartAfter = 500 * time.Millisecond
+	)
+	for name, tc := range map[string]struct {
+		hosts, kills int
+		every        time.Duration
+	}{
+		"eight kills 1 s apart":       {7, 8, time.Second},
+		"five kills 1.2 s apart":      {7, 5, 1200 * time.Millisecond},
+		"four kills 1.5 s apart":      {7, 4, 1500 * time.Millisecond},
+		"three kills 2 s apart":       {7, 3, 2 * time.Second},
+		"two kills 1 s apart":         {7, 2, time.Second},
+		"eight kills, a larger fleet": {30, 8, time.Second},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					rng := rand.New(rand.NewPCG(seed, 3))
+					f, stop := newStartingFleet()
+					f.startScheduling(tc.hosts, rng)
+					time.Sleep(joinDuration)
+					for _, h := range f.hosts {
+						h.schedule.bursts = 0
+					}
+					seeds := []string{testAddress(0), testAddress(1), testAddress(2)}
+					meter := &quotaMeter{f: f}
+					for range tc.kills {
+						home := f.homeHost()
+						if home == nil { // none has taken over yet
+							home = f.hosts[len(f.hosts)-1]
+						}
+						home.kill()
+						f.start(home.address, restartAfter, seeds, rng)
+						meter.watch(tc.every)
+					}
+					meter.watch(testQuotaWindow)
+					bursts := 0
+					for _, h := range f.hosts {
+						h.schedule.mu.Lock()
+						bursts += h.schedule.bursts
+						h.schedule.mu.Unlock()
+					}
+					stop()
+					f.tasks.Wait()
+					used := meter.busiest()*testQuotaWindow.Seconds() + burstSeconds*(1+0.5*float64(bursts))
+					g.Expect(used).To(BeNumerically("<=", (testQuotaWindow.Seconds()+burstSeconds)*(1+testQuotaOver)), "%d half bursts", bursts)
+				})
+			})
+		}
+	}
+}
--- a/internal/sched/bucket.go
+++ b/internal/sched/bucket.go
@@ -99,3 +99,21 @@
 		b.level = min(b.level, b.burst/2)
 	}
 }
+
+// rescaleSpent is rescale for a host that becomes the home while the burst may have been given out before.
+// What has accrued since stays, unless empty is set.
+func (b *bucket) rescaleSpent(now Time, factor float64, empty bool) {
+	b.refill(now)
+	b.rate *= factor
+	b.burst *= factor
+	b.level = min(b.level, b.burst)
+	if empty {
+		b.spend()
+	}
+}
+
+// spend withholds the burst.
+func (b *bucket) spend() {
+	b.halfReserved = false
+	b.level = min(b.level, 0)
+}
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -13,11 +13,18 @@
 // use.
 func (s *Scheduler) SetShare(now Time, share Share) {
 	factor := share.Quotas / s.share.Quotas
+	rescale := func(b *bucket) {
+		if share.BurstsSpent {
+			b.rescaleSpent(now, factor, !s.share.BurstsSpent)
+		} else {
+			b.rescale(now, factor)
+		}
+	}
 	for _, b := range s.accounts {
-		b.rescale(now, factor)
+		rescale(b)
 	}
 	for _, svc := range s.services {
-		svc.retryBudget.rescale(now, factor)
+		rescale(&svc.retryBudget)
 	}
 	if s.share.Servers < 1 && share.Servers >= 1 {
 		s.loads.fullShareAt = now
@@ -41,6 +48,9 @@
 		if svc == nil {
 			burst := s.policy.RetryBurst * s.share.Quotas
 			svc = &service{retryBudget: bucket{burst: burst, level: burst, at: now}, prefillRatio: initialPrefillRatio, versions: s.versionsOf(spec.Name), index: newServerIndex()}
+			if s.share.BurstsSpent {
+				svc.retryBudget.spend()
+			}
 			s.services[spec.Name] = svc
 		}
 		svc.Service = spec
@@ -66,6 +76,9 @@
 		b := s.accounts[a.Name]
 		if b == nil {
 			b = newBucket(now, rate, burst, s.hasFullQuotas())
+			if s.share.BurstsSpent {
+				b.spend()
+			}
 		} else {
 			b.resize(now, rate, burst)
 		}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -86,6 +86,8 @@
 	Servers    float64 // of every server's slots
 	Quotas     float64 // of every account's quota and service's retry budget
 	RateLimits float64 // of the requests per second that servers state as their limit
+	// BurstsSpent is set if the bursts of quotas and retry budgets may have been given out before.
+	BurstsSpent bool
 }
 
 // DefaultEntryTTL is how long the entry of a server that ended stays listed when the
--- a/internal/sched/share_test.go
+++ b/internal/sched/share_test.go
@@ -40,6 +40,36 @@
 	})
 })
 
+var _ = Describe("a home that follows others closely", func() {
+	// Guards against homes that are killed one after the other and each give out half of an account's burst and
+	// of a service's retry budget.
+	It("has nothing left of the bursts, and what accrues from then on", func() {
+		const rate = 30_000
+		s := newScheduler(1, 1000)
+		s.SetShare(0, Share{Servers: 1, Quotas: 0.1})
+		s.SetAccounts(0, []Account{{Name: "acc", Rate: rate, Burst: rate}})
+		s.SetShare(10*time.Second, Share{Servers: 1, Quotas: 1, BurstsSpent: true})
+		r := stream(1, 10*time.Second, 0)
+		out, _ := s.Submit(10*time.Second, r)
+		Expect(out).To(BeEmpty())
+		Expect(placed(s.Tick(10*time.Second+40*ms))).To(Equal([]uint64{1}), "1,060 units are there after 36 ms")
+		retry := stream(2, 10*time.Second, 0)
+		retry.Account, retry.Retry = "", true
+		out, _ = s.Submit(10*time.Second, retry)
+		Expect(placed(out)).To(BeEmpty())
+	})
+
+	It("keeps what has accrued when its share grows", func() {
+		const rate = 30_000
+		s := newScheduler(1, 1000)
+		s.SetShare(0, Share{Servers: 1, Quotas: 0.7, BurstsSpent: true})
+		s.SetAccounts(0, []Account{{Name: "acc", Rate: rate, Burst: rate}})
+		s.SetShare(500*ms, Share{Servers: 1, Quotas: 1, BurstsSpent: true})
+		out, _ := s.Submit(500*ms, stream(1, 500*ms, 0))
+		Expect(placed(out)).To(Equal([]uint64{1}))
+	})
+})
+
 var _ = Describe("a fleet that restarts", func() {
 	// An account ran 6% over its limit when all 68 hosts lost power. Each host restarts with a
 	// share of the quota that is smaller than one request, and with half of it available. Half a
