--- a/test/platform/cutoff_test.go
+++ b/test/platform/cutoff_test.go
@@ -33,8 +33,8 @@
 // rawStreamTimeout bounds a stream that neither ends nor breaks.
 const rawStreamTimeout = 20 * time.Second
 
-// askRaw sends a call for a stream over a connection of its own.
-func askRaw(h *host, proto string, n int, c standin.Call) rawStream {
+// askRaw sends a call for a stream over a connection of its own, and begins to read the answer after a delay.
+func askRaw(h *host, proto string, n int, readAfter time.Duration, c standin.Call) rawStream {
 	r := rawStream{host: h.name, proto: proto}
 	conn, err := net.DialTimeout("tcp", h.at(entryPort), time.Second)
 	if err != nil {
@@ -46,6 +46,7 @@
 	_, _ = fmt.Fprintf(conn, "POST %s %s\r\nHost: %s\r\nGentianflow-Attempt-Id: %s\r\nAuthorization: Bearer %s\r\nGentianflow-Model: m\r\n"+
 		"Gentianflow-Token-Count: %d,%d\r\nGentianflow-Prompt-Prefix: 5c1e07a2:60,%s:%d\r\nGentianflow-Deadline-Ms: 15000\r\nContent-Length: %d\r\n\r\n%s",
 		c.Path, proto, standin.Host, attempt, standin.DefaultAccountKey, c.Prompt, c.Output, attempt, c.Prompt-60, len(c.Body), c.Body)
+	time.Sleep(readAfter)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return r
@@ -58,7 +59,10 @@
 }
 
 var _ = Describe("streams on a host whose process ends", func() {
-	const perHost = 16
+	const (
+		perHost    = 16
+		slowReader = 2500 * time.Millisecond // after most of the ends
+	)
 	end := func(signal syscall.Signal) func(*site) {
 		return func(s *site) { s.hosts[1].session.Signal(signal) }
 	}
@@ -83,8 +87,9 @@
 			for i, h := range s.hosts {
 				for j := range perHost {
 					proto := []string{"HTTP/1.1", "HTTP/1.0"}[j%2]
+					readAfter := []time.Duration{0, slowReader}[j/2%2]
 					callers.Go(func() {
-						r := askRaw(h, proto, i*perHost+j, c)
+						r := askRaw(h, proto, i*perHost+j, readAfter, c)
 						mu.Lock()
 						defer mu.Unlock()
 						all = append(all, r)
