--- a/internal/node/newhosts_test.go
+++ b/internal/node/newhosts_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,13 +26,14 @@
 // shares of the quotas that all hosts use.
 
 // schedulingHost is the part of a startingHost that follows the home or schedules by itself. mu guards
-// share.
+// share and bursts.
 type schedulingHost struct {
-	h      *startingHost
-	client *dispatch.Client
-	mu     sync.Mutex
-	share  sched.Share
-	bursts int // how often it began with half of the bursts of the quotas
+	h       *startingHost
+	client  *dispatch.Client
+	started atomic.Bool // the fields above and the host's Node are complete
+	mu      sync.Mutex
+	share   sched.Share
+	bursts  int // how often it began with half of the bursts of the quotas
 }
 
 type neverLeaving struct{}
@@ -53,6 +55,7 @@
 		}
 		s.share = share
 	})
+	s.started.Store(true)
 	tasks.Go(func() { n.loop.Run(h.ctx) })
 	tasks.Go(func() { n.follower.Run(h.ctx) })
 }
@@ -64,7 +67,7 @@
 	other := f.byName[to.Incarnation.String()]
 	f.mu.Unlock()
 	time.Sleep(datagramDelay)
-	if other.ctx.Err() != nil {
+	if !other.schedule.started.Load() || other.ctx.Err() != nil {
 		return nil, failure.New(failure.PeerSilent, "host %s has ended", to.Incarnation)
 	}
 	a, b := net.Pipe()
@@ -85,7 +88,7 @@
 
 // quotaInUse is the share of the quotas that the host gives out by itself.
 func (s *schedulingHost) quotaInUse() float64 {
-	if s.h.ctx.Err() != nil || s.client.FollowsHome() {
+	if !s.started.Load() || s.h.ctx.Err() != nil || s.client.FollowsHome() {
 		return 0
 	}
 	s.mu.Lock()
@@ -93,11 +96,18 @@
 	return s.share.Quotas
 }
 
+// takeBursts returns how often the host has begun with half of the bursts since the last call.
+func (s *schedulingHost) takeBursts() (bursts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	bursts, s.bursts = s.bursts, 0
+	return bursts
+}
+
 // quotaMeter adds up the shares of the quotas in use over all hosts, each sharePeriod.
 type quotaMeter struct {
 	f       *startingFleet
 	samples []float64
-	usedBy  map[*startingHost]float64
 }
 
 const (
@@ -110,17 +120,10 @@
 
 // watch samples for d.
 func (m *quotaMeter) watch(d time.Duration) {
-	if m.usedBy == nil {
-		m.usedBy = map[*startingHost]float64{}
-	}
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(sharePeriod) {
 		sum := 0.0
 		for _, h := range m.f.hosts {
-			if h.schedule != nil && h.schedule.client != nil {
-				used := h.schedule.quotaInUse()
-				sum += used
-				m.usedBy[h] = max(m.usedBy[h], used)
-			}
+			sum += h.schedule.quotaInUse()
 		}
 		m.samples = append(m.samples, sum)
 	}
@@ -164,7 +167,7 @@
 // homeHost returns the host that schedules for all, nil if there is none or more than one.
 func (f *startingFleet) homeHost() (home *startingHost) {
 	for _, h := range f.hosts {
-		if h.ctx.Err() == nil && h.n.home != nil && h.n.home.Leads() {
+		if h.ctx.Err() == nil && h.schedule.started.Load() && h.n.home.Leads() {
 			if home != nil {
 				return nil
 			}
@@ -254,6 +257,7 @@
 		time.Sleep(7500 * time.Millisecond)
 		h.storeAway.Store(false)
 		time.Sleep(1500 * time.Millisecond)
+		g.Expect(h.schedule.started.Load()).To(BeTrue())
 		follows := h.schedule.client.FollowsHome() || h.n.home.Leads()
 		stop()
 		f.tasks.Wait()
@@ -347,7 +351,7 @@
 					f.startScheduling(tc.hosts, rng)
 					time.Sleep(joinDuration)
 					for _, h := range f.hosts {
-						h.schedule.bursts = 0
+						h.schedule.takeBursts()
 					}
 					seeds := []string{testAddress(0), testAddress(1), testAddress(2)}
 					meter := &quotaMeter{f: f}
@@ -363,9 +367,7 @@
 					meter.watch(testQuotaWindow)
 					bursts := 0
 					for _, h := range f.hosts {
-						h.schedule.mu.Lock()
-						bursts += h.schedule.bursts
-						h.schedule.mu.Unlock()
+						bursts += h.schedule.takeBursts()
 					}
 					stop()
 					f.tasks.Wait()
