--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -44,7 +44,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		return a, true, nil
-	case errors.Is(err, errBufferFull):
+	case isBufferFull(err):
 		return a, false, nil
 	}
 	return a, false, err
--- a/internal/entry/buffer.go
+++ b/internal/entry/buffer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"sync/atomic"
 
@@ -50,16 +51,26 @@
 	return &answerBuffer{bytes: make([]byte, 0, first), limit: limit, first: first, max: largest}
 }
 
-// errBufferFull is the error of a buffer that may not grow further.
-var errBufferFull = failure.New(failure.ServerError, "no room to buffer more of the answer")
+// The errors of a buffer that may not grow further.
+var (
+	errBufferMax   = failure.New(failure.ServerError, "more than may be buffered of an event or answer")
+	errBufferLimit = failure.New(failure.ServerError, "the memory for buffers is used up")
+)
+
+func isBufferFull(err error) bool {
+	return errors.Is(err, errBufferMax) || errors.Is(err, errBufferLimit)
+}
 
-// readFrom appends the available data. It grows the buffer when it is full, and fails with errBufferFull if it
-// may not.
+// readFrom appends the available data. It grows the buffer when it is full, and fails with errBufferMax or
+// errBufferLimit if it may not.
 func (b *answerBuffer) readFrom(r io.Reader) (int, error) {
 	if len(b.bytes) == cap(b.bytes) {
 		more := min(cap(b.bytes), b.max-cap(b.bytes))
-		if more <= 0 || !b.limit.take(more) {
-			return 0, errBufferFull
+		if more <= 0 {
+			return 0, errBufferMax
+		}
+		if !b.limit.take(more) {
+			return 0, errBufferLimit
 		}
 		b.taken += more
 		b.bytes = append(make([]byte, 0, cap(b.bytes)+more), b.bytes...)
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -374,7 +373,7 @@
 
 // countTooLong counts an answer that was given up since it was too long.
 func (t *attempt) countTooLong(err error) {
-	if t.conn.TooLong() || errors.Is(err, errBufferFull) {
+	if t.conn.TooLong() || isBufferFull(err) {
 		t.x.h.Meter.TooLong()
 	}
 }
--- a/internal/upstream/bound.go
+++ b/internal/upstream/bound.go
@@ -9,13 +9,13 @@
 // Bounds of what is read of one answer. A server may send bytes without end where a head or a body is due. The
 // heads and answers of the services are a few KB long, those near a bound pass.
 const (
-	// MaxHeadBytes bounds the header of an answer, with the interim answers before it.
-	MaxHeadBytes = 64 << 10
-	// MaxBodyBytes bounds the body of an answer.
-	MaxBodyBytes = 64 << 20
-	// MaxDiscardedBytes bounds a body that is read to keep the connection: of a late answer to an earlier
+	// maxHeadBytes bounds the header of an answer, with the interim answers before it.
+	maxHeadBytes = 64 << 10
+	// maxBodyBytes bounds the body of an answer.
+	maxBodyBytes = 64 << 20
+	// maxDiscardedBytes bounds a body that is read to keep the connection: of a late answer to an earlier
 	// request, or of a refusal.
-	MaxDiscardedBytes = 256 << 10
+	maxDiscardedBytes = 256 << 10
 )
 
 // boundedReader reads from a connection until a bound.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -134,11 +134,11 @@
 			return nil, failure.Wrap(failure.ServerLost, err, "answer of %s", c.server.Address)
 		}
 		if matches(resp.Header) {
-			if resp.ContentLength > MaxBodyBytes && FramingOf(method, resp) == ByLength {
+			if resp.ContentLength > maxBodyBytes && FramingOf(method, resp) == ByLength {
 				c.in.tooLong = true
-				return nil, failure.New(failure.ServerLost, "the answer of %s has %d bytes, more than %d", c.server.Address, resp.ContentLength, MaxBodyBytes)
+				return nil, failure.New(failure.ServerLost, "the answer of %s has %d bytes, more than %d", c.server.Address, resp.ContentLength, maxBodyBytes)
 			}
-			c.in.begin("the answer's body", MaxBodyBytes)
+			c.in.begin("the answer's body", maxBodyBytes)
 			return resp, nil
 		}
 		if err := c.Discard(resp); err != nil {
@@ -148,19 +148,19 @@
 	return nil, failure.New(failure.ServerLost, "%s sent only answers to other requests", c.server.Address)
 }
 
-// BoundBody sets a smaller bound than MaxBodyBytes for the body of the answer whose header was read.
+// BoundBody sets a smaller bound than maxBodyBytes for the body of the answer whose header was read.
 func (c *Conn) BoundBody(bytes int64) { c.in.begin("the answer's body", bytes) }
 
-// Discard reads a body that is not needed to its end, up to MaxDiscardedBytes.
+// Discard reads a body that is not needed to its end, up to maxDiscardedBytes.
 func (c *Conn) Discard(resp *http.Response) error {
-	c.in.begin("the body of an answer that is not needed", MaxDiscardedBytes)
+	c.in.begin("the body of an answer that is not needed", maxDiscardedBytes)
 	_, err := io.Copy(io.Discard, resp.Body)
 	return err
 }
 
 // readFinalAnswer reads the header of an answer and skips interim (1xx) answers.
 func (c *Conn) readFinalAnswer(method string) (*http.Response, error) {
-	c.in.begin("the answer's header", MaxHeadBytes)
+	c.in.begin("the answer's header", maxHeadBytes)
 	for {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 		c.answerStarted = c.answerStarted || err == nil
