entry, routing: each request's line tells how old the evidence of its configuration was, and whose

Now config= stands right behind the answer's text, where a line that is cut short still has it, followed by news=AGE/SOURCE; gauges config_evidence_age_ms and config_from_store. Old news with an old version: the source had failed. Fresh news with an old version: it was skipped.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -160,25 +160,26 @@
 	body        []byte
 	fingerprint quarantine.Fingerprint // zero until the request is admitted
 
-	sends         int                // to servers, whether they ran the request or not
-	runs          int                // sends after which the request may have run
-	tried         []string           // servers not to be tried again
-	isRetry       bool               // the request was sent before
-	errorServer   string             // the server that sent errorAnswer
-	placement     dispatch.Placement // the newest placement
-	via           string             // the host that carries the connection to its server, empty if none does
-	noPath        bool               // no connection to one of the servers was found
-	serverNotice  string             // what its server had stated when the request was sent there, for the log
-	errorAnswer   *answer            // a server's error, forwarded if no other server answers
-	buffered      []*answerBuffer    // of complete answers
-	waited        time.Duration      // total time spent waiting for placements
-	refusalDetail string             // the scheduler's detail of a refusal, for the log
-	timeToFirst   time.Duration      // from the newest send to its first event or complete answer
-	framing       upstream.Framing   // of the newest server's answer, empty before there is one
-	configVersion int64              // of the configuration by which it was handled, 0 before one is known
-	sentFraming   upstream.Framing   // of the answer to the caller, empty until its header is written
-	tail          int                // bytes of the newest server's answer after its last complete event
-	stream        stream
+	sends          int                // to servers, whether they ran the request or not
+	runs           int                // sends after which the request may have run
+	tried          []string           // servers not to be tried again
+	isRetry        bool               // the request was sent before
+	errorServer    string             // the server that sent errorAnswer
+	placement      dispatch.Placement // the newest placement
+	via            string             // the host that carries the connection to its server, empty if none does
+	noPath         bool               // no connection to one of the servers was found
+	serverNotice   string             // what its server had stated when the request was sent there, for the log
+	errorAnswer    *answer            // a server's error, forwarded if no other server answers
+	buffered       []*answerBuffer    // of complete answers
+	waited         time.Duration      // total time spent waiting for placements
+	refusalDetail  string             // the scheduler's detail of a refusal, for the log
+	timeToFirst    time.Duration      // from the newest send to its first event or complete answer
+	framing        upstream.Framing   // of the newest server's answer, empty before there is one
+	configVersion  int64              // of the configuration by which it was handled, 0 before one is known
+	configEvidence routing.Evidence   // that it was the newest
+	sentFraming    upstream.Framing   // of the answer to the caller, empty until its header is written
+	tail           int                // bytes of the newest server's answer after its last complete event
+	stream         stream
 }
 
 func (x *exchange) serve() {
@@ -216,7 +217,7 @@
 	if table == nil {
 		return failure.Retry(failure.StoreDown, noConfigRetryAfter, "no configuration is known yet")
 	}
-	x.configVersion = table.Version
+	x.configVersion, x.configEvidence = table.Version, x.h.Routes.Evidence()
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	if x.route = table.Match(x.r.Host, path); x.route == nil {
 		return failure.New(failure.UnknownService, "no route for %s%s", x.r.Host, path)
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -129,7 +130,7 @@
 
 // recordEvent records an event of the request with the state of its exchange.
 func (x *exchange) recordEvent(code event.Code, detail string) {
-	f := event.Fields{Request: x.head.ID, Service: x.service, Server: x.placement.Server, Detail: detail}
+	f := event.Fields{Request: x.head.ID, Service: x.service, Server: x.placement.Server, Detail: detail + x.configFields()}
 	if x.route != nil {
 		f.Detail += " route=" + x.route.Name + " aim=" + formatDuration(x.route.LatencyTarget)
 	}
@@ -147,7 +148,6 @@
 			f.Detail += " via=" + x.via
 		}
 	}
-	f.Detail += " config=" + strconv.FormatInt(x.configVersion, 10)
 	f.Detail += x.endFields()
 	if x.head.HasTokens {
 		f.Detail += " prompt=" + strconv.Itoa(x.head.PromptTokens) + " output=" + strconv.Itoa(x.head.OutputTokens) + " hint=" + strconv.Itoa(x.head.OutputHint)
@@ -165,6 +165,16 @@
 	x.h.Events.Record(code, f)
 }
 
+// configFields formats the version by which the request was handled, how old the evidence was that it is the newest,
+// and the host from which the evidence came.
+func (x *exchange) configFields() string {
+	out := " config=" + strconv.FormatInt(x.configVersion, 10)
+	if e := x.configEvidence; !e.At.IsZero() {
+		out += " news=" + formatDuration(x.arrived.Sub(e.At)) + "/" + cmp.Or(e.Source, "store")
+	}
+	return out
+}
+
 // maxLoggedParts is the number of shared prompt parts up to which a request's parts are logged.
 const maxLoggedParts = 8
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -17,6 +17,7 @@
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/peer"
+	"github.com/gentianflow/gentianflow/internal/routing"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/store"
 	"github.com/gentianflow/gentianflow/internal/wire"
@@ -103,6 +104,9 @@
 	w := newWatcher(n.platform.Tables, tableReaders{n}, n.relays, table, n.events, func(u store.Update) {
 		n.noteEra(u.Version.Era())
 		apply(u)
+		if table == n.platform.OperatorTable {
+			n.routes.Confirm(routing.Evidence{At: time.Now(), Source: u.Reader})
+		}
 	})
 	n.tasks.Go(func() {
 		select {
@@ -276,6 +280,10 @@
 	if t := n.routes.Get(); t != nil {
 		gauge("config_version", t.Version)
 	}
+	if e := n.routes.Evidence(); !e.At.IsZero() {
+		gauge("config_evidence_age_ms", time.Since(e.At).Milliseconds())
+		gauge("config_from_store", boolGauge(e.Source == ""))
+	}
 	ready, draining, missing := n.servers.count()
 	gauge("servers_ready", int64(ready))
 	gauge("servers_draining", int64(draining))
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -150,8 +150,9 @@
 
 // CurrentTable holds the table in force. Its version only increases.
 type CurrentTable struct {
-	table   atomic.Pointer[Table]
-	changed notify.Set
+	table    atomic.Pointer[Table]
+	evidence atomic.Pointer[Evidence]
+	changed  notify.Set
 
 	mu       sync.Mutex    // serializes Replace, guards firstSet
 	firstSet chan struct{} // closed when the first table is set; made by the first waiter
@@ -160,6 +161,23 @@
 // Get returns the table in force, nil before the first.
 func (c *CurrentTable) Get() *Table { return c.table.Load() }
 
+// Evidence tells when a host last had evidence that the table in force is the newest, and from whom.
+type Evidence struct {
+	At     time.Time
+	Source string // the host that gave it, empty for the store itself
+}
+
+// Confirm records evidence that the table in force is the newest.
+func (c *CurrentTable) Confirm(e Evidence) { c.evidence.Store(&e) }
+
+// Evidence returns the newest evidence, the zero value before the first.
+func (c *CurrentTable) Evidence() Evidence {
+	if e := c.evidence.Load(); e != nil {
+		return *e
+	}
+	return Evidence{}
+}
+
 // Subscribe returns a channel that receives after changes.
 func (c *CurrentTable) Subscribe() <-chan struct{} { return c.changed.Subscribe() }
 
