store, node: a host whose evidence of the store is overdue reads the store itself

What callers saw: requests refused with 404 and 401, though the route and the key had been in force for longer than configApplyMs, at hosts in touch.

Cause: a host waits for the sources of its tables one after the other, each wait with a time of its own: the home's call to the store (1.5 s), the silence of a session (1.5 to 2 s), dials of the next readers (0.3 s each), a turn. Each is below the bound, and docs/design/change-propagation.md listed that two of them add up. Class: a bound that is kept by each part of a chain, not by the one who is bound.

Now each host knows for each table up to which moment it has all that the store had acknowledged, from the times of its own calls, also through a relay, and at 11/20 of the bound it stops waiting for whom it follows: readers and standbys read the store, the others in turns that follow the bound. Relays answer after each answer of the store instead of every 5 s.

Why it works: whatever fails, and however often, no other host is waited for beyond the one limit. Ruled out: shorter waits (three faults are late again), each host reading all the time (195 times the calls).

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -101,11 +101,11 @@
 // watch follows a table. Whether this host reads the store itself or follows one of the readers
 // depends on its rank.
 func (n *Node) watch(ctx context.Context, table string, apply func(store.Update)) {
-	w := newWatcher(n.platform.Tables, tableReaders{n}, n.relays, table, n.events, func(u store.Update) {
+	w := newWatcher(n.platform.Tables, tableReaders{n}, n.relays, table, n.settings.PropagationBound(), n.events, func(u store.Update) {
 		n.noteEra(u.Version.Era())
 		apply(u)
 		if table == n.platform.OperatorTable {
-			n.routes.Confirm(routing.Evidence{At: time.Now(), Source: u.Reader})
+			n.routes.Confirm(routing.Evidence{At: u.AsOf, Source: u.Reader})
 		}
 	})
 	n.tasks.Go(func() {
@@ -137,9 +137,9 @@
 // newWatcher returns a watcher for a table. It gets updates from the hosts that read the store
 // for all, or from the store if this host is one of them, and forwards them through this host's
 // relay.
-func newWatcher(direct store.Tables, readers store.Readers, relays *store.Relays, table string, events *event.Recorder, apply func(store.Update)) *store.Watcher {
+func newWatcher(direct store.Tables, readers store.Readers, relays *store.Relays, table string, bound time.Duration, events *event.Recorder, apply func(store.Update)) *store.Watcher {
 	relay := relays.Table(table)
-	tables := store.NewRelayedTables(direct, readers, relay.StoreFailed)
+	tables := store.NewRelayedTables(direct, readers, bound, relay.StoreFailed)
 	return &store.Watcher{
 		Tables: tables, Table: table, Events: events, OnFailure: relay.StoreFailed, Digest: relay.Digest,
 		RereadInterval: func() time.Duration {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -35,6 +35,9 @@
 	// DrainTime is how long after the store's acknowledgement a server that leaves may get requests; 0
 	// means unknown.
 	DrainTime time.Duration
+	// ConfigTime is how long after the store's acknowledgement a configuration may still be missing at a host;
+	// 0 means unknown.
+	ConfigTime time.Duration
 	// EntryTTL is the longest time that the store lists a server after it has ended; 0 means
 	// unknown.
 	EntryTTL time.Duration
@@ -48,3 +51,11 @@
 	// ConnectServer, if set, opens the connections to backend servers in place of TCP.
 	ConnectServer upstream.DialFunc
 }
+
+// PropagationBound is the time within which changes in the store must reach this host, 0 if it is unknown.
+func (s Settings) PropagationBound() time.Duration {
+	if s.ConfigTime <= 0 || s.DrainTime <= 0 {
+		return max(s.ConfigTime, s.DrainTime)
+	}
+	return min(s.ConfigTime, s.DrainTime)
+}
--- a/internal/store/relay.go
+++ b/internal/store/relay.go
@@ -46,7 +46,9 @@
 	// of another relay don't count: two hosts that follow each other would take each other's
 	// answers for the store's.
 	lastAnswer    time.Time
-	failed        bool // the store has failed to answer this host at least once
+	asOf          time.Time // up to which the rows have all that the store had acknowledged
+	answers       int       // of the store itself
+	failed        bool      // the store has failed to answer this host at least once
 	changed       chan struct{}
 	cachedReplies []compressedRows // newest last
 	// releaseCount is the number of calls of release.
@@ -76,6 +78,11 @@
 	now := time.Now()
 	if u.Reader == "" {
 		r.lastAnswer = now
+		r.answers++
+		if u.AsOf.IsZero() {
+			u.AsOf = now
+		}
+		r.asOf = maxTime(r.asOf, u.AsOf)
 	}
 	if u.Gap > minOutage {
 		r.gap, r.outageEnd = u.Gap, now
@@ -99,11 +106,31 @@
 		rows = nil
 	}
 	r.appendHistory(rows)
-	if len(rows) > 0 || firstUpdate || restored {
+	if len(rows) > 0 || firstUpdate || restored || u.Reader == "" {
 		r.wakeWaiters()
 	}
 }
 
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// age returns how old the evidence is that the rows are those of the store.
+func (r *Relay) age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.asOf)
+}
+
+func (r *Relay) countAnswers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answers
+}
+
 // setRow stores a row, or drops it if it is deleted. The caller holds mu.
 func (r *Relay) setRow(row Row) {
 	if known, ok := r.rows[row.Key]; ok {
@@ -265,14 +292,23 @@
 // StoreDown if the relay's data is stale or of an older era, with HistoryLost if after is older than the
 // history.
 func (r *Relay) Changes(ctx context.Context, after Version, wait time.Duration) ([]Row, Version, error) {
+	return r.changesOrEvidence(ctx, after, wait, wait)
+}
+
+// changesOrEvidence is Changes, but returns without changes once it has waited for evidenceAfter and the store has
+// answered since the call.
+func (r *Relay) changesOrEvidence(ctx context.Context, after Version, wait, evidenceAfter time.Duration) ([]Row, Version, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	releasesAtStart := r.releases()
+	begun, answersAtStart, releasesAtStart := time.Now(), r.countAnswers(), r.releases()
 	for {
 		rows, version, changed, err := r.changesSince(after)
 		if err != nil || len(rows) > 0 || version.Era() > after.Era() || r.releases() != releasesAtStart {
 			return rows, version, err
 		}
+		if time.Since(begun) >= evidenceAfter && r.countAnswers() != answersAtStart {
+			return nil, version, nil
+		}
 		select {
 		case <-changed:
 		case <-time.After(r.untilStale()):
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -60,6 +60,7 @@
 type RelayedTables struct {
 	direct             Tables
 	readers            Readers
+	evidence           evidence
 	onLost             func()
 	streamHost         string // the reader at the other end of stream
 	stream             *peer.Stream
@@ -84,13 +85,18 @@
 
 var _ Verifier = (*RelayedTables)(nil)
 
-// NewRelayedTables returns the reader of one table. onLost is called when the relay that was followed
-// has no fresh answer any more; it may be nil.
-func NewRelayedTables(direct Tables, readers Readers, onLost func()) *RelayedTables {
+// NewRelayedTables returns the reader of one table, whose changes this host must have within bound. onLost is called
+// when the relay that was followed has no fresh answer any more; it may be nil.
+func NewRelayedTables(direct Tables, readers Readers, bound time.Duration, onLost func()) *RelayedTables {
 	if onLost == nil {
 		onLost = func() {}
 	}
-	return &RelayedTables{direct: direct, readers: readers, onLost: onLost, pauses: map[string]pause{}, lastAnswer: time.Now()}
+	if bound <= 0 {
+		bound = DefaultBound
+	}
+	return &RelayedTables{
+		direct: direct, readers: readers, evidence: evidence{bound: bound}, onLost: onLost, pauses: map[string]pause{}, lastAnswer: time.Now(),
+	}
 }
 
 // Gap implements AnswerSource.
@@ -99,41 +105,51 @@
 // Reader implements AnswerSource.
 func (r *RelayedTables) Reader() string { return r.answeredBy }
 
+// AsOf implements AnswerSource.
+func (r *RelayedTables) AsOf() time.Time { return r.evidence.asOf }
+
 // Snapshot implements Tables.
 func (r *RelayedTables) Snapshot(ctx context.Context, table string) ([]Row, Version, error) {
 	call := &wire.TableCall{Table: table, Snapshot: true}
-	return r.read(ctx, call, relayMargin, func() ([]Row, Version, error) { return r.direct.Snapshot(ctx, table) })
+	return r.read(ctx, call, relayMargin, 0, func(ctx context.Context) ([]Row, Version, error) { return r.direct.Snapshot(ctx, table) })
 }
 
 // Verify implements Verifier.
 func (r *RelayedTables) Verify(ctx context.Context, table string, after Version, digest uint64) (rows []Row, version Version, whole bool, err error) {
 	call := &wire.TableCall{Table: table, Snapshot: true, After: int64(after), Digest: digest}
 	r.partial = false
-	rows, version, err = r.read(ctx, call, relayMargin, func() ([]Row, Version, error) { return r.direct.Snapshot(ctx, table) })
+	rows, version, err = r.read(ctx, call, relayMargin, 0, func(ctx context.Context) ([]Row, Version, error) { return r.direct.Snapshot(ctx, table) })
 	return rows, version, !r.partial, err
 }
 
 // Changes implements Tables.
 func (r *RelayedTables) Changes(ctx context.Context, table string, after Version, wait time.Duration) ([]Row, Version, error) {
-	call := &wire.TableCall{Table: table, After: int64(after), WaitMs: uint32(relayWait.Milliseconds())}
-	return r.read(ctx, call, relayWait+relayMargin, func() ([]Row, Version, error) { return r.direct.Changes(ctx, table, after, wait) })
+	call := &wire.TableCall{
+		Table: table, After: int64(after), WaitMs: uint32(relayWait.Milliseconds()), EvidenceMs: uint32(r.evidence.interval().Milliseconds()),
+	}
+	wait = r.evidence.storeWait(time.Now(), wait)
+	return r.read(ctx, call, relayWait+relayMargin, wait, func(ctx context.Context) ([]Row, Version, error) {
+		return r.direct.Changes(ctx, table, after, wait)
+	})
 }
 
 // read sends a call to the hosts that this host asks before the store, to the store, and to the
-// other hosts, until one has a fresh answer.
-func (r *RelayedTables) read(ctx context.Context, call *wire.TableCall, timeout time.Duration, direct func() ([]Row, Version, error)) ([]Row, Version, error) {
+// other hosts, until one has a fresh answer. A reader or standby whose evidence is overdue reads the store
+// first, unless the store has recently failed to answer it.
+func (r *RelayedTables) read(ctx context.Context, call *wire.TableCall, timeout, wait time.Duration, direct func(context.Context) ([]Row, Version, error)) ([]Row, Version, error) {
 	order := r.readers.ReaderOrder()
 	before, after := order.peers()
 	r.dropUnlisted(order.Names)
-	rows, version, err := r.askReaders(ctx, before, call, timeout)
+	role := order.Role()
+	rows, version, err := r.askReaders(ctx, before, call, timeout, role)
 	if !isAnswer(err) && time.Since(r.storeFailedAt) < peersFirstTime {
-		rows, version, err = r.askReaders(ctx, after, call, timeout)
+		rows, version, err = r.askReaders(ctx, after, call, timeout, role)
 	}
 	if !isAnswer(err) {
-		rows, version, err = r.readStore(order.Role(), direct)
+		rows, version, err = r.readStore(ctx, role, wait, direct)
 	}
 	if !isAnswer(err) {
-		if relayedRows, relayedVersion, errRelay := r.askReaders(ctx, after, call, timeout); isAnswer(errRelay) {
+		if relayedRows, relayedVersion, errRelay := r.askReaders(ctx, after, call, timeout, role); isAnswer(errRelay) {
 			rows, version, err = relayedRows, relayedVersion, errRelay
 		}
 	}
@@ -141,15 +157,32 @@
 	return rows, version, err
 }
 
+// storeFirst reports whether this host reads the store now rather than ask another host.
+func (r *RelayedTables) storeFirst(now time.Time, role Role) bool {
+	if !r.evidence.overdue(now) {
+		return false
+	}
+	if role == Follower {
+		return r.turnHasCome(now)
+	}
+	return now.Sub(r.storeFailedAt) >= peersFirstTime
+}
+
 // isAnswer reports whether a call that ended with err was answered.
 func isAnswer(err error) bool { return err == nil || failure.Is(err, failure.HistoryLost) }
 
 // readStore reads the store itself if this host may do so now.
-func (r *RelayedTables) readStore(role Role, read func() ([]Row, Version, error)) ([]Row, Version, error) {
-	if !r.mayRead(time.Now(), role) {
+func (r *RelayedTables) readStore(ctx context.Context, role Role, wait time.Duration, read func(context.Context) ([]Row, Version, error)) ([]Row, Version, error) {
+	begun := time.Now()
+	if !r.mayRead(begun, role) {
 		return nil, 0, errNotDue
 	}
-	rows, version, err := read()
+	if timeout := r.evidence.storeTimeout(begun, wait); timeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		ctx = limited
+	}
+	rows, version, err := read(ctx)
 	now := time.Now()
 	if !isAnswer(err) {
 		r.interrupted, r.storeFailedAt = true, now
@@ -164,6 +197,9 @@
 		r.gap = now.Sub(r.lastAnswer)
 	}
 	r.recordAnswer(now, "")
+	if err == nil {
+		r.evidence.answered(begun, now, wait, len(rows) > 0)
+	}
 	return rows, version, err
 }
 
@@ -184,13 +220,7 @@
 	if role != Follower {
 		return now.Sub(r.storeFailedAt) >= r.backoff()
 	}
-	if r.turnFrom.IsZero() {
-		r.roundsBetweenReads = 1
-		r.turnFrom, r.turn = now, rand.Float64()
-	}
-	// The number of hosts that this one knows changes while it waits.
-	round := float64(r.readers.Hosts()) * float64(followerReadSpacing)
-	if now.Before(r.turnFrom.Add(time.Duration(r.turn * round))) {
+	if !r.turnHasCome(now) {
 		return false
 	}
 	r.roundsBetweenReads = min(maxRoundsBetweenReads, 2*r.roundsBetweenReads)
@@ -198,6 +228,33 @@
 	return true
 }
 
+// turnHasCome reports whether a follower's turn to read the store has come, and draws one if it has none.
+func (r *RelayedTables) turnHasCome(now time.Time) bool {
+	if r.turnFrom.IsZero() {
+		r.roundsBetweenReads = 1
+		r.turnFrom, r.turn = now, rand.Float64()
+	}
+	return !now.Before(r.turnAt())
+}
+
+// turnAt returns when the turn that was drawn comes. The number of hosts that this one knows changes while it waits.
+func (r *RelayedTables) turnAt() time.Time {
+	hosts := r.readers.Hosts()
+	if r.roundsBetweenReads == 1 && !r.evidence.asOf.IsZero() {
+		return r.turnFrom.Add(turnDelay + time.Duration(r.turn*float64(r.evidence.turnSpread(hosts))))
+	}
+	return r.turnFrom.Add(time.Duration(r.turn * float64(hosts) * float64(followerReadSpacing)))
+}
+
+// relayTimeout limits the time of a call to a relay, so that this host reads the store itself in time.
+func (r *RelayedTables) relayTimeout(now time.Time, timeout time.Duration, role Role) time.Duration {
+	timeout = r.evidence.relayTimeout(now, timeout)
+	if role == Follower && r.evidence.overdue(now) {
+		timeout = min(timeout, max(minCallTime, r.turnAt().Sub(now)))
+	}
+	return timeout
+}
+
 // backoff returns how long the store is not called after it did not answer. The pause is
 // shorter for a host that has read nothing yet, since it can't serve any request.
 func (r *RelayedTables) backoff() time.Duration {
@@ -210,22 +267,28 @@
 // errNotDue is returned when no relay has a fresh answer and the store may not be called yet.
 var errNotDue = failure.New(failure.StoreDown, "no reader has a fresh answer, and it is not this host's turn to read the store")
 
-// askReaders asks readers in their order. Any failure but HistoryLost means that none has a
-// fresh answer.
+// askReaders asks readers in their order, until it is time to read the store. Any failure but HistoryLost means
+// that none has a fresh answer.
 //
 // A relay may be behind what this host has read. Its table could list a server that has already
 // left, so it is treated as stale.
-func (r *RelayedTables) askReaders(ctx context.Context, names []string, call *wire.TableCall, timeout time.Duration) ([]Row, Version, error) {
+func (r *RelayedTables) askReaders(ctx context.Context, names []string, call *wire.TableCall, timeout time.Duration, role Role) ([]Row, Version, error) {
 	for _, name := range names {
-		if time.Now().Before(r.pauses[name].until) {
+		now := time.Now()
+		if r.storeFirst(now, role) {
+			break
+		}
+		if now.Before(r.pauses[name].until) {
 			continue
 		}
-		rows, version, err := r.ask(ctx, name, call, timeout)
+		rows, version, err := r.ask(ctx, name, call, r.relayTimeout(now, timeout, role))
 		if err == nil && call.Snapshot && version < r.newestVersion {
 			err = errStale
 		}
 		if isAnswer(err) {
-			r.turnFrom = time.Time{}
+			if !r.evidence.overdue(time.Now()) {
+				r.turnFrom = time.Time{}
+			}
 			delete(r.pauses, name)
 			return rows, version, err
 		}
@@ -274,6 +337,8 @@
 	now := time.Now()
 	r.gap = r.reportedGap(name, reply, now)
 	r.recordAnswer(now, name)
+	// The reply may have been held up on its way. It was made no earlier than this.
+	r.evidence.advance(start.Add(time.Duration(reply.HeldMs)*time.Millisecond - time.Duration(reply.AgeMs)*time.Millisecond))
 	return rows, Version(reply.Version), nil
 }
 
@@ -323,13 +388,14 @@
 }
 
 func (r *RelayedTables) exchange(ctx context.Context, name string, call *wire.TableCall, timeout time.Duration) (*wire.TableReply, error) {
-	if err := r.connect(ctx, name); err != nil {
+	deadline := time.Now().Add(timeout)
+	if err := r.connect(ctx, name, timeout); err != nil {
 		return nil, err
 	}
 	st := r.stream
 	stop := context.AfterFunc(ctx, st.Abort)
 	defer stop()
-	_ = st.SetDeadline(time.Now().Add(timeout)) // fails only on a closed stream, as Write then does
+	_ = st.SetDeadline(deadline) // fails only on a closed stream, as Write then does
 	reply := &wire.TableReply{}
 	err := wire.Write(st, call)
 	if err == nil {
@@ -358,12 +424,12 @@
 }
 
 // connect opens the stream to a reader unless it is open.
-func (r *RelayedTables) connect(ctx context.Context, name string) error {
+func (r *RelayedTables) connect(ctx context.Context, name string, timeout time.Duration) error {
 	if r.stream != nil && r.streamHost == name {
 		return nil
 	}
 	r.close()
-	dialCtx, cancel := context.WithTimeout(ctx, relayDialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, min(timeout, relayDialTimeout))
 	defer cancel()
 	st, err := r.readers.Open(dialCtx, name)
 	if err != nil {
--- a/internal/store/relays.go
+++ b/internal/store/relays.go
@@ -65,7 +65,7 @@
 }
 
 func (s *Relays) answer(ctx context.Context, call *wire.TableCall, role Role) *wire.TableReply {
-	relay := s.Table(call.Table)
+	relay, begun := s.Table(call.Table), time.Now()
 	var rows []Row
 	var version Version
 	var err error
@@ -80,13 +80,18 @@
 		whole = true
 		rows, version, err = relay.Snapshot(ctx)
 	default:
-		rows, version, err = relay.Changes(ctx, Version(call.After), time.Duration(call.WaitMs)*time.Millisecond)
+		wait, evidenceAfter := time.Duration(call.WaitMs)*time.Millisecond, time.Duration(call.EvidenceMs)*time.Millisecond
+		if evidenceAfter == 0 {
+			evidenceAfter = wait
+		}
+		rows, version, err = relay.changesOrEvidence(ctx, Version(call.After), wait, evidenceAfter)
 	}
 	if err != nil {
 		return &wire.TableReply{Failure: string(failure.From(err).Code)}
 	}
 	reply := &wire.TableReply{Version: int64(version), Partial: call.Snapshot && !whole}
 	reply.GapMs, reply.ReturnedMs = relay.outage()
+	reply.HeldMs, reply.AgeMs = uint32(time.Since(begun).Milliseconds()), uint32(relay.age().Milliseconds()+1)
 	requested := rowRange{whole: whole, newest: version}
 	if !whole {
 		requested.after = Version(call.After)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,6 +44,8 @@
 	Gap() time.Duration
 	// Reader is the host whose relay gave the newest answer, empty for the store itself.
 	Reader() string
+	// AsOf is a time up to which the newest answer has all that the store had acknowledged.
+	AsOf() time.Time
 }
 
 // Verifier is implemented by Tables that can compare a known table with its source without reading all
@@ -133,6 +135,9 @@
 	// changes.
 	Gap    time.Duration
 	Reader string // the host that gave the answer, empty for the store itself
+	// AsOf is a time up to which the table after this update has all that the store had acknowledged. Zero
+	// means now.
+	AsOf time.Time
 }
 
 // unknownSource differs from every host name and from the store's empty name.
@@ -149,7 +154,7 @@
 			retryPause, hasRead = minRetryPause, true
 			u.Gap, lastAnswer = time.Since(lastAnswer), time.Now()
 			if answers, ok := w.Tables.(AnswerSource); ok {
-				u.Gap, u.Reader = answers.Gap(), answers.Reader()
+				u.Gap, u.Reader, u.AsOf = answers.Gap(), answers.Reader(), answers.AsOf()
 			}
 			if u.Restored = newest != 0 && u.Version.Era() > newest.Era(); u.Restored {
 				w.Events.Record(event.StoreRestored, event.Fields{Peer: u.Reader, Detail: fmt.Sprintf(
