--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -72,6 +72,8 @@
 	mu               sync.Mutex
 	state            availability
 	unavailableSince time.Time            // when makeUnavailable set state
+	answerDelay      time.Duration        // of the store's answers on their way to this host
+	readTime         time.Duration        // that the answer to a whole read takes
 	usableUntil      map[string]time.Time // by server, when it was last usable; zero: it is usable now
 	// configs holds, by configuration version, when the host first had it or a newer one.
 	configs []time.Time
@@ -89,6 +91,32 @@
 	h.state = a
 }
 
+// holdUp waits as long as the store's answers take to this host beyond their latency.
+func (h *fleetHost) holdUp(ctx context.Context, whole bool) error {
+	h.mu.Lock()
+	d := h.answerDelay
+	if whole {
+		d += h.readTime
+	}
+	h.mu.Unlock()
+	if d == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return failure.Wrap(failure.StoreDown, ctx.Err(), "call the store")
+	}
+}
+
+// setStorePath sets how long the store's answers are on their way to this host, and how long a whole read takes.
+func (h *fleetHost) setStorePath(answerDelay, readTime time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answerDelay, h.readTime = answerDelay, readTime
+}
+
 // apply records which servers this host's scheduler would use.
 func (h *fleetHost) apply(c serverChanges) {
 	h.mu.Lock()
@@ -193,7 +221,7 @@
 		return nil, failure.Wrap(failure.PeerSilent, ctx.Err(), "greet host %s", name)
 	}
 	if h.fleet.parted(h, to) {
-		if len(h.fleet.hosts) < 50 && h.fleet.sinceCut() > suspicionTime {
+		if h.fleet.suspectsCut() {
 			return nil, failure.New(failure.PeerSilent, "host %s does not answer probes", name)
 		}
 		<-ctx.Done()
@@ -231,6 +259,7 @@
 	streams  map[*fleetHost][]*fleetConn // by the host to which they were opened
 	cutZones map[int]bool                // zones whose hosts are parted from those of all other zones
 	cutAt    time.Time                   // when they were
+	cutPairs func(a, b *fleetHost) bool  // pairs that are parted though other hosts reach both, nil: none
 }
 
 // testZones is the number of availability zones, in which the hosts lie in turn.
@@ -258,14 +287,26 @@
 func (f *testFleet) parted(a, b *fleetHost) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return a.zone() != b.zone() && (f.cutZones[a.zone()] || f.cutZones[b.zone()])
+	return f.cutPairs != nil && (f.cutPairs(a, b) || f.cutPairs(b, a)) || a.zone() != b.zone() && (f.cutZones[a.zone()] || f.cutZones[b.zone()])
+}
+
+// partPairs parts pairs of hosts for which neither suspects the other, since hosts that reach both probe for them.
+func (f *testFleet) partPairs(pairs func(a, b *fleetHost) bool) {
+	f.mu.Lock()
+	f.cutPairs, f.cutAt = pairs, time.Now()
+	f.mu.Unlock()
+	time.AfterFunc(sessionDetectionTime(len(f.hosts)), func() {
+		for _, h := range f.hosts {
+			f.breakStreamsIf(h, func(c *fleetConn) bool { return f.parted(c.from, c.to) })
+		}
+	})
 }
 
-// sinceCut returns how long ago zones were parted.
-func (f *testFleet) sinceCut() time.Duration {
+// suspectsCut reports whether membership suspects hosts behind a cut.
+func (f *testFleet) suspectsCut() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.cutAt)
+	return len(f.hosts) < 50 && f.cutPairs == nil && time.Since(f.cutAt) > suspicionTime
 }
 
 // cutZone parts the hosts of a zone from all others. The streams between them break when sessions detect the silence.
--- a/internal/node/fleetstore_test.go
+++ b/internal/node/fleetstore_test.go
@@ -122,7 +122,7 @@
 		return nil, 0, err
 	}
 	rows, version := h.fleet.tables[table].snapshot()
-	return rows, version, nil
+	return rows, version, h.holdUp(ctx, true)
 }
 
 func (h *fleetHost) Changes(ctx context.Context, table string, after store.Version, wait time.Duration) ([]store.Row, store.Version, error) {
@@ -138,7 +138,7 @@
 			return nil, 0, failure.New(failure.HistoryLost, "restored")
 		}
 		if len(rows) > 0 || !waiting {
-			return rows, version, nil
+			return rows, version, h.holdUp(ctx, false)
 		}
 		select {
 		case <-changed:
