store: a host whose call failed some seconds ago reads the store again when its evidence is overdue

Cause: for 5 s after a failed call a host asked all other hosts before the store, 0.3 s for each that does not answer. The store may answer it again and all 14 others stand still: 4.2 s. Evidence: TestStoreIsReadAgainAfterAFailedCall, 5.0 s before, where 2 s are asked; green now. It asks others for 0.3 s, then the store, once the pause of 1 s after the failure is over.

--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -45,7 +45,7 @@
 	followerReadSpacing   = 8 * time.Millisecond
 	maxRoundsBetweenReads = 2
 	// turnCheckPeriod is how often a host checks whether its turn to read the store has come.
-	turnCheckPeriod = 300 * time.Millisecond
+	turnCheckPeriod = 100 * time.Millisecond
 )
 
 // RelayedTables reads a table through the hosts that read the store for all others, and from the
@@ -135,7 +135,7 @@
 
 // read sends a call to the hosts that this host asks before the store, to the store, and to the
 // other hosts, until one has a fresh answer. A reader or standby whose evidence is overdue reads the store
-// first, unless the store has recently failed to answer it.
+// first; if the store has recently failed to answer it, after other hosts were asked for overdueCallTime.
 func (r *RelayedTables) read(ctx context.Context, call *wire.TableCall, timeout, wait time.Duration, direct func(context.Context) ([]Row, Version, error)) ([]Row, Version, error) {
 	order := r.readers.ReaderOrder()
 	before, after := order.peers()
@@ -165,7 +165,8 @@
 	if role == Follower {
 		return r.turnHasCome(now)
 	}
-	return now.Sub(r.storeFailedAt) >= peersFirstTime
+	sinceFailure := now.Sub(r.storeFailedAt)
+	return sinceFailure >= peersFirstTime || sinceFailure >= r.backoff() && now.Sub(r.evidence.overdueAt()) > overdueCallTime
 }
 
 // isAnswer reports whether a call that ended with err was answered.
