--- a/test/platform/site_test.go
+++ b/test/platform/site_test.go
@@ -224,6 +224,11 @@
 		s.startInProcess(h, path)
 		return
 	}
+	s.startProcess(h, path)
+}
+
+// startProcess starts the process of a host whose settings are in a file.
+func (s *site) startProcess(h *host, path string) {
 	cmd := exec.Command(program, append(h.flags, "--metrics-port", fmt.Sprint(metricsPort), "--policy", s.policy)...)
 	cmd.Env = append(os.Environ(), "GENTIANFLOW_CONFIG="+path)
 	session, err := gexec.Start(cmd, GinkgoWriter, GinkgoWriter)
