platform: settings that change while a host starts are used, and SIGHUP doesn't end it

What operators see: a host whose settings change while it starts uses the new address of the store. Before, a SIGHUP in the first milliseconds ended the process, and a change of the file alone was missed for good: the host stayed with the old address, and with the configuration it had or could get through other hosts.

Cause: SIGHUP was registered, and the state of the file taken, only after the settings had been read and the host had been assembled; the initialization of the packages (some 7 ms on an idle machine) comes before that. Now the package hangup, which is among the first to be initialized, registers for the signal, and the state of the file is taken before it is read. A change in between is read once more.

--- a/cmd/gentianhost/main.go
+++ b/cmd/gentianhost/main.go
@@ -16,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/hangup"
 	"github.com/gentianflow/gentianflow/internal/node"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/platform"
@@ -50,6 +51,7 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
+	settings := platform.NewSettingsWatch(hangup.Signals)
 	set, err := platform.ReadSettings()
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
@@ -75,8 +77,6 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	go platform.WatchSettings(ctx, reload, n.Reload)
+	go settings.Run(ctx, n.Reload)
 	return n.Run(ctx)
 }
