store: a whole read of a table has the store client's own time

A call was given up 0.4 s after the wait that it asked for, which for a whole read is none: one that takes longer failed, counted as an outage, and was begun again. Only calls that wait for changes are given up early, and only they tell how slow the store's answers are.

--- a/internal/store/evidence.go
+++ b/internal/store/evidence.go
@@ -73,7 +73,7 @@
 // storeTimeout returns how long a call to the store that is to wait for changes may take, 0 if its own timeouts
 // apply. A store that answers slowly gets more time.
 func (e *evidence) storeTimeout(now time.Time, wait time.Duration) time.Duration {
-	if e.asOf.IsZero() || e.overdue(now) {
+	if wait == 0 || e.asOf.IsZero() || e.overdue(now) {
 		return 0
 	}
 	return wait + e.limit() - changeWait + 2*e.latency
@@ -86,6 +86,8 @@
 func (e *evidence) answered(begun, now time.Time, wait time.Duration, changes bool) {
 	elapsed := now.Sub(begun)
 	switch {
+	case wait == 0:
+		e.advance(begun)
 	case elapsed >= wait:
 		e.advance(begun.Add(wait))
 		e.latency = elapsed - wait
