store: an answer with changes that was held up doesn't hide later ones

Cause: such an answer counted as of its arrival. One that was on its way for 0.6 s made the evidence younger than it was by as much, at the home and at all who follow it; if the home stood still then, the others waited 0.6 s too long. An answer with changes counts as of 0.5 s before its arrival, or of its call; the call after it waits for 0.2 s or more, so that evidence comes as often.

--- a/internal/store/evidence.go
+++ b/internal/store/evidence.go
@@ -9,8 +9,10 @@
 	// evidence is overdue.
 	minCallTime     = 100 * time.Millisecond
 	overdueCallTime = 300 * time.Millisecond
+	// maxHeldUp is how long an answer of the store with changes may be on its way without looking newer than it is.
+	maxHeldUp = 500 * time.Millisecond
 	// minChangeWait is the shortest wait of a call to the store for changes.
-	minChangeWait = 300 * time.Millisecond
+	minChangeWait = 200 * time.Millisecond
 	// turnDelay is how long a follower whose evidence is overdue leaves the store to readers and standbys: their
 	// evidence ends at the same time, and those that it finds without an answer it asks again after RelayPause.
 	turnDelay = RelayPause + 50*time.Millisecond
@@ -82,7 +84,7 @@
 // answered records an answer of the store to a call that began at a time and was to wait for changes.
 //
 // The store holds a call without changes for the whole wait, so its answer is no older than that. One with changes
-// was made when they were, between the beginning and now.
+// was made when they were, between the beginning and now; it is taken to have been on its way for maxHeldUp.
 func (e *evidence) answered(begun, now time.Time, wait time.Duration, changes bool) {
 	elapsed := now.Sub(begun)
 	switch {
@@ -92,7 +94,7 @@
 		e.advance(begun.Add(wait))
 		e.latency = elapsed - wait
 	case changes:
-		e.advance(now)
+		e.advance(maxTime(begun, now.Add(-maxHeldUp)))
 	default:
 		e.advance(begun)
 	}
