store: the turns of a host that the store answers fit the bound, not only the first

Cause: after its first read a follower waited one to two rounds of 8 ms for each host, whatever the bound. While the store answers the host, each turn comes by 0.35 s and the spread of turns after its evidence is overdue; while it doesn't, rounds of 8 ms as before, so an outage for all costs the same calls.

--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -239,12 +240,19 @@
 }
 
 // turnAt returns when the turn that was drawn comes. The number of hosts that this one knows changes while it waits.
+// While the store answers this host, the turn comes in time for the bound, however many hosts there are.
 func (r *RelayedTables) turnAt() time.Time {
 	hosts := r.readers.Hosts()
-	if r.roundsBetweenReads == 1 && !r.evidence.asOf.IsZero() {
-		return r.turnFrom.Add(turnDelay + time.Duration(r.turn*float64(r.evidence.turnSpread(hosts))))
+	at := r.turnFrom.Add(time.Duration(r.turn * float64(hosts) * float64(followerReadSpacing)))
+	if r.evidence.asOf.IsZero() || !r.storeFailedAt.IsZero() {
+		return at
 	}
-	return r.turnFrom.Add(time.Duration(r.turn * float64(hosts) * float64(followerReadSpacing)))
+	share := r.turn - math.Floor(r.turn)
+	inTime := maxTime(r.turnFrom, r.evidence.overdueAt()).Add(turnDelay + time.Duration(share*float64(r.evidence.turnSpread(hosts))))
+	if inTime.Before(at) {
+		return inTime
+	}
+	return at
 }
 
 // relayTimeout limits the time of a call to a relay, so that this host reads the store itself in time.
