dispatch, node: a host that starts leads only once it knows the configuration and the servers

What callers saw: while a home that had just started couldn't read the store (its path silent or one way), all other hosts refused two thirds of the requests of three seconds with 503 "the service is unknown", though they knew the configuration.

Cause: a host that joins a running fleet leads as soon as it knows the members. Its scheduler learns services and servers from its own tables; the home reads the store first and asks others only when that call has failed, 1.5 s later. Until then it answered for all hosts with an empty scheduler.

--- a/internal/dispatch/follower.go
+++ b/internal/dispatch/follower.go
@@ -22,6 +22,8 @@
 	listedHosts func() int
 	// fleet tells what this host knows of the fleet since its start.
 	fleet func() member.Fleet
+	// informed reports whether this host knows the configuration and the servers; nil: it always does.
+	informed func() bool
 	// setLeading sets whether this host leads, which means that it schedules for all hosts;
 	// followers counts the hosts that are linked to it.
 	setLeading      func(bool)
@@ -48,6 +50,10 @@
 	}
 }
 
+// LeadOnceInformed makes this host schedule for others only once informed reports that it knows the configuration
+// and the servers. It is called before Run.
+func (f *Follower) LeadOnceInformed(informed func() bool) { f.informed = informed }
+
 // Run follows the current home until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	changed := f.members.Subscribe()
--- a/internal/dispatch/follower_test.go
+++ b/internal/dispatch/follower_test.go
@@ -99,6 +99,24 @@
 		Expect(got.Quotas).To(BeNumerically("~", 3.0/10, 0.001))
 	})
 
+	// Guards against a home that knows no services and refuses the requests of all hosts.
+	It("is a fraction for a home that does not know the configuration yet", func() {
+		informed, leads := false, false
+		got := shareSetBy(time.Minute, 3, 2, 0, func(f *Follower) {
+			f.LeadOnceInformed(func() bool { return informed })
+			f.setLeading = func(l bool) { leads = l }
+			f.lead(false)
+			Expect(leads).To(BeFalse())
+		})
+		Expect(got.Quotas).To(BeNumerically("<", 1.0/3))
+		informed = true
+		got = shareSetBy(time.Minute, 3, 2, 0, func(f *Follower) {
+			f.LeadOnceInformed(func() bool { return informed })
+			f.lead(false)
+		})
+		Expect(got.Quotas).To(Equal(1.0))
+	})
+
 	It("is a fraction for a host that has just started", func() {
 		got := shareSetBy(100*time.Millisecond, 6, 0, 0, lead)
 		Expect(got.Quotas).To(BeNumerically("<", 1.0/6))
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -49,10 +49,16 @@
 // Until a host knows the fleet (charts/discovery.yaml), it has no proof that nobody else schedules, however
 // long it has run. If the listed hosts don't answer, it leads with the part of those that it has found.
 //
+// A host that knows no services yet, since the store does not answer it, would refuse the requests of hosts that do.
+//
 // A host that takes over from a home which others may still follow leads once most hosts
 // follow it, with their share of the quotas. A home that most hosts have left, or have not
 // found within discoveryTimeout, takes the share of the hosts that follow it.
 func (f *Follower) lead(takesOver bool) {
+	if f.informed != nil && !f.informed() {
+		f.goStandalone()
+		return
+	}
 	live, silent := f.countHosts()
 	uptime, fleet := time.Since(f.started), f.fleet()
 	if !fleet.Known() || uptime < settleTime && !f.membershipComplete(live) || live == 1 && f.listedHosts() != 1 && uptime < discoveryTimeout {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -222,6 +222,7 @@
 	n.servers = newServers(n.platform.DecodeServer, n.events, n.applyServers)
 	n.client = dispatch.NewClient(n.incarnation, n.settings.AvailabilityZone, n.loop, n.servers, n.events)
 	n.follower = dispatch.NewFollower(n.client, n.members, n.peers, n.home, n.events, n.knownFleetSize, n.gossip.Discovery().Fleet, n.setShare)
+	n.follower.LeadOnceInformed(func() bool { return n.routes.Get() != nil && n.servers.loaded() })
 	n.opener = tunnel.NewOpener(n.peers, tunnel.Members{
 		Table: n.members, OwnZone: n.settings.AvailabilityZone, ZoneOf: n.servers.zoneOf,
 		Home: func() (member.Member, bool) { return dispatch.HomeOf(n.members) },
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -380,6 +380,13 @@
 	return time.Since(s.lastUpdate)
 }
 
+// loaded reports whether the table has been read since the start.
+func (s *servers) loaded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lastUpdate.IsZero()
+}
+
 // byID finds a listed server by its incarnation. The caller holds mu.
 func (s *servers) byID(id string) (sched.Server, bool) {
 	name, ok := s.names[id]
