node, peer: links between hosts can be replaced by a test

Settings.ConnectHost opens the connections to other hosts and WrapPackets wraps the socket of the gossip, as ConnectServer does for backend servers. Both are nil in production; callers see no difference.

Not replaced: the check whether a port refuses connections (member.RefusesConnections) still dials by itself. It tells a refusal from all else, so it differs only where a cut refuses connections.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,6 +171,9 @@
 	if n.control, err = net.Listen("tcp", n.peerAddress()); err != nil {
 		return nil, failure.Wrap(failure.BadSetting, err, "listen for other hosts on TCP")
 	}
+	if n.settings.WrapPackets != nil {
+		packets = n.settings.WrapPackets(packets)
+	}
 	return packets, nil
 }
 
@@ -189,6 +192,7 @@
 	n.peers = peer.NewManager(peer.Identity{Incarnation: n.incarnation, Host: n.settings.Host, Fleet: fleetName},
 		n.peerAddress(), n.serveStream, peerObserver{n.members}, n.events, &n.traffic)
 	n.peers.SetLocalIP(net.ParseIP(n.settings.IP))
+	n.peers.SetDial(n.settings.ConnectHost)
 	n.peers.SetProbePeriod(probePeriod(n.settings.DrainTime))
 	n.loop = dispatch.NewLoop(n.settings.Policy, n.events, n.deliver)
 	n.quarantined = newQuarantineStore(n.settings.Host, n.platform.QuarantineTable, n.platform.Tables, n.platform.Writer, n.isHome, n.events)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -9,8 +9,10 @@
 package node
 
 import (
+	"net"
 	"time"
 
+	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/rollout"
 	"github.com/gentianflow/gentianflow/internal/sched"
 	"github.com/gentianflow/gentianflow/internal/upstream"
@@ -47,4 +49,8 @@
 	LookupByCapacity bool
 	// ConnectServer, if set, opens the connections to backend servers in place of TCP.
 	ConnectServer upstream.DialFunc
+	// ConnectHost, if set, opens the connections to other hosts in place of TCP, and WrapPackets wraps the
+	// socket of the datagrams between hosts.
+	ConnectHost peer.DialFunc
+	WrapPackets func(net.PacketConn) net.PacketConn
 }
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -84,6 +84,7 @@
 	self     Identity
 	address  string       // this host's control address, as other hosts know it
 	dialFrom *net.TCPAddr // local address of the sessions that this host opens
+	dial     DialFunc     // nil: TCP
 	handler  Handler
 	observer Observer
 	events   *event.Recorder
@@ -121,6 +122,12 @@
 // other hosts see the same address of a host that has several.
 func (m *Manager) SetLocalIP(ip net.IP) { m.dialFrom = &net.TCPAddr{IP: ip} }
 
+// DialFunc opens a connection to another host.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// SetDial sets how connections to other hosts are opened, in place of TCP. It must be set before the first session.
+func (m *Manager) SetDial(d DialFunc) { m.dial = d }
+
 // Serve accepts sessions until the listener closes.
 func (m *Manager) Serve(l net.Listener) {
 	for {
@@ -318,11 +325,7 @@
 
 // connect dials a host and starts a session. The caller holds the slot's dialToken.
 func (m *Manager) connect(ctx context.Context, to Target) (*session, error) {
-	dialer := net.Dialer{Timeout: DialTimeout}
-	if m.dialFrom != nil {
-		dialer.LocalAddr = m.dialFrom
-	}
-	dialed, err := dialer.DialContext(ctx, "tcp", to.Address)
+	dialed, err := m.dialTo(ctx, to.Address)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) && to.Incarnation != 0 {
 			m.observer.ProveDead(to.Incarnation, "its port refuses connections")
@@ -344,6 +347,19 @@
 	return s, nil
 }
 
+func (m *Manager) dialTo(ctx context.Context, address string) (net.Conn, error) {
+	if m.dial != nil {
+		ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+		defer cancel()
+		return m.dial(ctx, address)
+	}
+	dialer := net.Dialer{Timeout: DialTimeout}
+	if m.dialFrom != nil {
+		dialer.LocalAddr = m.dialFrom
+	}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Discard closes the session to an address, so that the next stream dials a new
 // one. Callers use it when they detect silence before the probe does.
 func (m *Manager) Discard(address string) {
