platform: tests of changes in the store while hosts are cut from each other

Links between hosts in the test process can be cut by direction: silent (sessions say nothing, dials hang, what was sent arrives afterwards), reset, refused; datagrams are lost. Each host keeps its paths to the store and the servers.

--- a/test/platform/links_test.go
+++ b/test/platform/links_test.go
@@ -211,6 +211,7 @@
 		h.links, h.log = newLinks(), &logBuffer{}
 	}
 	set.ConnectServer = h.links.connect
+	set.ConnectHost, set.WrapPackets = s.between.dial(h.ip), s.between.packets(h.ip)
 	var n *node.Node
 	Eventually(func() (err error) { // the ports of a host that has just stopped may still be taken
 		n, err = node.New(set, platform.NewAdapter(set.Store), log.NewLogfmtLogger(log.NewSyncWriter(h.log)))
--- a/test/platform/site_test.go
+++ b/test/platform/site_test.go
@@ -105,7 +105,8 @@
 	proxies      []*proxy // with proxied the one of the store first, with ownStores one for each host
 	storeAddress string   // address of the store that hosts are given
 	inProcess    bool
-	policy       string // of the hosts' schedulers
+	between      *hostLinks // with inProcess, between the hosts
+	policy       string     // of the hosts' schedulers
 
 	mu       sync.Mutex // guards sent and replies, and changes of hosts and servers
 	sent     []standin.Call
@@ -125,6 +126,7 @@
 	byCapacity           bool               // hosts run with --lookup-by-capacity and lie in all zones in turn
 	inProcess            bool               // hosts run in the test process, and their links to servers can be cut
 	policy               string             // of the hosts' schedulers, as name=value pairs
+	zoned                bool               // hosts lie in all zones in turn
 }
 
 // newSite starts a site and waits until each host is ready and knows all others, and there is a
@@ -138,6 +140,7 @@
 	s.api = httptest.NewServer(s.store.Handler())
 	DeferCleanup(s.stop)
 	s.storeAddress, s.policy, s.inProcess = s.api.Listener.Addr().String(), o.policy, o.inProcess
+	s.between = newHostLinks()
 	spec := o.engine
 	var advertise func(string) string
 	if o.proxied {
@@ -173,6 +176,9 @@
 		if o.ownStores {
 			s.hosts[i].store = s.proxy(s.storeAddress)
 		}
+		if o.zoned {
+			s.hosts[i].zone = s.zone(i)
+		}
 		if o.byCapacity {
 			s.hosts[i].zone, s.hosts[i].flags = s.zone(i), []string{"--lookup-by-capacity"}
 		}
