store: a relay states the age of the rows that it sent

An update that arrived between a relay's reading of its rows and of their age gave the older rows the newer age; if the relay's host died then, the caller was late by the difference. Found by review, by reading; TestRelayStatesTheAgeOfTheRowsThatItSent did not compile before, since the age had no version. Also comments and names that the review stumbled over.

--- a/internal/store/evidence.go
+++ b/internal/store/evidence.go
@@ -16,8 +16,8 @@
 	// turnDelay is how long a follower whose evidence is overdue leaves the store to readers and standbys: their
 	// evidence ends at the same time, and those that it finds without an answer it asks again after RelayPause.
 	turnDelay = RelayPause + 50*time.Millisecond
-	// minTurnSpacing is the time between two reads of followers whose evidence is overdue, of one table. Together
-	// with those of the other table they are as many as the store may refuse.
+	// minTurnSpacing is the shortest time between two reads of one table by followers whose evidence is overdue. There are two
+	// tables, and the platform allows 2,000 reads a second.
 	minTurnSpacing = 1 * time.Millisecond
 )
 
@@ -33,9 +33,12 @@
 	latency time.Duration // of the store's newest answer to this host, beyond the wait that was asked for
 }
 
-// limit is the age from which evidence is overdue. The rest of the bound is for the host's own read, for the turns
-// of followers, and for an answer of the store that was held up on its way.
-func (e *evidence) limit() time.Duration { return e.bound * 11 / 20 }
+// limitShare is the part of the bound, in percent, after which evidence is overdue. The rest is for the host's own read, for
+// the turns of followers, and for an answer of the store that was held up on its way.
+const limitShare = 55
+
+// limit is the age from which evidence is overdue.
+func (e *evidence) limit() time.Duration { return e.bound * limitShare / 100 }
 
 // overdueAt returns when the evidence is overdue.
 func (e *evidence) overdueAt() time.Time { return e.asOf.Add(e.limit()) }
@@ -72,8 +75,8 @@
 	return min(wait, max(minChangeWait, e.asOf.Add(changeWait).Sub(now)))
 }
 
-// storeTimeout returns how long a call to the store that is to wait for changes may take, 0 if its own timeouts
-// apply. A store that answers slowly gets more time.
+// storeTimeout returns how long a call to the store that is to wait for changes may take. 0 means that only the store
+// client's own timeouts apply, as for a whole read, which has no wait. A store that answers slowly gets more time.
 func (e *evidence) storeTimeout(now time.Time, wait time.Duration) time.Duration {
 	if wait == 0 || e.asOf.IsZero() || e.overdue(now) {
 		return 0
--- a/internal/store/evidence_test.go
+++ b/internal/store/evidence_test.go
@@ -103,3 +103,18 @@
 		})
 	}
 }
+
+// TestRelayStatesTheAgeOfTheRowsThatItSent checks that a relay which gets an update while it answers a call does not give the
+// older rows the newer age: the caller would believe that it has the update.
+func TestRelayStatesTheAgeOfTheRowsThatItSent(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRelay()
+	now := time.Now()
+	r.Apply(Update{Whole: true, Version: 5, AsOf: now.Add(-2 * time.Second)})
+	g.Expect(r.ageOf(5)).To(BeNumerically("~", 2*time.Second, 100*time.Millisecond))
+	r.Apply(Update{Version: 6, Rows: []Row{{Key: "a", Version: 6}}, AsOf: now})
+	g.Expect(r.ageOf(6)).To(BeNumerically("~", 0, 100*time.Millisecond))
+	g.Expect(r.ageOf(9)).To(BeNumerically("~", 0, 100*time.Millisecond), "the caller knows a newer version")
+	g.Expect(r.ageOf(5)).To(BeNumerically("~", 2*time.Second, 100*time.Millisecond))
+	g.Expect(r.ageOf(4)).To(BeNumerically(">", 2*time.Second))
+}
--- a/internal/store/relay.go
+++ b/internal/store/relay.go
@@ -48,6 +48,9 @@
 	lastAnswer    time.Time
 	asOf          time.Time // up to which the rows have all that the store had acknowledged
 	answers       int       // of the store itself
+	// previousVersion and previousAsOf are version and asOf before the version last rose.
+	previousVersion Version
+	previousAsOf    time.Time
 	failed        bool      // the store has failed to answer this host at least once
 	changed       chan struct{}
 	cachedReplies []compressedRows // newest last
@@ -76,6 +79,9 @@
 	defer r.mu.Unlock()
 	firstUpdate := r.lastAnswer.IsZero() && r.version == 0
 	now := time.Now()
+	if u.Version > r.version {
+		r.previousVersion, r.previousAsOf = r.version, r.asOf
+	}
 	if u.Reader == "" {
 		r.lastAnswer = now
 		r.answers++
@@ -118,11 +124,18 @@
 	return b
 }
 
-// age returns how old the evidence is that the rows are those of the store.
-func (r *Relay) age() time.Duration {
+// ageOf returns how old the evidence is that a table as of a version, at least, is that of the store. The relay may have
+// got a newer version since the caller read its rows.
+func (r *Relay) ageOf(version Version) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.asOf)
+	switch {
+	case version >= r.version:
+		return time.Since(r.asOf)
+	case version >= r.previousVersion:
+		return time.Since(r.previousAsOf)
+	}
+	return time.Since(r.previousAsOf) + relayWait
 }
 
 func (r *Relay) countAnswers() int {
--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	// relayWait is how long a call to a relay waits for changes. A long wait delays nothing: a
-	// relay that becomes stale ends its calls, and the sessions with a host that stops answering
-	// are closed. Each call costs the home two messages for each host and table.
+	// relayWait is how long a call to a relay waits for changes at most. It mostly ends sooner, with evidence, and it is
+	// given up when this host's own evidence is overdue.
 	relayWait = 5 * time.Second
 	// relayMargin is the time allowed for the transfer of a call and its reply.
 	relayMargin      = 1500 * time.Millisecond
@@ -55,9 +54,9 @@
 //
 // The store may refuse the home and serve others, or be unavailable to all, and each call is
 // billed. Therefore the other readers read it next, then the standbys, and the followers take
-// turns only when none of these has a fresh answer. The data of a follower that takes turns is
-// seconds old. So would be the data of a home that the store refuses; therefore the home also
-// asks the other hosts.
+// turns only when none of these has a fresh answer. The data of a home that the store refuses would be
+// seconds old; therefore the home also asks the other hosts. Whatever host is followed, its evidence decides when this
+// host stops waiting and reads the store itself.
 type RelayedTables struct {
 	direct             Tables
 	readers            Readers
@@ -216,8 +215,7 @@
 }
 
 // mayRead reports whether this host may read the store now. A reader or standby may, unless the
-// store recently failed to answer it. A follower may from a random time on, which is chosen so
-// that all followers together keep to followerReadSpacing.
+// store recently failed to answer it. A follower may from its turn on.
 func (r *RelayedTables) mayRead(now time.Time, role Role) bool {
 	if role != Follower {
 		return now.Sub(r.storeFailedAt) >= r.backoff()
--- a/internal/store/relays.go
+++ b/internal/store/relays.go
@@ -91,7 +91,7 @@
 	}
 	reply := &wire.TableReply{Version: int64(version), Partial: call.Snapshot && !whole}
 	reply.GapMs, reply.ReturnedMs = relay.outage()
-	reply.HeldMs, reply.AgeMs = uint32(time.Since(begun).Milliseconds()), uint32(relay.age().Milliseconds()+1)
+	reply.HeldMs, reply.AgeMs = uint32(time.Since(begun).Milliseconds()), uint32(min(relay.ageOf(version), time.Hour).Milliseconds()+1)
 	requested := rowRange{whole: whole, newest: version}
 	if !whole {
 		requested.after = Version(call.After)
