--- a/internal/store/relay.go
+++ b/internal/store/relay.go
@@ -45,15 +45,15 @@
 	// lastAnswer is when the store itself gave its newest answer, zero while it fails. Answers
 	// of another relay don't count: two hosts that follow each other would take each other's
 	// answers for the store's.
-	lastAnswer    time.Time
-	asOf          time.Time // up to which the rows have all that the store had acknowledged
-	answers       int       // of the store itself
+	lastAnswer time.Time
+	asOf       time.Time // up to which the rows have all that the store had acknowledged
+	answers    int       // of the store itself
 	// previousVersion and previousAsOf are version and asOf before the version last rose.
 	previousVersion Version
 	previousAsOf    time.Time
-	failed        bool      // the store has failed to answer this host at least once
-	changed       chan struct{}
-	cachedReplies []compressedRows // newest last
+	failed          bool // the store has failed to answer this host at least once
+	changed         chan struct{}
+	cachedReplies   []compressedRows // newest last
 	// releaseCount is the number of calls of release.
 	releaseCount int
 	gap          time.Duration // length of the store's newest outage, 0 if none
