--- a/test/platform/configsoak_test.go
+++ b/test/platform/configsoak_test.go
@@ -28,8 +28,17 @@
 	defaultConfigLength = 13 * time.Second
 )
 
-// failedConfigSeeds are seeds of this soak that failed once, each with a comment on its failure.
-var failedConfigSeeds = []uint64{}
+// failedConfigSeeds are seeds of this soak that failed once, each with a comment on its failure. CI runs just these.
+var failedConfigSeeds = []uint64{
+	9, // the home's zone lost its path to the store and the home was paused: three hosts were late by 0.6 s
+}
+
+func configSeeds() []uint64 {
+	if os.Getenv("SOAK_SEEDS") == "" {
+		return failedConfigSeeds
+	}
+	return soakSeeds(nil)
+}
 
 const (
 	probeInterval    = 30 * time.Millisecond
@@ -101,13 +110,14 @@
 type configSoak struct {
 	*site
 	*configChecker
-	plan    configPlan
-	rng     *rand.Rand
-	checked []*checkedHost // in the order of hosts
-	base    standin.Config
-	running sync.WaitGroup // probers, writer, restarts
-	done    chan struct{}
-	poke    chan struct{} // has the writer write at once
+	plan     configPlan
+	rng      *rand.Rand
+	checked  []*checkedHost // in the order of hosts
+	base     standin.Config
+	running  sync.WaitGroup // probers, writer
+	restarts sync.WaitGroup
+	done     chan struct{}
+	poke     chan struct{} // has the writer write at once
 
 	// Used by the goroutine that injects faults.
 	events    []soakEvent
@@ -145,6 +155,7 @@
 	k.base = *k.config
 	k.newest = k.version(0, 1)
 	k.newest.Put(k.store)
+	k.storeFaults.add(time.Now(), time.Now()) // hosts have just started
 	return k
 }
 
@@ -513,7 +524,7 @@
 	}
 	ended := k.checked[i].faults.begin()
 	k.hosts[i].session.Terminate()
-	k.running.Go(func() {
+	k.restarts.Go(func() {
 		defer GinkgoRecover()
 		k.startAgain(i)
 		ended()
@@ -621,6 +632,7 @@
 		k.running.Go(func() { k.probe(i, rand.New(rand.NewPCG(seed, uint64(4+i)))) })
 	}
 	k.run(configLength())
+	k.restarts.Wait()
 	time.Sleep(stableTime + configTime) // in which all hosts are in touch at last
 	close(k.done)
 	k.running.Wait()
@@ -628,6 +640,11 @@
 	fmt.Printf("soak of configurations: seed %d, %d hosts, %s: %s; stood still %d times; load %s\n", seed, len(k.hosts), k.plan.name,
 		k.summary(k.checked), k.heldUp.Load(), strings.Join(strings.Fields(string(machine))[:1], ""))
 	k.site.stop()
+	for _, h := range k.checked {
+		if h.judged == 0 {
+			k.violations = append(k.violations, "no answer of "+h.name+" was judged")
+		}
+	}
 	for _, v := range k.violations {
 		fmt.Fprintf(GinkgoWriter, "seed %d: %s\n", seed, v)
 	}
@@ -639,7 +656,7 @@
 	// route that is missing, a key that was revoked and still is accepted.
 	It("has every change in force in time on all hosts in touch, and none goes back", func() {
 		var violations []string
-		for _, seed := range soakSeeds(failedConfigSeeds) {
+		for _, seed := range configSeeds() {
 			By(fmt.Sprint("seed ", seed))
 			for _, v := range soakConfig(seed) {
 				violations = append(violations, fmt.Sprintf("seed %d: %s", seed, v))
