--- a/internal/store/evidence.go
+++ b/internal/store/evidence.go
@@ -9,8 +9,10 @@
 	// evidence is overdue.
 	minCallTime     = 100 * time.Millisecond
 	overdueCallTime = 300 * time.Millisecond
+	// maxHeldUp is how long an answer of the store with changes may be on its way without looking newer than it is.
+	maxHeldUp = 500 * time.Millisecond
 	// minChangeWait is the shortest wait of a call to the store for changes.
-	minChangeWait = 300 * time.Millisecond
+	minChangeWait = 200 * time.Millisecond
 	// turnDelay is how long a follower whose evidence is overdue leaves the store to readers and standbys: their
 	// evidence ends at the same time, and those that it finds without an answer it asks again after RelayPause.
 	turnDelay = RelayPause + 50*time.Millisecond
@@ -73,7 +75,7 @@
 // storeTimeout returns how long a call to the store that is to wait for changes may take, 0 if its own timeouts
 // apply. A store that answers slowly gets more time.
 func (e *evidence) storeTimeout(now time.Time, wait time.Duration) time.Duration {
-	if e.asOf.IsZero() || e.overdue(now) {
+	if wait == 0 || e.asOf.IsZero() || e.overdue(now) {
 		return 0
 	}
 	return wait + e.limit() - changeWait + 2*e.latency
@@ -82,15 +84,17 @@
 // answered records an answer of the store to a call that began at a time and was to wait for changes.
 //
 // The store holds a call without changes for the whole wait, so its answer is no older than that. One with changes
-// was made when they were, between the beginning and now.
+// was made when they were, between the beginning and now; it is taken to have been on its way for maxHeldUp.
 func (e *evidence) answered(begun, now time.Time, wait time.Duration, changes bool) {
 	elapsed := now.Sub(begun)
 	switch {
+	case wait == 0:
+		e.advance(begun)
 	case elapsed >= wait:
 		e.advance(begun.Add(wait))
 		e.latency = elapsed - wait
 	case changes:
-		e.advance(now)
+		e.advance(maxTime(begun, now.Add(-maxHeldUp)))
 	default:
 		e.advance(begun)
 	}
