--- a/test/platform/configsoak_test.go
+++ b/test/platform/configsoak_test.go
@@ -41,11 +41,11 @@
 }
 
 const (
-	probeInterval    = 30 * time.Millisecond
-	maxProbesWaiting = 48 // of one host
-	probeDeadline    = 600 * time.Millisecond
-	minChangeWait    = 200 * time.Millisecond
-	maxChangeWait    = 1700 * time.Millisecond
+	configProbeInterval = 30 * time.Millisecond
+	maxProbesWaiting    = 48 // of one host
+	probeDeadline       = 600 * time.Millisecond
+	minChangeWait       = 200 * time.Millisecond
+	maxChangeWait       = 1700 * time.Millisecond
 	// storeCalm is the time between two faults of the store, so that hosts are in touch for a while between them.
 	storeCalm = stableTime + 3*time.Second
 	// pairCalm is the time between two pairs of faults, so that all other hosts are in touch.
@@ -206,8 +206,8 @@
 
 // probe sends probes to a host.
 func (k *configSoak) probe(i int, rng *rand.Rand) {
-	time.Sleep(time.Duration(rng.Int64N(int64(probeInterval))))
-	ticker := time.NewTicker(probeInterval)
+	time.Sleep(time.Duration(rng.Int64N(int64(configProbeInterval))))
+	ticker := time.NewTicker(configProbeInterval)
 	defer ticker.Stop()
 	var probes sync.WaitGroup
 	defer probes.Wait()
