--- a/internal/store/relayed.go
+++ b/internal/store/relayed.go
@@ -245,8 +245,8 @@
 	if r.evidence.asOf.IsZero() || !r.storeFailedAt.IsZero() {
 		return at
 	}
-	share := r.turn - math.Floor(r.turn)
-	inTime := maxTime(r.turnFrom, r.evidence.overdueAt()).Add(turnDelay + time.Duration(share*float64(r.evidence.turnSpread(hosts))))
+	place := r.turn - math.Floor(r.turn) // in the spread of turns, 0 to 1
+	inTime := maxTime(r.turnFrom, r.evidence.overdueAt()).Add(turnDelay + time.Duration(place*float64(r.evidence.turnSpread(hosts))))
 	if inTime.Before(at) {
 		return inTime
 	}
