--- a/review/stand2/config.go
+++ b/review/stand2/config.go
@@ -37,8 +37,10 @@
 	return object{
 		"version": version, "routes": append(routes, more...),
 		"services": []object{
-			{"name": engineService, "healthPath": "/health", "maxConnections": 620, "protocol": "h1", "tls": false,
-				"engine": object{"slots": 8, "kvCapacity": 349662, "stride": 3, "models": []object{{"name": "m"}}}},
+			{
+				"name": engineService, "healthPath": "/health", "maxConnections": 620, "protocol": "h1", "tls": false,
+				"engine": object{"slots": 8, "kvCapacity": 349662, "stride": 3, "models": []object{{"name": "m"}}},
+			},
 			{"name": appService, "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false},
 		},
 		"limits":  object{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
