--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -63,15 +63,6 @@
 	s.notify()
 }
 
-// remove removes a row.
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.set(row{Table: table, Key: key, Deleted: true})
-	s.notify()
-}
-
 func (s *store) set(r row) {
 	r.Version = s.version
 	id := r.Table + "\x00" + r.Part + "\x00" + r.Key
