--- a/review/stand2/foreignentry.go
+++ b/review/stand2/foreignentry.go
@@ -10,7 +10,7 @@
 
 const (
 	recovery     = 12 * time.Second // bounds.recoveryS
-	downTime     = 1100 * time.Millisecond
+	downTime     = 900 * time.Millisecond // with the time to start the processes below the site file's 1.1 s
 	watchedTime  = 10 * time.Second // of requests before the final fault, and after the recovery
 	servedBefore = 0.25
 )
@@ -37,7 +37,8 @@
 	}
 	before := f.load(r, 6, watchedTime, 200*time.Millisecond, next)
 	if trouble {
-		r.add("SIGKILL to all hosts")
+		f.store.put("op", "config", configuration(12, 300000))
+		r.add("version 12 is acknowledged; SIGKILL to all hosts")
 		for _, h := range f.hosts {
 			h.signal(syscall.SIGKILL)
 		}
