--- a/review/stand2/foreignentry.go
+++ b/review/stand2/foreignentry.go
@@ -9,9 +9,9 @@
 func init() { cases["foreign-entry"] = foreignEntry }
 
 const (
-	recovery     = 12 * time.Second // bounds.recoveryS
+	recovery     = 12 * time.Second       // bounds.recoveryS
 	downTime     = 900 * time.Millisecond // with the time to start the processes below the site file's 1.1 s
-	watchedTime  = 10 * time.Second // of requests before the final fault, and after the recovery
+	watchedTime  = 10 * time.Second       // of requests before the final fault, and after the recovery
 	servedBefore = 0.25
 )
 
