intake: connections of clients give way to others at a limit of descriptors

Callers saw: of 800 connections to one address of a host with 700 descriptors (500 after the platform's reserve), all stayed open: 820 to 837 descriptors, at the callers' address (heads begun, nothing sent, idle after a request), at the look-ups' and at the platform's check. At the limit itself a host accepts no connection and can't send what it holds to a server.

Cause: nothing counted connections, and limits.maxFds was not read.

internal/intake wraps the listeners. Each has a share of the sockets (limits.maxFds or the process's own limit less 200); a connection beyond it takes the place of the oldest one without a request, or the one longest idle, never of one whose request is in progress. One event a second at most (414), gauges, a lower limit after SIGHUP.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -86,6 +86,7 @@
 	HostPathsLost     Code = 411
 	HostPathsRestored Code = 412
 	FleetDiscovered   Code = 413
+	IntakeLimited     Code = 414
 
 	ConfigInForce  Code = 501
 	ConfigRefused  Code = 502
@@ -192,6 +193,7 @@
 	HostPathsLost:     {"host_paths_lost", Warn, "This host reaches no backend server while other hosts do; other hosts do not ask it for tunnels, and look-ups leave it out while most hosts have their paths."},
 	HostPathsRestored: {"host_paths_restored", Info, "This host reaches backend servers again."},
 	FleetDiscovered:   {"fleet_discovered", Info, "What this host knows of the fleet since its start has changed (charts/discovery.yaml); detail gives the states, the hosts found, listed by the store and reported by others."},
+	IntakeLimited:     {"intake_limited", Warn, "Connections or requests of clients were refused or closed since they would have exceeded what clients may make this host hold; detail gives their numbers since the last such event, of which there is at most one a second."},
 
 	ConfigInForce:  {"config_in_force", Info, "A configuration version is in force on this host."},
 	ConfigRefused:  {"config_refused", Warn, "A configuration could not be read or is invalid."},
--- /dev/null
+++ b/internal/intake/listener.go
@@ -0,0 +1,119 @@
+package intake
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"syscall"
+)
+
+// Listener accepts connections within the limits of an Intake.
+type Listener struct {
+	net.Listener
+	in    *Intake
+	share float64     // of all connections
+	conns connections // guarded by in.mu
+}
+
+// Listen wraps a listener whose connections may use a share of the connections of all listeners.
+func (in *Intake) Listen(l net.Listener, share float64) *Listener {
+	listener := &Listener{Listener: l, in: in, share: share, conns: newConnections()}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.listeners = append(in.listeners, listener)
+	return listener
+}
+
+// minConnections is what a listener may accept however small its share is.
+const minConnections = 8
+
+// limit returns the largest number of connections, 0 for no limit. The caller holds in.mu.
+func (l *Listener) limit() int {
+	if l.in.limits.Connections <= 0 {
+		return 0
+	}
+	return max(minConnections, int(l.share*float64(l.in.limits.Connections)))
+}
+
+// Accept implements net.Listener. A connection beyond the limit takes the place of another one, or is closed
+// if there is none that can be.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(conn); c != nil {
+			return c, nil
+		}
+		_ = conn.Close() // nothing of it was read
+	}
+}
+
+func (l *Listener) admit(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn, l: l}
+	l.in.mu.Lock()
+	var victims []*Conn
+	if limit := l.limit(); limit > 0 && l.conns.open >= limit {
+		victim := l.conns.oldest()
+		if victim == nil {
+			l.in.mu.Unlock()
+			l.in.count(func(r *Refusals) { r.Refused++ })
+			return nil
+		}
+		victim.remove()
+		victims = append(victims, victim)
+	}
+	l.in.open++
+	l.conns.open++
+	c.counted = true
+	c.wait(l.conns.fresh)
+	l.in.mu.Unlock()
+	l.in.closeAll(victims)
+	return c
+}
+
+// Handle returns a handler that marks the connections of its requests as in use. It and ConnState belong to
+// one http.Server that serves this listener.
+func (l *Listener) Handle(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := FromContext(r.Context()); c != nil && !c.begin() {
+			panic(http.ErrAbortHandler) // without running the request, whose client sees the close
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// ConnState is the ConnState of the http.Server.
+func ConnState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c.end()
+	}
+}
+
+// errNotTCP is the error of calls that need a socket below the connection.
+var errNotTCP = errors.New("not a socket")
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errNotTCP
+}
+
+// SetLinger sets the behavior of Close as net.TCPConn does.
+func (c *Conn) SetLinger(seconds int) error {
+	if s, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return s.SetLinger(seconds)
+	}
+	return errNotTCP
+}
+
+// CloseWrite shuts down the sending side as net.TCPConn does.
+func (c *Conn) CloseWrite() error {
+	if s, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return s.CloseWrite()
+	}
+	return errNotTCP
+}
--- /dev/null
+++ b/internal/node/intake.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"math"
+	"syscall"
+
+	"github.com/gentianflow/gentianflow/internal/event"
+	"github.com/gentianflow/gentianflow/internal/intake"
+)
+
+const (
+	// reservedDescriptors is the part of the limit that the platform keeps for files.
+	reservedDescriptors = 200
+	// The shares of all sockets that the connections of a listener may have. The rest is for connections to
+	// servers, other hosts and the store.
+	callerConnections  = 0.6
+	lookupConnections  = 0.1
+	readyConnections   = 0.02
+	metricsConnections = 0.02
+)
+
+// intakeLimits returns the limits for what clients may make this host hold.
+func intakeLimits(s Settings) intake.Limits {
+	return intake.Limits{Connections: socketLimit(s.Descriptors)}
+}
+
+// socketLimit returns how many sockets the process may have where so many descriptors are allowed, 0 if that
+// is unknown.
+func socketLimit(descriptors int) int {
+	var r syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil && r.Cur <= math.MaxInt32 && (descriptors <= 0 || int(r.Cur) < descriptors) {
+		descriptors = int(r.Cur)
+	}
+	if descriptors <= 0 {
+		return 0
+	}
+	return max(1, descriptors-reservedDescriptors)
+}
+
+// reportIntake records what the intake refused or closed since the last report.
+func (n *Node) reportIntake(r intake.Refusals) {
+	n.events.Record(event.IntakeLimited, event.Fields{Detail: r.String()})
+}
+
+// gaugeIntake sets the gauges of what clients hold, each beside its limit.
+func (n *Node) gaugeIntake(gauge func(name string, v int64)) {
+	u := n.intake.Usage()
+	gauge("client_connections", int64(u.Connections))
+	gauge("client_connections_limit", int64(u.Limits.Connections))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/intake"
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/origin"
 	"github.com/gentianflow/gentianflow/internal/peer"
@@ -112,6 +113,7 @@
 	tunnels     *tunnel.Server
 	relays      *store.Relays
 	entry       *entry.Handler
+	intake      *intake.Intake
 	traffic     peer.Traffic
 	load        *hostLoad  // nil unless Settings.LookupByCapacity
 	directory   *directory // the same
@@ -139,6 +141,7 @@
 		pool: upstream.NewPool(settings.ConnectServer), relays: store.NewRelays(), joined: make(chan struct{}),
 	}
 	n.events = event.NewRecorder(settings.Host, n.incarnation.String(), timelineEvents, logger)
+	n.intake = intake.New(intakeLimits(settings), n.reportIntake)
 	limitMemory(settings.MemoryBytes)
 	packets, err := n.listen()
 	if err != nil {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -15,6 +15,7 @@
 	"github.com/gentianflow/gentianflow/internal/entry"
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/intake"
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/routing"
@@ -25,35 +26,48 @@
 
 // startHTTP starts the HTTP servers.
 func (n *Node) startHTTP() error {
-	n.callerServer = &http.Server{
-		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: entry.WithCallerConn,
-	}
-	plainServer := func(h http.Handler) *http.Server {
-		return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	}
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", n.writeMetrics)
-	for address, srv := range map[string]*http.Server{
-		n.settings.EntryAddress:  n.callerServer,
-		n.settings.ReadyAddress:  plainServer(n.platform.ReadyHandler(n.ready)),
-		n.settings.LookupAddress: plainServer(n.platform.LookupHandler(n.addresses)),
-		net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort)): plainServer(metricsMux),
+	for _, s := range []struct {
+		address string
+		share   float64
+		handler http.Handler
+	}{
+		{n.settings.EntryAddress, callerConnections, n.entry},
+		{n.settings.ReadyAddress, readyConnections, n.platform.ReadyHandler(n.ready)},
+		{n.settings.LookupAddress, lookupConnections, n.platform.LookupHandler(n.addresses)},
+		{net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort)), metricsConnections, metricsMux},
 	} {
-		listener, err := net.Listen("tcp", address)
+		tcp, err := net.Listen("tcp", s.address)
 		if err != nil {
-			return failure.Wrap(failure.BadSetting, err, "listen at %s", address)
+			return failure.Wrap(failure.BadSetting, err, "listen at %s", s.address)
+		}
+		listener := n.intake.Listen(tcp, s.share)
+		srv := newHTTPServer(listener.Handle(s.handler))
+		if s.handler == n.entry {
+			n.callerServer, srv.MaxHeaderBytes = srv, maxHeaderBytes
 		}
 		n.httpServers = append(n.httpServers, srv)
 		n.tasks.Go(func() {
 			if err := srv.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				n.events.Record(event.DutyFailed, event.Fields{Detail: "serve " + address + ": " + err.Error()})
+				n.events.Record(event.DutyFailed, event.Fields{Detail: "serve " + s.address + ": " + err.Error()})
 			}
 		})
 	}
 	return nil
 }
 
+// newHTTPServer returns a server for the connections of a listener of the intake.
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnState: intake.ConnState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return intake.WithConn(entry.WithCallerConn(ctx, c), c)
+		},
+	}
+}
+
 // Run serves until ctx ends, then shuts down gracefully. It returns when the last request is
 // answered or the grace time has run out.
 func (n *Node) Run(ctx context.Context) error {
@@ -314,6 +328,7 @@
 	gauge("follows_home", boolGauge(n.client.FollowsHome()))
 	gauge("hosts_reported", int64(n.knownFleetSize()))
 	n.gaugeLoad(gauge)
+	n.gaugeIntake(gauge)
 	n.loop.Query(r.Context(), func(s *sched.Scheduler) {
 		gauge("scheduler_waiting", int64(s.Waiting()))
 		gauge("scheduler_running", int64(s.Running()))
@@ -381,6 +396,7 @@
 		return
 	}
 	limitMemory(settings.MemoryBytes)
+	n.intake.SetLimits(intakeLimits(settings))
 	n.entry.LimitBuffers(int64(bufferShare * float64(settings.MemoryBytes)))
 	if n.load != nil {
 		n.load.setMemoryLimit(settings.MemoryBytes)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -32,6 +32,7 @@
 	Store            string // IP:PORT of the platform's store
 	ProcessorShare   float64
 	MemoryBytes      int64
+	Descriptors      int           // limit of open files and sockets, 0: unknown
 	LinkMbps         uint32        // bandwidth of the host's link, 0: unknown
 	Grace            time.Duration // from SIGTERM to SIGKILL
 	// DrainTime is how long after the store's acknowledgement a server that leaves may get requests; 0
