intake: heads are parsed only when they are complete and fit a budget of memory

Callers saw: heads of 15 KB in short lines, half a body behind them, made a host of 80 MB take 130 MB with 400 connections; of one name 103 MB; whole ones one after the other 88 MB with 300; long attempt ids and prompt parts 168 MB; heads without end at the look-ups', the platform's and the metrics' address 643, 398 and 518 MB with 200; requests behind a stream 90 to 124 MB with 450, most of it unread in the kernel.

Cause: net/http parses line by line, and each line costs many times its bytes, whoever sends it and however many do; the small servers had the default limit of 1 MB; nobody counted.

A connection now passes a head on only when it is complete and there is memory for it once it is parsed (6 bytes a byte, 160 a line). All connections, begun and parsed heads share 0.4 of limits.memoryMb; one request may take half of what is left, so that ordinary requests find room when large ones are refused (503, Retry-After, written before anything is parsed); clients that were waited for for a second give way. What is sent behind a request in progress counts with the kernel's buffer, now 64 KB, and such connections may be closed for others. All servers of a host have the callers' limit of 64 KB.

--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -93,12 +93,18 @@
 	Message string       `json:"message"`
 }
 
-// fail writes an error answer. A retryAfter of 0 omits the Retry-After field.
-func (x *exchange) fail(status int, code failure.Code, retryAfter time.Duration, message string) {
+// FailureBody returns the body of an error answer.
+func FailureBody(code failure.Code, message string) []byte {
 	body, err := json.Marshal(failureBody{code, message})
 	if err != nil {
-		body = []byte(`{}`) // cannot happen: two strings always marshal
+		return []byte(`{}`) // cannot happen: two strings always marshal
 	}
+	return body
+}
+
+// fail writes an error answer. A retryAfter of 0 omits the Retry-After field.
+func (x *exchange) fail(status int, code failure.Code, retryAfter time.Duration, message string) {
+	body := FailureBody(code, message)
 	h := x.w.Header()
 	x.h.Dialect.WriteAnswer(h, x.head.ID)
 	h.Set("Content-Type", "application/json")
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -4,16 +4,46 @@
 	"container/list"
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
+	"time"
 )
 
-// Conn is a client's connection. The Intake's mu guards the fields below l.
+// connectionCost is the memory in bytes of a connection without a request: its buffers, its goroutine with
+// the stack, and its socket.
+const connectionCost = 12 << 10
+
+// phase is what a connection's next byte belongs to.
+type phase int32
+
+const (
+	inHead    phase = iota // the head of a request
+	afterHead              // a body or a further request; the server has not taken up the request yet
+	inRequest              // the same, while a handler runs
+)
+
+// Conn is a client's connection. The fields of the first group are used by the goroutine that reads, the
+// Intake's mu guards those of the last one.
 type Conn struct {
 	net.Conn
 	l *Listener
 
+	buffer []byte // received, not passed on to the server
+	ready  int    // bytes of buffer that belong to a complete head
+	scan   headScan
+
+	phase atomic.Int32
+
+	deadlineMu sync.Mutex
+	deadline   time.Time // of reads, as the server has set it
+
 	counted bool          // among the open connections
-	waiting *list.List    // the list it is on while the process waits for its client
+	memory  int64         // reserved
+	eager   bool          // the client has sent more behind the request in progress
+	cancel  func()        // ends the request in progress, nil without one
+	waiting *list.List    // the list it is on while it may give way to others
 	element *list.Element // its place there
+	since   time.Time     // when it got there
 }
 
 type contextKey struct{}
@@ -29,15 +59,14 @@
 	return c
 }
 
-// wait puts the connection at the end of a list, nil for none. The caller holds in.mu.
-func (c *Conn) wait(waiting *list.List) {
-	if c.waiting != nil {
-		c.waiting.Remove(c.element)
-		c.element = nil
-	}
-	if c.waiting = waiting; waiting != nil {
-		c.element = waiting.PushBack(c)
-	}
+// add counts the connection as open and waiting for its first request. The caller holds in.mu.
+func (c *Conn) add() {
+	c.counted = true
+	c.memory = connectionCost
+	c.l.conns.open++
+	c.l.in.open++
+	c.l.in.memory += c.memory
+	c.wait(c.l.conns.fresh)
 }
 
 // remove takes the connection out of all counts. The caller holds in.mu.
@@ -49,28 +78,66 @@
 	c.wait(nil)
 	c.l.conns.open--
 	c.l.in.open--
+	c.l.in.memory -= c.memory
+	c.memory = 0
+}
+
+// wait puts the connection at the end of a list, nil for none. The caller holds in.mu.
+func (c *Conn) wait(waiting *list.List) {
+	if c.waiting != nil {
+		c.waiting.Remove(c.element)
+		c.element = nil
+	}
+	if c.waiting = waiting; waiting != nil {
+		c.element = waiting.PushBack(c)
+		c.since = time.Now()
+	}
 }
 
 // begin marks the connection as one that the process is at work for. It returns false if the connection was
 // closed in favor of another one while the request arrived.
-func (c *Conn) begin() bool {
-	c.l.in.mu.Lock()
-	defer c.l.in.mu.Unlock()
-	if c.counted {
+func (c *Conn) begin(cancel func()) bool {
+	c.phase.Store(int32(inRequest))
+	in := c.l.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !c.counted {
+		return false
+	}
+	c.cancel = cancel
+	if c.eager {
+		c.wait(c.l.conns.eager)
+	} else {
 		c.wait(nil)
 	}
-	return c.counted
+	return true
 }
 
 // end marks the connection as one that waits for its client's next request.
 func (c *Conn) end() {
-	c.l.in.mu.Lock()
-	defer c.l.in.mu.Unlock()
+	c.scan = headScan{}
+	c.phase.Store(int32(inHead))
+	in := c.l.in
+	in.releaseRequest(c, cap(c.buffer))
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	c.cancel, c.eager = nil, false
 	if c.counted {
 		c.wait(c.l.conns.idle)
 	}
 }
 
+// abandon closes the connection in favor of others, and ends its request in progress.
+func (c *Conn) abandon() {
+	_ = c.Conn.Close()
+	c.l.in.mu.Lock()
+	cancel := c.cancel
+	c.l.in.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.l.in.mu.Lock()
--- /dev/null
+++ b/internal/intake/head.go
@@ -0,0 +1,275 @@
+package intake
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gentianflow/gentianflow/internal/failure"
+)
+
+// The memory in bytes of a parsed head, its copy for a backend server and what is derived from it, for each
+// byte and for each line.
+const (
+	costPerHeadByte = 6
+	costPerHeadLine = 160
+)
+
+// firstBuffer is the size of the buffer for a head that does not arrive at once.
+const firstBuffer = 4 << 10
+
+// headScan finds the end of a head, an empty line, in pieces.
+type headScan struct {
+	bytes, lines int  // so far
+	length       int  // of the line that is not complete
+	first        byte // of that line
+}
+
+// next takes the next piece. It returns how many bytes of it belong to the head, and whether the head is
+// complete.
+func (s *headScan) next(piece []byte) (n int, complete bool) {
+	for n < len(piece) {
+		rest := piece[n:]
+		i := bytes.IndexByte(rest, '\n')
+		line := rest
+		if i >= 0 {
+			line = rest[:i]
+		}
+		if s.length == 0 && len(line) > 0 {
+			s.first = line[0]
+		}
+		s.length += len(line)
+		if i < 0 {
+			n = len(piece)
+			break
+		}
+		n += i + 1
+		s.lines++
+		empty := s.length == 0 || s.length == 1 && s.first == '\r'
+		s.length = 0
+		if empty {
+			complete = true
+			break
+		}
+	}
+	s.bytes += n
+	return n, complete
+}
+
+// cost returns the memory of the head once it is parsed.
+func (s *headScan) cost() int64 { return int64(costPerHeadByte*s.bytes + costPerHeadLine*s.lines) }
+
+// Read implements net.Conn for the server. It passes on a head only when it is complete and there is memory to
+// parse it, so that heads which never end cost their bytes and nothing else.
+func (c *Conn) Read(p []byte) (int, error) {
+	switch phase(c.phase.Load()) {
+	case inRequest:
+		return c.readOn(p)
+	case afterHead:
+		if len(p) == 1 {
+			return c.readOn(p) // the server watches for the end of the connection
+		}
+		c.phase.Store(int32(inHead)) // the server sees the end of the head elsewhere
+	}
+	if c.ready == 0 {
+		n, err := c.readHead(p)
+		if n > 0 || err != nil {
+			return n, err
+		}
+	}
+	n := c.takeBuffered(p[:min(len(p), c.ready)])
+	if c.ready -= n; c.ready == 0 {
+		c.phase.Store(int32(afterHead))
+	}
+	return n, nil
+}
+
+// readOn reads what follows a head.
+func (c *Conn) readOn(p []byte) (n int, err error) {
+	if len(c.buffer) > 0 {
+		n = c.takeBuffered(p)
+	} else {
+		n, err = c.Conn.Read(p)
+	}
+	if n == 1 && len(p) == 1 && !c.admitEager() {
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// takeBuffered moves bytes from the buffer, and frees it when it is empty.
+func (c *Conn) takeBuffered(p []byte) int {
+	n := copy(p, c.buffer)
+	size := cap(c.buffer)
+	if c.buffer = c.buffer[n:]; len(c.buffer) == 0 {
+		c.buffer = nil
+	}
+	c.l.in.release(c, int64(size-cap(c.buffer)))
+	return n
+}
+
+// readHead reads until a head is complete. It returns the bytes that it has read into p, or none when the head
+// is in the buffer.
+func (c *Conn) readHead(p []byte) (int, error) {
+	scanned := 0
+	if len(c.buffer) == 0 {
+		n, err := c.Conn.Read(p)
+		if n == 0 {
+			return 0, err
+		}
+		if _, complete := c.scan.next(p[:n]); complete {
+			if !c.admitHead() {
+				return 0, io.EOF
+			}
+			c.phase.Store(int32(afterHead))
+			return n, nil
+		}
+		if !c.grow(n) {
+			return 0, io.EOF
+		}
+		c.buffer, scanned = append(c.buffer, p[:n]...), n
+	}
+	c.limitHeadTime()
+	for {
+		if scanned < len(c.buffer) {
+			n, complete := c.scan.next(c.buffer[scanned:])
+			scanned += n
+			if complete {
+				if !c.admitHead() {
+					return 0, io.EOF
+				}
+				c.ready = scanned
+				return 0, nil
+			}
+		}
+		if limit := c.l.in.options.MaxHead; limit > 0 && c.scan.bytes > limit {
+			c.l.in.count(func(r *Refusals) { r.TooLong++ })
+			c.refuse(http.StatusRequestHeaderFieldsTooLarge, failure.TooLarge, "the head is longer than "+strconv.Itoa(limit)+" bytes")
+			return 0, io.EOF
+		}
+		if len(c.buffer) == cap(c.buffer) && !c.grow(1) {
+			return 0, io.EOF
+		}
+		n, err := c.Conn.Read(c.buffer[len(c.buffer):cap(c.buffer)])
+		if n == 0 && err != nil {
+			return 0, err
+		}
+		c.buffer = c.buffer[:len(c.buffer)+n]
+	}
+}
+
+// grow makes room for at least so many further bytes in the buffer, if there is memory.
+func (c *Conn) grow(bytes int) bool {
+	size := max(firstBuffer, 2*cap(c.buffer), len(c.buffer)+bytes)
+	if !c.l.in.reserve(c, int64(size-cap(c.buffer))) {
+		c.refuseHead()
+		return false
+	}
+	c.buffer = append(make([]byte, 0, size), c.buffer...)
+	return true
+}
+
+// limitHeadTime sets the time limit of a head that has begun to arrive.
+func (c *Conn) limitHeadTime() {
+	limit := c.l.in.options.HeadTimeout
+	if limit <= 0 {
+		return
+	}
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if end := time.Now().Add(limit); c.deadline.IsZero() || end.Before(c.deadline) {
+		_ = c.Conn.SetReadDeadline(end)
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// admitHead takes the memory that a head has once it is parsed. It refuses the request if there is none.
+func (c *Conn) admitHead() bool {
+	if c.l.in.reserve(c, c.scan.cost()) {
+		return true
+	}
+	c.refuseHead()
+	return false
+}
+
+func (c *Conn) refuseHead() {
+	c.l.in.count(func(r *Refusals) { r.Heads++ })
+	c.refuse(http.StatusServiceUnavailable, failure.HostFull, "this host has no memory for the request")
+}
+
+// eagerCost is the memory in bytes of what a client may send behind a request in progress: receiveBuffer, in
+// which it is kept unread.
+const eagerCost = receiveBuffer
+
+// admitEager takes the memory for what a client sends behind a request in progress. Without memory the
+// connection is closed.
+func (c *Conn) admitEager() bool {
+	in := c.l.in
+	in.mu.Lock()
+	known, counted := c.eager, c.counted
+	c.eager = true
+	in.mu.Unlock()
+	if known || !counted {
+		return counted
+	}
+	if !in.reserve(c, eagerCost) {
+		in.mu.Lock()
+		c.remove()
+		in.mu.Unlock()
+		in.closeAll([]*Conn{c})
+		return false
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if c.counted && c.cancel != nil {
+		c.wait(c.l.conns.eager)
+	}
+	return true
+}
+
+const (
+	// refusalRetryAfter is the Retry-After of a refused request; clients retry at another host.
+	refusalRetryAfter = 100 * time.Millisecond
+	// A refused client has lingerTime to read its answer, and may send lingerBytes meanwhile: the close of a
+	// connection with unread bytes is a reset, which may overtake the answer.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+// refuse answers a request that the server does not get to see, and ends the connection.
+func (c *Conn) refuse(status int, code failure.Code, message string) {
+	var body []byte
+	if f := c.l.in.options.Refusal; f != nil {
+		body = f(code, message)
+	}
+	retry := ""
+	if status == http.StatusServiceUnavailable {
+		retry = fmt.Sprintf("Retry-After: %.3f\r\n", refusalRetryAfter.Seconds())
+	}
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n", status, http.StatusText(status), len(body), retry)
+	c.buffer, c.ready = nil, 0
+	c.l.in.releaseRequest(c, 0)
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
+	if _, err := c.Conn.Write(append([]byte(head), body...)); err == nil {
+		c.linger()
+	}
+}
+
+// linger ends the sending side, and discards what still arrives.
+func (c *Conn) linger() {
+	if s, ok := c.Conn.(interface{ CloseWrite() error }); !ok || s.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,51 +11,66 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/gentianflow/gentianflow/internal/failure"
 )
 
 // Limits are the limits of an Intake.
 type Limits struct {
-	Connections int // descriptors for all listeners together; 0: no limit
+	Connections int   // descriptors for all listeners together; 0: no limit
+	Memory      int64 // bytes that connections, heads and bodies may take together; 0: no limit
 }
 
 // Refusals are what an Intake refused or closed since the last report.
 type Refusals struct {
 	Closed  int64 // connections that were closed in favor of others
 	Refused int64 // connections that were closed at once since no other could be
+	Heads   int64 // requests that were refused when their head had arrived, for want of memory
+	TooLong int64 // requests whose head was longer than heads may be
 }
 
 func (r Refusals) any() bool { return r != Refusals{} }
 
 // String implements fmt.Stringer.
 func (r Refusals) String() string {
-	return fmt.Sprintf("connections_closed=%d connections_refused=%d", r.Closed, r.Refused)
+	return fmt.Sprintf("connections_closed=%d connections_refused=%d heads_refused=%d heads_too_long=%d", r.Closed, r.Refused, r.Heads, r.TooLong)
 }
 
 // Usage is what the clients hold at a moment.
 type Usage struct {
 	Connections int
+	Memory      int64
 	Limits      Limits
 }
 
 // reportPeriod is the shortest time between two reports.
 const reportPeriod = time.Second
 
+// Options are the properties of an Intake that do not change.
+type Options struct {
+	MaxHead     int           // bytes of a request's head, 0: no limit
+	HeadTimeout time.Duration // from the first byte of a head to its last one, 0: no limit
+	// Refusal returns the body of an answer to a request that is not read; nil: the answer has none.
+	Refusal func(failure.Code, string) []byte
+	// Report is called when something was refused or closed, at most once in a second; may be nil.
+	Report func(Refusals)
+}
+
 // Intake is the budget of a process for its clients. mu guards all fields below it.
 type Intake struct {
-	report func(Refusals)
+	options Options
 
 	mu         sync.Mutex
 	limits     Limits
 	listeners  []*Listener
 	open       int
+	memory     int64
 	pending    Refusals
 	reportedAt time.Time
 }
 
-// New returns an Intake. report is called when something was refused or closed, at most once in a second.
-func New(limits Limits, report func(Refusals)) *Intake {
-	return &Intake{limits: limits, report: report}
-}
+// New returns an Intake.
+func New(limits Limits, options Options) *Intake { return &Intake{limits: limits, options: options} }
 
 // SetLimits changes the limits, and closes connections that exceed them now.
 func (in *Intake) SetLimits(l Limits) {
@@ -69,6 +84,7 @@
 			victims = append(victims, victim)
 		}
 	}
+	victims = append(victims, in.makeRoom(0, time.Now())...)
 	in.mu.Unlock()
 	in.closeAll(victims)
 }
@@ -76,7 +92,7 @@
 // closeAll closes connections that were removed in favor of others.
 func (in *Intake) closeAll(victims []*Conn) {
 	for _, c := range victims {
-		_ = c.Conn.Close()
+		c.abandon()
 	}
 	if len(victims) > 0 {
 		in.count(func(r *Refusals) { r.Closed += int64(len(victims)) })
@@ -87,7 +103,7 @@
 func (in *Intake) Usage() Usage {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return Usage{Connections: in.open, Limits: in.limits}
+	return Usage{Connections: in.open, Memory: in.memory, Limits: in.limits}
 }
 
 // count adds to the next report, and reports if the last one is long enough ago. It is called without mu.
@@ -99,8 +115,76 @@
 		r, in.pending, in.reportedAt = in.pending, Refusals{}, now
 	}
 	in.mu.Unlock()
-	if r.any() && in.report != nil {
-		in.report(r)
+	if r.any() && in.options.Report != nil {
+		in.options.Report(r)
+	}
+}
+
+// stallTime is how long the process waits for a client before others may get the memory that the client holds.
+const stallTime = time.Second
+
+// reserve takes memory for a connection and reports whether the limit allows it. Only a half of what is left is
+// given to one, so that small requests still find room when large ones have been refused. Clients that the
+// process has waited for since stallTime give way.
+func (in *Intake) reserve(c *Conn, bytes int64) bool {
+	in.mu.Lock()
+	victims := in.makeRoom(bytes, time.Now().Add(-stallTime))
+	fits := c.counted && in.fits(bytes)
+	if fits {
+		in.memory += bytes
+		c.memory += bytes
+	}
+	in.mu.Unlock()
+	in.closeAll(victims)
+	return fits
+}
+
+// fits reports whether so much memory may be given to one connection. The caller holds mu.
+func (in *Intake) fits(bytes int64) bool {
+	return in.limits.Memory <= 0 || bytes <= (in.limits.Memory-in.memory)/2
+}
+
+// makeRoom removes connections that have waited for their clients since before a time until so much memory may
+// be given to one, or none is left. The caller holds mu, and closes them.
+func (in *Intake) makeRoom(bytes int64, before time.Time) (victims []*Conn) {
+	for !in.fits(bytes) {
+		victim := in.oldest(before)
+		if victim == nil {
+			break
+		}
+		victim.remove()
+		victims = append(victims, victim)
+	}
+	return victims
+}
+
+// oldest returns the connection that gives way first among those that have waited since before a time.
+func (in *Intake) oldest(before time.Time) (first *Conn) {
+	for _, l := range in.listeners {
+		if c := l.conns.oldest(); c != nil && c.since.Before(before) && (first == nil || c.since.Before(first.since)) {
+			first = c
+		}
+	}
+	return first
+}
+
+// release gives memory of a connection back.
+func (in *Intake) release(c *Conn, bytes int64) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if c.counted {
+		in.memory -= bytes
+		c.memory -= bytes
+	}
+}
+
+// releaseRequest gives back the memory of a connection but that of the connection itself and of a buffer.
+func (in *Intake) releaseRequest(c *Conn, buffer int) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if c.counted {
+		in.memory -= c.memory - connectionCost - int64(buffer)
+		c.memory = connectionCost + int64(buffer)
 	}
 }
 
@@ -108,14 +192,17 @@
 type connections struct {
 	fresh *list.List // for the first request
 	idle  *list.List // for a further request
+	eager *list.List // for nothing: the client has sent more behind a request in progress
 	open  int
 }
 
-func newConnections() connections { return connections{fresh: list.New(), idle: list.New()} }
+func newConnections() connections {
+	return connections{fresh: list.New(), idle: list.New(), eager: list.New()}
+}
 
 // oldest returns the connection to close in favor of another, nil if the process is at work for all of them.
 func (c *connections) oldest() *Conn {
-	for _, waiting := range []*list.List{c.fresh, c.idle} {
+	for _, waiting := range []*list.List{c.fresh, c.idle, c.eager} {
 		if e := waiting.Front(); e != nil {
 			return e.Value.(*Conn)
 		}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -29,10 +29,10 @@
 }
 
 func newTestServer(limits Limits) *testServer {
-	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	s := &testServer{in: New(limits, Options{MaxHead: 64 << 10, HeadTimeout: 5 * time.Second}), waiting: make(chan struct{}, 100), release: make(chan struct{})}
+	l, err := s.in.ListenTCP("127.0.0.1:0", 1)
 	Expect(err).NotTo(HaveOccurred())
-	s := &testServer{in: New(limits, nil), address: tcp.Addr().String(), waiting: make(chan struct{}, 100), release: make(chan struct{})}
-	l := s.in.Listen(tcp, 1)
+	s.address = l.Addr().String()
 	srv := &http.Server{
 		ConnState: ConnState, ConnContext: WithConn, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 		Handler: l.Handle(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -40,6 +40,11 @@
 				s.waiting <- struct{}{}
 				<-s.release
 			}
+			if r.URL.Path == "/echo" {
+				body, _ := io.ReadAll(r.Body)
+				_, _ = fmt.Fprintf(w, "%s %d %s", r.Header.Get("Number"), len(r.Header), body)
+				return
+			}
 			_, _ = io.WriteString(w, "ok")
 		})),
 	}
@@ -49,12 +54,18 @@
 }
 
 func (s *testServer) dial() net.Conn {
-	before := s.in.Usage().Connections
 	conn, err := net.Dial("tcp", s.address)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(conn.Close)
-	if limit := s.in.Usage().Limits.Connections; limit == 0 || before < limit {
-		Eventually(func() int { return s.in.Usage().Connections }).Should(Equal(before + 1))
+	DeferCleanup(func() { _ = conn.Close() }) // the spec may have closed it
+	return conn
+}
+
+// dialCounted is dial, and waits until the connection counts, if the limit allows one more.
+func (s *testServer) dialCounted() net.Conn {
+	u := s.in.Usage()
+	conn := s.dial()
+	if u.Connections < u.Limits.Connections {
+		Eventually(func() int { return s.in.Usage().Connections }).Should(Equal(u.Connections + 1))
 	}
 	return conn
 }
@@ -93,19 +104,19 @@
 	// a request in progress.
 	It("take the place of the oldest without a request, then of the longest idle, never of one at work", func() {
 		s := newTestServer(Limits{Connections: minConnections})
-		busy := s.dial()
+		busy := s.dialCounted()
 		go func() { _, _ = ask(busy, "/wait") }()
 		Eventually(s.waiting).Should(Receive())
 		var idle, fresh []net.Conn
 		for range 3 {
-			idle = append(idle, s.dial())
+			idle = append(idle, s.dialCounted())
 			expectAnswer(idle[len(idle)-1])
 		}
 		for len(fresh) < 4 {
-			fresh = append(fresh, s.dial())
+			fresh = append(fresh, s.dialCounted())
 		}
 		for i, victim := range append(fresh, idle...) {
-			last := s.dial()
+			last := s.dialCounted()
 			Eventually(func() bool { return closedByServer(victim) }).Should(BeTrue(), "victim %d", i)
 			expectAnswer(last)
 			Expect(s.in.Usage().Connections).To(Equal(minConnections))
@@ -117,11 +128,11 @@
 	It("are closed at once while all others are at work", func() {
 		s := newTestServer(Limits{Connections: minConnections})
 		for range minConnections {
-			conn := s.dial()
+			conn := s.dialCounted()
 			go func() { _, _ = ask(conn, "/wait") }()
 			Eventually(s.waiting).Should(Receive())
 		}
-		refused := s.dial()
+		refused := s.dialCounted()
 		Eventually(func() bool { return closedByServer(refused) }).Should(BeTrue())
 		close(s.release)
 		Eventually(func() error {
@@ -134,11 +145,11 @@
 	It("are closed by a lower limit", func() {
 		s := newTestServer(Limits{Connections: 1000})
 		for range 20 {
-			s.dial()
+			s.dialCounted()
 		}
 		s.in.SetLimits(Limits{Connections: minConnections})
 		Expect(s.in.Usage().Connections).To(BeNumerically("<=", minConnections))
-		expectAnswer(s.dial())
+		expectAnswer(s.dialCounted())
 	})
 })
 
@@ -146,7 +157,7 @@
 	// Guards against a log that grows with the number of refused clients.
 	It("is made at most once in a second", func() {
 		reports := 0
-		in := New(Limits{}, func(Refusals) { reports++ })
+		in := New(Limits{}, Options{Report: func(Refusals) { reports++ }})
 		for range 10000 {
 			in.count(func(r *Refusals) { r.Closed++ })
 		}
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -1,12 +1,33 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 )
 
+// receiveBuffer is the size in bytes of the kernel's buffer for what a client has sent and the process has not
+// read.
+const receiveBuffer = 64 << 10
+
+// ListenTCP listens on an address. The connections may use a share of the connections of all listeners.
+func (in *Intake) ListenTCP(address string, share float64) (*Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, socket syscall.RawConn) error {
+		return socket.Control(func(fd uintptr) {
+			// Accepted connections inherit the size. Where it can't be set, the system's default holds.
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+	}}
+	tcp, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return in.listen(tcp, share), nil
+}
+
 // Listener accepts connections within the limits of an Intake.
 type Listener struct {
 	net.Listener
@@ -15,8 +36,7 @@
 	conns connections // guarded by in.mu
 }
 
-// Listen wraps a listener whose connections may use a share of the connections of all listeners.
-func (in *Intake) Listen(l net.Listener, share float64) *Listener {
+func (in *Intake) listen(l net.Listener, share float64) *Listener {
 	listener := &Listener{Listener: l, in: in, share: share, conns: newConnections()}
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -64,10 +84,8 @@
 		victim.remove()
 		victims = append(victims, victim)
 	}
-	l.in.open++
-	l.conns.open++
-	c.counted = true
-	c.wait(l.conns.fresh)
+	victims = append(victims, l.in.makeRoom(connectionCost, time.Now())...)
+	c.add()
 	l.in.mu.Unlock()
 	l.in.closeAll(victims)
 	return c
@@ -77,8 +95,13 @@
 // one http.Server that serves this listener.
 func (l *Listener) Handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := FromContext(r.Context()); c != nil && !c.begin() {
-			panic(http.ErrAbortHandler) // without running the request, whose client sees the close
+		if c := FromContext(r.Context()); c != nil {
+			ctx, cancel := context.WithCancel(r.Context())
+			defer cancel()
+			if !c.begin(cancel) {
+				panic(http.ErrAbortHandler) // without running the request, whose client sees the close
+			}
+			r = r.WithContext(ctx)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -17,11 +17,14 @@
 	lookupConnections  = 0.1
 	readyConnections   = 0.02
 	metricsConnections = 0.02
+	// clientMemory is the share of the memory limit for what clients make this host hold. With the rest of the
+	// heap it stays below memoryShare.
+	clientMemory = 0.4
 )
 
 // intakeLimits returns the limits for what clients may make this host hold.
 func intakeLimits(s Settings) intake.Limits {
-	return intake.Limits{Connections: socketLimit(s.Descriptors)}
+	return intake.Limits{Connections: socketLimit(s.Descriptors), Memory: int64(clientMemory * float64(s.MemoryBytes))}
 }
 
 // socketLimit returns how many sockets the process may have where so many descriptors are allowed, 0 if that
@@ -47,4 +50,6 @@
 	u := n.intake.Usage()
 	gauge("client_connections", int64(u.Connections))
 	gauge("client_connections_limit", int64(u.Limits.Connections))
+	gauge("client_memory_bytes", u.Memory)
+	gauge("client_memory_bytes_limit", u.Limits.Memory)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,7 +141,9 @@
 		pool: upstream.NewPool(settings.ConnectServer), relays: store.NewRelays(), joined: make(chan struct{}),
 	}
 	n.events = event.NewRecorder(settings.Host, n.incarnation.String(), timelineEvents, logger)
-	n.intake = intake.New(intakeLimits(settings), n.reportIntake)
+	n.intake = intake.New(intakeLimits(settings), intake.Options{
+		MaxHead: maxHeaderBytes, HeadTimeout: headerTimeout, Refusal: entry.FailureBody, Report: n.reportIntake,
+	})
 	limitMemory(settings.MemoryBytes)
 	packets, err := n.listen()
 	if err != nil {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -38,14 +38,13 @@
 		{n.settings.LookupAddress, lookupConnections, n.platform.LookupHandler(n.addresses)},
 		{net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort)), metricsConnections, metricsMux},
 	} {
-		tcp, err := net.Listen("tcp", s.address)
+		listener, err := n.intake.ListenTCP(s.address, s.share)
 		if err != nil {
 			return failure.Wrap(failure.BadSetting, err, "listen at %s", s.address)
 		}
-		listener := n.intake.Listen(tcp, s.share)
 		srv := newHTTPServer(listener.Handle(s.handler))
 		if s.handler == n.entry {
-			n.callerServer, srv.MaxHeaderBytes = srv, maxHeaderBytes
+			n.callerServer = srv
 		}
 		n.httpServers = append(n.httpServers, srv)
 		n.tasks.Go(func() {
@@ -60,7 +59,7 @@
 // newHTTPServer returns a server for the connections of a listener of the intake.
 func newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: intake.ConnState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return intake.WithConn(entry.WithCallerConn(ctx, c), c)
