intake: what the kernel keeps unread fits the budget, and small hosts leave room for the program

Cause, by sampling both parts of the sum: up to 37 MB were unread in the kernel, 128 KB for each of 300 connections, as SO_RCVBUF of 64 KB is doubled; and the resident memory reached the collector's soft limit of 0.7 of 80 MB and 20 MB of pages that the collector does not control.

SO_RCVBUF of 16 KB keeps 24 KB (measured), which is what a connection is charged when its client sends behind a request in progress. TCP_WINDOW_CLAMP keeps 115 KB, or isn't known. The budget is 0.3 of the memory. Hosts below 107 MB have a soft limit of their memory less 32 MB; larger ones keep 0.7.

--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -207,34 +207,31 @@
 	c.refuse(http.StatusServiceUnavailable, failure.HostFull, "this host has no memory for the request")
 }
 
-// eagerCost is the memory in bytes of what a client may send behind a request in progress: receiveBuffer, in
-// which it is kept unread.
-const eagerCost = receiveBuffer
-
-// admitEager takes the memory for what a client sends behind a request in progress. Without memory the
-// connection is closed.
+// admitEager takes the memory for what a client sends behind a request in progress, which stays unread, and lets
+// the connection give way to others. Without memory it ends the connection.
 func (c *Conn) admitEager() bool {
 	in := c.l.in
 	in.mu.Lock()
-	known, counted := c.eager, c.counted
+	known := c.eager
 	c.eager = true
 	in.mu.Unlock()
-	if known || !counted {
-		return counted
-	}
-	if !in.reserve(c, eagerCost) {
-		in.mu.Lock()
-		c.remove()
-		in.mu.Unlock()
-		in.closeAll([]*Conn{c})
-		return false
+	if known {
+		return true
 	}
+	admitted := in.reserve(c, unreadBytes)
 	in.mu.Lock()
-	defer in.mu.Unlock()
-	if c.counted && c.cancel != nil {
+	var victims []*Conn
+	switch {
+	case !c.counted:
+	case !admitted:
+		c.remove()
+		victims = append(victims, c)
+	case c.cancel != nil: // else the request has not begun yet
 		c.wait(c.l.conns.eager)
 	}
-	return true
+	in.mu.Unlock()
+	in.closeAll(victims)
+	return admitted
 }
 
 const (
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -9,15 +9,18 @@
 	"time"
 )
 
-// receiveBuffer is the size in bytes of the kernel's buffer for what a client has sent and the process has not
-// read.
-const receiveBuffer = 64 << 10
+// receiveBuffer is the size in bytes that is asked of the kernel for its buffer of what a client has sent and
+// the process has not read; unreadBytes is the most that it then keeps.
+const (
+	receiveBuffer = 16 << 10
+	unreadBytes   = 24 << 10
+)
 
 // ListenTCP listens on an address. The connections may use a share of the connections of all listeners.
 func (in *Intake) ListenTCP(address string, share float64) (*Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, socket syscall.RawConn) error {
 		return socket.Control(func(fd uintptr) {
-			// Accepted connections inherit the size. Where it can't be set, the system's default holds.
+			// Accepted connections inherit it. Where it can't be set, the system's default holds.
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
 		})
 	}}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -17,9 +17,9 @@
 	lookupConnections  = 0.1
 	readyConnections   = 0.02
 	metricsConnections = 0.02
-	// clientMemory is the share of the memory limit for what clients make this host hold. With the rest of the
-	// heap it stays below memoryShare.
-	clientMemory = 0.4
+	// clientMemory is the share of the memory limit for what clients make this host hold. The collector lets the
+	// heap grow to one and a half of what is in use.
+	clientMemory = 0.3
 )
 
 // intakeLimits returns the limits for what clients may make this host hold.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,9 @@
 	// memoryShare is the fraction of the memory limit that becomes the garbage collector's soft
 	// limit.
 	memoryShare = 0.7
+	// otherMemory is left for what the collector does not control: the program's own pages, and bytes that
+	// sockets have received. On small hosts it is more than the rest of memoryShare.
+	otherMemory = 32 << 20
 	// bufferShare is the fraction of the memory limit that buffers for the answers of servers may have. The
 	// collector frees them with a delay.
 	bufferShare = 0.1
@@ -160,7 +163,7 @@
 func limitMemory(bytes int64) {
 	debug.SetGCPercent(gcPercent)
 	if bytes > 0 {
-		debug.SetMemoryLimit(int64(float64(bytes) * memoryShare))
+		debug.SetMemoryLimit(max(bytes/4, min(int64(float64(bytes)*memoryShare), bytes-otherMemory)))
 	}
 }
 
