intake: bodies fit the budget before they are read, and give way when they stall

Callers saw: 120 clients that stop one byte short of 1 MB make a host of 80 MB take 152 MB, on a public route without a key too; in chunks 217; 160 whole bodies 195. They are held until the client leaves.

Cause: the body was read into a buffer of its stated length, or one that doubles, for as many requests as arrive, without a time limit. The existing gate is off by default, counts nothing of a body without a length, and looks at memory that lags.

A body now reserves its length before its buffer is made (chunked: as it grows) and keeps it until the request ends. Without room: 503 with Retry-After before the body is read. At the request's deadline: 408. A client that has sent nothing for a second gives way to others, with 503; one that is slow but sends does not. Nothing was passed on in any of these, so the promises hold. The rest of a refused body is waited for 1 s at most (before: up to 256 KB without a limit).

Also found by the specs of this commit: a refused connection that lingers, and idle ones, outlived a new one (the only new connection was the oldest without a request, so it was closed). Lingering ones now go first, and new ones before idle ones only after a second or as the majority. One spec of the commit for connections stated the old order; it now waits that second, and a new one guards the other case.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 	"github.com/gentianflow/gentianflow/internal/dispatch"
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/intake"
 	"github.com/gentianflow/gentianflow/internal/notice"
 	"github.com/gentianflow/gentianflow/internal/origin"
 	"github.com/gentianflow/gentianflow/internal/quarantine"
@@ -306,16 +306,19 @@
 	if maxBytes > 0 {
 		body = http.MaxBytesReader(x.w, body, maxBytes)
 	}
-	var err error
-	if n := x.r.ContentLength; n > 0 {
-		x.body = make([]byte, n)
-		_, err = io.ReadFull(body, x.body)
-	} else {
-		x.body, err = io.ReadAll(body)
+	read, err := intake.ReadBody(x.r.Context(), body, x.r.ContentLength, x.deadline)
+	if err == nil {
+		x.body = read
+		return nil
 	}
+	x.w.Header().Set("Connection", "close") // the rest of the body is not read
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var failed *failure.Error
+	switch {
+	case errors.As(err, &tooLarge):
 		return failure.New(failure.TooLarge, "the body is longer than %d bytes", maxBytes)
+	case errors.As(err, &failed):
+		return err
 	}
 	return failure.Wrap(failure.Withdrawn, err, "read the body")
 }
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -13,6 +13,7 @@
 	"github.com/gentianflow/gentianflow/internal/dispatch"
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/intake"
 	"github.com/gentianflow/gentianflow/internal/sched"
 )
 
@@ -84,6 +85,7 @@
 	if e.Code == failure.Withdrawn {
 		x.leave("while the request was read: " + e.Message)
 	}
+	intake.LeaveBody(x.r.Context())
 	x.fail(e.Status(), e.Code, e.RetryAfter, e.Message)
 }
 
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -28,22 +28,26 @@
 	net.Conn
 	l *Listener
 
+	raised bool   // the kernel's buffer
 	buffer []byte // received, not passed on to the server
 	ready  int    // bytes of buffer that belong to a complete head
 	scan   headScan
 
-	phase atomic.Int32
+	phase    atomic.Int32
+	progress atomic.Int64 // when bytes of a body last arrived, in ns
 
 	deadlineMu sync.Mutex
 	deadline   time.Time // of reads, as the server has set it
 
-	counted bool          // among the open connections
-	memory  int64         // reserved
-	eager   bool          // the client has sent more behind the request in progress
-	cancel  func()        // ends the request in progress, nil without one
-	waiting *list.List    // the list it is on while it may give way to others
-	element *list.Element // its place there
-	since   time.Time     // when it got there
+	counted  bool          // among the open connections
+	memory   int64         // reserved
+	buffered int64         // of which for buffer
+	inBody   bool          // the handler reads a body
+	eager    bool          // the client has sent more behind the request in progress
+	cancel   func()        // ends the request in progress, nil without one
+	waiting  *list.List    // the list it is on while it may give way to others
+	element  *list.Element // its place there
+	since    time.Time     // when it got there
 }
 
 type contextKey struct{}
@@ -118,7 +122,7 @@
 	c.scan = headScan{}
 	c.phase.Store(int32(inHead))
 	in := c.l.in
-	in.releaseRequest(c, cap(c.buffer))
+	in.releaseRequest(c)
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	c.cancel, c.eager = nil, false
@@ -127,12 +131,17 @@
 	}
 }
 
-// abandon closes the connection in favor of others, and ends its request in progress.
+// abandon ends a connection that was removed in favor of others, and its request in progress. One whose body is
+// being read gets an answer; the read fails.
 func (c *Conn) abandon() {
-	_ = c.Conn.Close()
 	c.l.in.mu.Lock()
-	cancel := c.cancel
+	inBody, cancel := c.inBody, c.cancel
 	c.l.in.mu.Unlock()
+	if inBody {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
+	_ = c.Conn.Close()
 	if cancel != nil {
 		cancel()
 	}
--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -94,6 +94,9 @@
 	} else {
 		n, err = c.Conn.Read(p)
 	}
+	if len(p) > 1 {
+		c.progress.Store(time.Now().UnixNano())
+	}
 	if n == 1 && len(p) == 1 && !c.admitEager() {
 		return 0, io.EOF
 	}
@@ -108,9 +111,17 @@
 		c.buffer = nil
 	}
 	c.l.in.release(c, int64(size-cap(c.buffer)))
+	c.resizeBuffer(cap(c.buffer) - size)
 	return n
 }
 
+// resizeBuffer keeps account of the part of the connection's memory that its buffer has.
+func (c *Conn) resizeBuffer(bytes int) {
+	c.l.in.mu.Lock()
+	defer c.l.in.mu.Unlock()
+	c.buffered += int64(bytes)
+}
+
 // readHead reads until a head is complete. It returns the bytes that it has read into p, or none when the head
 // is in the buffer.
 func (c *Conn) readHead(p []byte) (int, error) {
@@ -168,6 +179,7 @@
 		c.refuseHead()
 		return false
 	}
+	c.resizeBuffer(size - cap(c.buffer))
 	c.buffer = append(make([]byte, 0, size), c.buffer...)
 	return true
 }
@@ -218,7 +230,11 @@
 	if known {
 		return true
 	}
-	admitted := in.reserve(c, unreadBytes)
+	unread := int64(unreadBytes)
+	if c.raised {
+		unread = largeUnreadBytes
+	}
+	admitted := in.reserve(c, unread)
 	in.mu.Lock()
 	var victims []*Conn
 	switch {
@@ -254,19 +270,11 @@
 		retry = fmt.Sprintf("Retry-After: %.3f\r\n", refusalRetryAfter.Seconds())
 	}
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n", status, http.StatusText(status), len(body), retry)
+	c.resizeBuffer(-cap(c.buffer))
 	c.buffer, c.ready = nil, 0
-	c.l.in.releaseRequest(c, 0)
+	c.l.in.releaseRequest(c)
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
 	if _, err := c.Conn.Write(append([]byte(head), body...)); err == nil {
-		c.linger()
-	}
-}
-
-// linger ends the sending side, and discards what still arrives.
-func (c *Conn) linger() {
-	if s, ok := c.Conn.(interface{ CloseWrite() error }); !ok || s.CloseWrite() != nil {
-		return
+		_ = c.CloseWrite() // the server closes the connection
 	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -26,6 +26,7 @@
 	Closed  int64 // connections that were closed in favor of others
 	Refused int64 // connections that were closed at once since no other could be
 	Heads   int64 // requests that were refused when their head had arrived, for want of memory
+	Bodies  int64 // requests whose body was refused, for want of memory
 	TooLong int64 // requests whose head was longer than heads may be
 }
 
@@ -33,7 +34,7 @@
 
 // String implements fmt.Stringer.
 func (r Refusals) String() string {
-	return fmt.Sprintf("connections_closed=%d connections_refused=%d heads_refused=%d heads_too_long=%d", r.Closed, r.Refused, r.Heads, r.TooLong)
+	return fmt.Sprintf("connections_closed=%d connections_refused=%d heads_refused=%d bodies_refused=%d heads_too_long=%d", r.Closed, r.Refused, r.Heads, r.Bodies, r.TooLong)
 }
 
 // Usage is what the clients hold at a moment.
@@ -79,12 +80,16 @@
 	var victims []*Conn
 	for _, listener := range in.listeners {
 		limit := listener.limit()
-		for victim := listener.conns.oldest(); limit > 0 && listener.conns.open > limit && victim != nil; victim = listener.conns.oldest() {
+		for limit > 0 && listener.conns.open > limit {
+			victim := listener.conns.oldest(ever)
+			if victim == nil {
+				break
+			}
 			victim.remove()
 			victims = append(victims, victim)
 		}
 	}
-	victims = append(victims, in.makeRoom(0, time.Now())...)
+	victims = append(victims, in.makeRoom(0, ever)...)
 	in.mu.Unlock()
 	in.closeAll(victims)
 }
@@ -161,7 +166,7 @@
 // oldest returns the connection that gives way first among those that have waited since before a time.
 func (in *Intake) oldest(before time.Time) (first *Conn) {
 	for _, l := range in.listeners {
-		if c := l.conns.oldest(); c != nil && c.since.Before(before) && (first == nil || c.since.Before(first.since)) {
+		if c := l.conns.oldest(before); c != nil && (first == nil || c.since.Before(first.since)) {
 			first = c
 		}
 	}
@@ -178,34 +183,68 @@
 	}
 }
 
-// releaseRequest gives back the memory of a connection but that of the connection itself and of a buffer.
-func (in *Intake) releaseRequest(c *Conn, buffer int) {
+// releaseRequest gives back the memory of a connection but that of the connection itself and of its buffer.
+func (in *Intake) releaseRequest(c *Conn) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if c.counted {
-		in.memory -= c.memory - connectionCost - int64(buffer)
-		c.memory = connectionCost + int64(buffer)
+		in.memory -= c.memory - connectionCost - c.buffered
+		c.memory = connectionCost + c.buffered
 	}
 }
 
 // connections are the connections of a listener, by what the process waits for. The Intake's mu guards them.
 type connections struct {
-	fresh *list.List // for the first request
-	idle  *list.List // for a further request
-	eager *list.List // for nothing: the client has sent more behind a request in progress
-	open  int
+	fresh   *list.List // for the first request
+	idle    *list.List // for a further request
+	eager   *list.List // for nothing: the client has sent more behind a request in progress
+	body    *list.List // for the rest of a body
+	closing *list.List // for the client to read a refusal
+	open    int
 }
 
 func newConnections() connections {
-	return connections{fresh: list.New(), idle: list.New(), eager: list.New()}
+	return connections{fresh: list.New(), idle: list.New(), eager: list.New(), body: list.New(), closing: list.New()}
 }
 
-// oldest returns the connection to close in favor of another, nil if the process is at work for all of them.
-func (c *connections) oldest() *Conn {
-	for _, waiting := range []*list.List{c.fresh, c.idle, c.eager} {
-		if e := waiting.Front(); e != nil {
+// ever is later than any time since which a connection has waited.
+var ever = time.Unix(1<<40, 0)
+
+// oldest returns the connection to close in favor of another among those that have waited since before a time,
+// nil if there is none: the process is at work for the rest.
+//
+// A connection without a request is not closed for being the only one while the others are idle: it is as
+// likely an ordinary client's as theirs.
+func (c *connections) oldest(before time.Time) *Conn {
+	order := []*list.List{c.closing, c.idle, c.fresh, c.eager}
+	if e := c.fresh.Front(); e != nil && (c.fresh.Len() > c.idle.Len() || time.Since(e.Value.(*Conn).since) > stallTime) {
+		order = []*list.List{c.closing, c.fresh, c.idle, c.eager}
+	}
+	for _, waiting := range order {
+		if e := waiting.Front(); e != nil && e.Value.(*Conn).since.Before(before) {
 			return e.Value.(*Conn)
 		}
 	}
+	if slowest := c.slowestBody(); slowest != nil && slowest.since.Before(before) {
+		return slowest
+	}
+	return nil
+}
+
+// slowestBody returns the connection whose body has not progressed for longest, nil if none is being read. A
+// body that has progressed since it was put on the list goes to its end.
+func (c *connections) slowestBody() *Conn {
+	for range c.body.Len() {
+		first := c.body.Front().Value.(*Conn)
+		progress := time.Unix(0, first.progress.Load())
+		if !progress.After(first.since) {
+			return first
+		}
+		c.body.MoveToBack(first.element)
+		first.since = time.Now()
+	}
+	if e := c.body.Front(); e != nil {
+		return e.Value.(*Conn)
+	}
 	return nil
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -12,6 +12,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/gentianflow/gentianflow/internal/failure"
 )
 
 func TestIntake(t *testing.T) {
@@ -40,8 +42,12 @@
 				s.waiting <- struct{}{}
 				<-s.release
 			}
+			if r.URL.Path == "/body" {
+				s.serveBody(w, r)
+				return
+			}
 			if r.URL.Path == "/echo" {
-				body, _ := io.ReadAll(r.Body)
+				body, _ := ReadBody(r.Context(), r.Body, r.ContentLength, time.Now().Add(10*time.Second))
 				_, _ = fmt.Fprintf(w, "%s %d %s", r.Header.Get("Number"), len(r.Header), body)
 				return
 			}
@@ -53,6 +59,21 @@
 	return s
 }
 
+// bodyTime is the time limit of bodies of /body.
+const bodyTime = 3 * time.Second
+
+// serveBody answers with the length of the body, or with the status of its failure.
+func (s *testServer) serveBody(w http.ResponseWriter, r *http.Request) {
+	body, err := ReadBody(r.Context(), r.Body, r.ContentLength, time.Now().Add(bodyTime))
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		LeaveBody(r.Context())
+		w.WriteHeader(failure.From(err).Status())
+		return
+	}
+	_, _ = fmt.Fprint(w, len(body))
+}
+
 func (s *testServer) dial() net.Conn {
 	conn, err := net.Dial("tcp", s.address)
 	Expect(err).NotTo(HaveOccurred())
@@ -115,6 +136,7 @@
 		for len(fresh) < 4 {
 			fresh = append(fresh, s.dialCounted())
 		}
+		time.Sleep(stallTime)
 		for i, victim := range append(fresh, idle...) {
 			last := s.dialCounted()
 			Eventually(func() bool { return closedByServer(victim) }).Should(BeTrue(), "victim %d", i)
@@ -124,6 +146,19 @@
 		close(s.release)
 	})
 
+	// Guards against a client that is turned away in its first moment, while others are idle.
+	It("take the place of idle ones rather than of the only one without a request", func() {
+		s := newTestServer(Limits{Connections: minConnections})
+		for range minConnections - 1 {
+			expectAnswer(s.dialCounted())
+		}
+		for range 2 * minConnections {
+			first, second := s.dial(), s.dial()
+			expectAnswer(second)
+			expectAnswer(first)
+		}
+	})
+
 	// Guards against a listener that accepts nothing any more, and against more connections than allowed.
 	It("are closed at once while all others are at work", func() {
 		s := newTestServer(Limits{Connections: minConnections})
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -78,7 +79,7 @@
 	l.in.mu.Lock()
 	var victims []*Conn
 	if limit := l.limit(); limit > 0 && l.conns.open >= limit {
-		victim := l.conns.oldest()
+		victim := l.conns.oldest(ever)
 		if victim == nil {
 			l.in.mu.Unlock()
 			l.in.count(func(r *Refusals) { r.Refused++ })
@@ -87,7 +88,7 @@
 		victim.remove()
 		victims = append(victims, victim)
 	}
-	victims = append(victims, l.in.makeRoom(connectionCost, time.Now())...)
+	victims = append(victims, l.in.makeRoom(connectionCost, ever)...)
 	c.add()
 	l.in.mu.Unlock()
 	l.in.closeAll(victims)
@@ -104,6 +105,7 @@
 			if !c.begin(cancel) {
 				panic(http.ErrAbortHandler) // without running the request, whose client sees the close
 			}
+			defer c.l.in.releaseRequest(c)
 			r = r.WithContext(ctx)
 		}
 		next.ServeHTTP(w, r)
@@ -136,10 +138,22 @@
 	return errNotTCP
 }
 
-// CloseWrite shuts down the sending side as net.TCPConn does.
+// CloseWrite shuts down the sending side as net.TCPConn does, and discards what still arrives. The server calls
+// it before it closes a connection whose client may still be sending. The connection gives way to others.
 func (c *Conn) CloseWrite() error {
-	if s, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return s.CloseWrite()
+	s, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errNotTCP
 	}
-	return errNotTCP
+	c.l.in.mu.Lock()
+	if c.counted {
+		c.wait(c.l.conns.closing)
+	}
+	c.l.in.mu.Unlock()
+	if err := s.CloseWrite(); err != nil {
+		return err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	return nil
 }
