intake: requests in progress and heads that the server has read ahead count

Cause, by a heap profile at the peak: 52 of 77 MB were heads that net/http had begun to parse from its own buffer of 4 KB, where the beginning of the next request had arrived with the one before; a refused one was kept while it lingered.

A request counts 24 KB more. The connection sees how much the server has read ahead by the size of its next read, and counts it as the shortest lines; without room it is closed at once. A refused client's bytes are discarded through 2 KB.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -13,6 +13,10 @@
 // the stack, and its socket.
 const connectionCost = 12 << 10
 
+// ordinaryRequest is the memory in bytes of a request with an ordinary head. There is room for one when a
+// connection is accepted, so that its client isn't refused for what others hold without sending.
+const ordinaryRequest = 36 << 10
+
 // phase is what a connection's next byte belongs to.
 type phase int32
 
--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -11,13 +11,22 @@
 	"github.com/gentianflow/gentianflow/internal/failure"
 )
 
-// The memory in bytes of a parsed head, its copy for a backend server and what is derived from it, for each
-// byte and for each line.
+// The memory in bytes of a request in progress, without its body: for its goroutines and buffers, and for each
+// byte and line of its head, which is parsed, copied for a backend server, and more is derived from it.
 const (
+	requestCost     = 24 << 10
 	costPerHeadByte = 6
 	costPerHeadLine = 160
 )
 
+// serverBuffer is the size of the buffer into which the server reads from a connection. It may hold the beginning
+// of a request that was sent behind another one, and the server parses it before it reads on. Its lines are not
+// known, and are taken to be as short as lines can be.
+const (
+	serverBuffer      = 4 << 10
+	costPerHiddenByte = costPerHeadByte + costPerHeadLine/4
+)
+
 // firstBuffer is the size of the buffer for a head that does not arrive at once.
 const firstBuffer = 4 << 10
 
@@ -59,8 +68,10 @@
 	return n, complete
 }
 
-// cost returns the memory of the head once it is parsed.
-func (s *headScan) cost() int64 { return int64(costPerHeadByte*s.bytes + costPerHeadLine*s.lines) }
+// cost returns the memory of the request once its head is parsed.
+func (s *headScan) cost() int64 {
+	return int64(requestCost + costPerHeadByte*s.bytes + costPerHeadLine*s.lines)
+}
 
 // Read implements net.Conn for the server. It passes on a head only when it is complete and there is memory to
 // parse it, so that heads which never end cost their bytes and nothing else.
@@ -75,6 +86,9 @@
 		c.phase.Store(int32(inHead)) // the server sees the end of the head elsewhere
 	}
 	if c.ready == 0 {
+		if !c.admitHidden(serverBuffer - len(p)) {
+			return 0, io.EOF
+		}
 		n, err := c.readHead(p)
 		if n > 0 || err != nil {
 			return n, err
@@ -214,6 +228,20 @@
 	return false
 }
 
+// admitHidden takes the memory for so many bytes of a head that the server has read along with the request
+// before.
+func (c *Conn) admitHidden(bytes int) bool {
+	if c.scan.bytes > 0 || bytes <= 0 {
+		return true
+	}
+	c.scan.bytes = bytes
+	if c.l.in.reserve(c, int64(bytes)*costPerHiddenByte) {
+		return true
+	}
+	c.l.in.count(func(r *Refusals) { r.Heads++ })
+	return false // the connection is closed at once, with what is parsed
+}
+
 func (c *Conn) refuseHead() {
 	c.l.in.count(func(r *Refusals) { r.Heads++ })
 	c.refuse(http.StatusServiceUnavailable, failure.HostFull, "this host has no memory for the request")
@@ -256,7 +284,7 @@
 	// A refused client has lingerTime to read its answer, and may send lingerBytes meanwhile: the close of a
 	// connection with unread bytes is a reset, which may overtake the answer.
 	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 1 << 20
+	lingerBytes = 256 << 10
 )
 
 // refuse answers a request that the server does not get to see, and ends the connection.
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -88,7 +87,7 @@
 		victim.remove()
 		victims = append(victims, victim)
 	}
-	victims = append(victims, l.in.makeRoom(connectionCost, ever)...)
+	victims = append(victims, l.in.makeRoom(connectionCost+ordinaryRequest, ever)...)
 	c.add()
 	l.in.mu.Unlock()
 	l.in.closeAll(victims)
@@ -154,6 +153,13 @@
 		return err
 	}
 	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	var scratch [2 << 10]byte
+	for discarded := 0; discarded < lingerBytes; {
+		n, err := c.Conn.Read(scratch[:])
+		if err != nil {
+			break
+		}
+		discarded += n
+	}
 	return nil
 }
