gentiand: what clients may make a host hold is bounded as in gentianhost

Callers of the product's own interface saw: 120 clients that stop one byte short of 1 MB made a process with a soft limit of 56 MiB take 198 MB, in chunks 161; 400 heads of short lines with half a body 129; 700 begun heads at the callers' or the operators' address took all 500 descriptors, and no ordinary request or operator's call was answered.

Cause: the same as in gentianhost; `held_bytes` counts a body only when it has been read.

Both listeners belong to an intake. A request that is refused before it is read may be a resend, which is told from its head: then, and when the head is not whole, the outcome is `unknown`. A head may have the 4 KB that net/http allows beyond its limit, in both programs.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,8 +6,10 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -19,6 +21,7 @@
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/holder"
 	"github.com/gentianflow/gentianflow/internal/home"
+	"github.com/gentianflow/gentianflow/internal/intake"
 	"github.com/gentianflow/gentianflow/internal/member"
 )
 
@@ -135,9 +138,16 @@
 	return HistoryReply{Changes: changes}, err
 }
 
+// proposalTime is how long the text of a proposal may take to arrive.
+const proposalTime = 10 * time.Second
+
 func decodeProposal(_ context.Context, r *http.Request) (any, error) {
 	var p configsync.Proposal
-	text, err := io.ReadAll(io.LimitReader(r.Body, 2*config.MaxDocumentBytes))
+	text, err := intake.ReadBody(r.Context(), io.LimitReader(r.Body, 2*config.MaxDocumentBytes), -1, time.Now().Add(proposalTime))
+	var refused *failure.Error
+	if errors.As(err, &refused) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, failure.Wrap(failure.BadRequest, err, "body")
 	}
--- a/internal/callerapi/decode.go
+++ b/internal/callerapi/decode.go
@@ -15,6 +15,7 @@
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/holder"
 	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/intake"
 	"github.com/gentianflow/gentianflow/internal/prefix"
 )
 
@@ -23,6 +24,8 @@
 	maxTried         = 16
 	defaultMaxTokens = 256
 	maxMaxTokens     = 1 << 20
+	// promptCopies is how often the bytes of a prompt's body are copied while it is decoded.
+	promptCopies = 3
 )
 
 // submitRequest is the decoded form of a request to submit.
@@ -83,6 +86,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := intake.Reserve(r.Context(), promptCopies*int64(len(body))); err != nil {
+		return nil, err
+	}
 	var p prompt
 	if err := json.Unmarshal(body, &p); err != nil {
 		return nil, failure.Wrap(failure.BadRequest, err, "body")
@@ -314,9 +320,13 @@
 	if r.ContentLength > int64(limits.BodyBytes) {
 		return nil, failure.New(failure.TooLarge, "body of %d bytes; at most %d are allowed", r.ContentLength, limits.BodyBytes)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limits.BodyBytes)+1))
+	deadline := time.Now().Add(limits.ReadTimeout.Std())
+	body, err := intake.ReadBody(r.Context(), io.LimitReader(r.Body, int64(limits.BodyBytes)+1), r.ContentLength, deadline)
+	var refused *failure.Error
 	var timeout net.Error
 	switch {
+	case errors.As(err, &refused):
+		return nil, err
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return nil, failure.New(failure.TooSlow, "body did not arrive within %s", limits.ReadTimeout.Std())
 	case err != nil:
--- a/internal/callerapi/encode.go
+++ b/internal/callerapi/encode.go
@@ -13,6 +13,7 @@
 	"github.com/gentianflow/gentianflow/internal/event"
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/holder"
+	"github.com/gentianflow/gentianflow/internal/intake"
 )
 
 // ErrorBody is the JSON body of every error response and error event.
@@ -36,6 +37,19 @@
 	}}
 }
 
+// RefusalBody returns the body of an answer to a request that was refused before the server got it, from its
+// head as far as it was received. Where the head may tell of a resend, the outcome is unknown.
+func RefusalBody(head []byte, code failure.Code, message string) []byte {
+	text := strings.ToLower(string(head))
+	complete := strings.HasSuffix(text, "\n\r\n") || strings.HasSuffix(text, "\n\n") || strings.Contains(text, "\r\n\r\n")
+	resend := strings.Contains(text, strings.ToLower(HeaderTried)) || strings.Contains(text, strings.ToLower(HeaderAttempt))
+	body, err := json.Marshal(errorBody(&failure.Error{Code: code, Message: message, Unproved: resend || !complete}, ""))
+	if err != nil {
+		return []byte(`{}`) // cannot happen: texts always marshal
+	}
+	return body
+}
+
 func encodeJSON(_ context.Context, w http.ResponseWriter, response any) error {
 	w.Header().Set("Content-Type", "application/json")
 	return json.NewEncoder(w).Encode(response)
@@ -46,6 +60,10 @@
 // it is not reported as provably not run.
 func (a *API) encodeError(ctx context.Context, err error, w http.ResponseWriter) {
 	e := *failure.From(err)
+	intake.LeaveBody(ctx)
+	if e.Code == failure.HostFull || e.Code == failure.TooSlow {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
 	e.Unproved = e.Unproved || isResend(ctx)
 	a.deps.Events.Record(event.RequestRefused, event.Fields{Detail: string(e.Code)})
 	writeError(w, &e, "")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/gentianflow/gentianflow/internal/holder"
 	"github.com/gentianflow/gentianflow/internal/home"
 	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/intake"
 	"github.com/gentianflow/gentianflow/internal/member"
 	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/platform/httpplatform"
@@ -64,11 +65,12 @@
 	backends *http.Transport
 	traffic  peer.Traffic
 
+	intake          *intake.Intake
 	callerServer    *http.Server
 	adminServer     *http.Server
 	controlListener net.Listener
-	callerListener  net.Listener
-	adminListener   net.Listener
+	callerListener  *intake.Listener
+	adminListener   *intake.Listener
 
 	seeds     atomic.Pointer[[]string] // control addresses from the platform's host list
 	refuseNew atomic.Bool              // set during a drain once the lookup TTL has passed
@@ -85,6 +87,10 @@
 func New(set settings.Daemon) (*Daemon, error) {
 	d := &Daemon{set: set, inc: ident.NewIncarnation(), drained: make(chan struct{}), metrics: metrics.NewRegistry()}
 	d.events = event.NewRecorder(set.Host, d.inc.String(), set.TimelineSize, newLogger(set))
+	d.intake = intake.New(intakeLimits(set), intake.Options{
+		MaxHead: callerapi.MaxHeaderBytes + intake.HeadSlack, HeadTimeout: headerTimeout, Refusal: callerapi.RefusalBody,
+		Report: func(r intake.Refusals) { d.events.Record(event.IntakeLimited, event.Fields{Detail: r.String()}) },
+	})
 	packets, err := d.listen()
 	if err != nil {
 		return nil, err
@@ -112,10 +118,10 @@
 // advertises its actual addresses even if the system chose a port.
 func (d *Daemon) listen() (net.PacketConn, error) {
 	var err error
-	if d.callerListener, err = net.Listen("tcp", d.set.CallerAddress); err != nil {
+	if d.callerListener, err = d.intake.ListenTCP(d.set.CallerAddress, callerConnections); err != nil {
 		return nil, failure.Wrap(failure.BadSetting, err, "--caller-address")
 	}
-	if d.adminListener, err = net.Listen("tcp", d.set.AdminAddress); err != nil {
+	if d.adminListener, err = d.intake.ListenTCP(d.set.AdminAddress, adminConnections); err != nil {
 		return nil, failure.Wrap(failure.BadSetting, err, "--admin-address")
 	}
 	packets, err := d.listenControl()
@@ -181,17 +187,18 @@
 	if err != nil {
 		return err
 	}
-	d.callerServer = newServer(api.Handler())
-	d.adminServer = newServer(admin.New(admin.Dependencies{
+	d.callerServer = newServer(d.callerListener, api.Handler())
+	d.adminServer = newServer(d.adminListener, admin.New(admin.Dependencies{
 		Config: d.config, Members: d.members, Homes: d.homes, Holder: d.holder, Events: d.events,
 		Metrics: d.metrics, Drain: d.StartDrain, Token: d.set.AdminToken,
 	}).Handler())
 	return nil
 }
 
-func newServer(h http.Handler) *http.Server {
+func newServer(l *intake.Listener, h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: callerapi.MaxHeaderBytes,
+		Handler: l.Handle(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: callerapi.MaxHeaderBytes,
+		ConnState: intake.ConnState, ConnContext: intake.WithConn,
 	}
 }
 
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -33,7 +33,7 @@
 		defer r.conn.endBody()
 	}
 	var err error
-	if length >= 0 {
+	if length > 0 {
 		err = r.readLength(body, length)
 	} else {
 		err = r.readAll(body)
@@ -41,6 +41,15 @@
 	return r.bytes, r.explain(err)
 }
 
+// Reserve takes further memory for the request with the context ctx, until it has ended. It fails with HostFull.
+func Reserve(ctx context.Context, bytes int64) error {
+	r := bodyReader{conn: FromContext(ctx)}
+	if !r.reserve(bytes) {
+		return errNoRoom(bytes)
+	}
+	return nil
+}
+
 func errNoRoom(bytes int64) error {
 	return failure.Retry(failure.HostFull, refusalRetryAfter, "this host has no memory for a body of %d bytes", bytes)
 }
--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -27,6 +27,9 @@
 	costPerHiddenByte = costPerHeadByte + costPerHeadLine/4
 )
 
+// HeadSlack is how many bytes net/http allows a head to have beyond its limit.
+const HeadSlack = 4 << 10
+
 // firstBuffer is the size of the buffer for a head that does not arrive at once.
 const firstBuffer = 4 << 10
 
@@ -146,7 +149,7 @@
 			return 0, err
 		}
 		if _, complete := c.scan.next(p[:n]); complete {
-			if !c.admitHead() {
+			if !c.admitHead(p[:n]) {
 				return 0, io.EOF
 			}
 			c.phase.Store(int32(afterHead))
@@ -163,7 +166,7 @@
 			n, complete := c.scan.next(c.buffer[scanned:])
 			scanned += n
 			if complete {
-				if !c.admitHead() {
+				if !c.admitHead(c.buffer[:scanned]) {
 					return 0, io.EOF
 				}
 				c.ready = scanned
@@ -172,7 +175,7 @@
 		}
 		if limit := c.l.in.options.MaxHead; limit > 0 && c.scan.bytes > limit {
 			c.l.in.count(func(r *Refusals) { r.TooLong++ })
-			c.refuse(http.StatusRequestHeaderFieldsTooLarge, failure.TooLarge, "the head is longer than "+strconv.Itoa(limit)+" bytes")
+			c.refuse(c.buffer, http.StatusRequestHeaderFieldsTooLarge, failure.TooLarge, "the head is longer than "+strconv.Itoa(limit)+" bytes")
 			return 0, io.EOF
 		}
 		if len(c.buffer) == cap(c.buffer) && !c.grow(1) {
@@ -190,7 +193,7 @@
 func (c *Conn) grow(bytes int) bool {
 	size := max(firstBuffer, 2*cap(c.buffer), len(c.buffer)+bytes)
 	if !c.l.in.reserve(c, int64(size-cap(c.buffer))) {
-		c.refuseHead()
+		c.refuseHead(c.buffer)
 		return false
 	}
 	c.resizeBuffer(size - cap(c.buffer))
@@ -220,11 +223,11 @@
 }
 
 // admitHead takes the memory that a head has once it is parsed. It refuses the request if there is none.
-func (c *Conn) admitHead() bool {
+func (c *Conn) admitHead(head []byte) bool {
 	if c.l.in.reserve(c, c.scan.cost()) {
 		return true
 	}
-	c.refuseHead()
+	c.refuseHead(head)
 	return false
 }
 
@@ -242,9 +245,9 @@
 	return false // the connection is closed at once, with what is parsed
 }
 
-func (c *Conn) refuseHead() {
+func (c *Conn) refuseHead(head []byte) {
 	c.l.in.count(func(r *Refusals) { r.Heads++ })
-	c.refuse(http.StatusServiceUnavailable, failure.HostFull, "this host has no memory for the request")
+	c.refuse(head, http.StatusServiceUnavailable, failure.HostFull, "this host has no memory for the request")
 }
 
 // admitEager takes the memory for what a client sends behind a request in progress, which stays unread, and lets
@@ -288,10 +291,10 @@
 )
 
 // refuse answers a request that the server does not get to see, and ends the connection.
-func (c *Conn) refuse(status int, code failure.Code, message string) {
+func (c *Conn) refuse(received []byte, status int, code failure.Code, message string) {
 	var body []byte
 	if f := c.l.in.options.Refusal; f != nil {
-		body = f(code, message)
+		body = f(received, code, message)
 	}
 	retry := ""
 	if status == http.StatusServiceUnavailable {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -51,8 +51,9 @@
 type Options struct {
 	MaxHead     int           // bytes of a request's head, 0: no limit
 	HeadTimeout time.Duration // from the first byte of a head to its last one, 0: no limit
-	// Refusal returns the body of an answer to a request that is not read; nil: the answer has none.
-	Refusal func(failure.Code, string) []byte
+	// Refusal returns the body of an answer to a request that the server does not get, from its head as far as
+	// it was received. Where it is nil, such answers have no body.
+	Refusal func(head []byte, code failure.Code, message string) []byte
 	// Report is called when something was refused or closed, at most once in a second; may be nil.
 	Report func(Refusals)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,7 +145,8 @@
 	}
 	n.events = event.NewRecorder(settings.Host, n.incarnation.String(), timelineEvents, logger)
 	n.intake = intake.New(intakeLimits(settings), intake.Options{
-		MaxHead: maxHeaderBytes, HeadTimeout: headerTimeout, Refusal: entry.FailureBody, Report: n.reportIntake,
+		MaxHead: maxHeaderBytes + intake.HeadSlack, HeadTimeout: headerTimeout, Report: n.reportIntake,
+		Refusal: func(_ []byte, code failure.Code, message string) []byte { return entry.FailureBody(code, message) },
 	})
 	limitMemory(settings.MemoryBytes)
 	packets, err := n.listen()
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -33,6 +33,7 @@
 		&cli.IntFlag{Name: "timeline-size", Value: defaultTimelineSize, Usage: "events kept for the time line", Sources: cli.EnvVars("GENTIAN_TIMELINE_SIZE")},
 		&cli.DurationFlag{Name: "drain-limit", Usage: "longest wait for requests in progress when draining; 0 waits for all", Sources: cli.EnvVars("GENTIAN_DRAIN_LIMIT")},
 		stringFlag("log-format", "GENTIAN_LOG_FORMAT", LogFmt, "logfmt or json"),
+		&cli.IntFlag{Name: "client-memory-mb", Usage: "MiB for the connections, heads and bodies of all clients; 0: 0.4 of GOMEMLIMIT, or 256 without one", Sources: cli.EnvVars("GENTIAN_CLIENT_MEMORY_MB")},
 		stringFlag("admin-token", "GENTIAN_ADMIN_TOKEN", "", "bearer token asked of operators; empty asks for none"),
 	}
 }
@@ -45,6 +46,6 @@
 		AdvertiseControl: c.String("advertise-control"),
 		Platform:         c.String("platform"), PlatformTimeout: c.Duration("platform-timeout"),
 		Seeds: c.StringSlice("seed"), TimelineSize: c.Int("timeline-size"), DrainLimit: c.Duration("drain-limit"),
-		LogFormat: c.String("log-format"), AdminToken: c.String("admin-token"),
+		ClientMemoryMB: c.Int("client-memory-mb"), LogFormat: c.String("log-format"), AdminToken: c.String("admin-token"),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,7 @@
 	TimelineSize     int           // number of events in the timeline
 	DrainLimit       time.Duration // longest wait for requests in progress when draining; 0: no limit
 	LogFormat        string        // logfmt or json
+	ClientMemoryMB   int           // MiB for what clients make the host hold; 0: a share of GOMEMLIMIT, 256 without one
 	AdminToken       string        // bearer token required of operators; empty: none
 }
 
@@ -83,6 +84,9 @@
 	if d.DrainLimit < 0 {
 		f.add("drain-limit", d.DrainLimit.String(), "0 or a duration")
 	}
+	if d.ClientMemoryMB < 0 {
+		f.add("client-memory-mb", fmt.Sprint(d.ClientMemoryMB), "0 or a number of MiB")
+	}
 	if d.LogFormat != LogFmt && d.LogFormat != LogJSON {
 		f.add("log-format", d.LogFormat, "logfmt, json")
 	}
