test/crowd: the peaks are also sampled while the crowd sits still

Samples every 20 ms missed some crowds whose checks took less: descriptor peaks of 15 to 17 with 120 connections open were reported beside a busy machine. A sample before and one after the checks beside the crowd make the bounds, which are unchanged, hold at that moment.

--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -44,8 +44,9 @@
 	stop    chan struct{}
 	done    chan struct{}
 
-	memory      int // the largest sum in MB of resident memory and bytes that were received and not read
-	descriptors int // the largest number of open files
+	mu          sync.Mutex // guards the peaks
+	memory      int        // the largest sum in MB of resident memory and bytes that were received and not read
+	descriptors int        // the largest number of open files
 }
 
 // samplePeriod is the time between two samples. The kernel records the peak of the resident memory itself.
@@ -68,6 +69,8 @@
 }
 
 func (o *observer) sample() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if files, err := os.ReadDir(o.procFile("fd")); err == nil {
 		o.descriptors = max(o.descriptors, len(files))
 	}
--- a/test/crowd/host_test.go
+++ b/test/crowd/host_test.go
@@ -148,7 +148,9 @@
 func (f *fleet) bear(n, port int, c client) {
 	o := observe(f.sessions[0], f.settings[0].IP)
 	g := gather(n, f.settings[0].Address(port), c)
+	o.sample()
 	f.expectSound("beside the crowd")
+	o.sample()
 	g.leave()
 	f.expectSound("after the crowd")
 	memory, open := o.end()
--- a/test/crowd/ownhost_test.go
+++ b/test/crowd/ownhost_test.go
@@ -182,7 +182,9 @@
 			}
 			o := observe(h.session, h.ip)
 			g := gather(c.connections, address, c.client)
+			o.sample()
 			h.expectSound("beside the crowd")
+			o.sample()
 			g.leave()
 			h.expectSound("after the crowd")
 			memory, open := o.end()
