intake: a body that nobody reads does not keep its connection in use

Callers would have seen: 400 clients that announce a body for a look-up and don't send it keep all look-ups out, at the platform's check and for gentiand's look-ups and operators too.

A request with a body now counts as waiting for its client until the body is read, so that it gives way, and its body has 10 s, and 1 s once the handler has left it.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -169,9 +169,13 @@
 	return !c.counted
 }
 
-// unreadTime is how long the server waits for the rest of a body that the handler does not want. Until then the
-// client may still be sending, and might not read an answer.
-const unreadTime = time.Second
+const (
+	// unwantedTime is the time limit of a body until the handler reads it, which sets another one.
+	unwantedTime = 10 * time.Second
+	// unreadTime is how long the server waits for the rest of a body once the handler has left it. Until then the
+	// client may still be sending, and might not read an answer.
+	unreadTime = time.Second
+)
 
 // LeaveBody sets the time limit for the rest of a body that the handler has not read and will not read.
 func LeaveBody(ctx context.Context) {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -98,16 +98,23 @@
 // one http.Server that serves this listener.
 func (l *Listener) Handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := FromContext(r.Context()); c != nil {
-			ctx, cancel := context.WithCancel(r.Context())
-			defer cancel()
-			if !c.begin(cancel) {
-				panic(http.ErrAbortHandler) // without running the request, whose client sees the close
-			}
-			defer c.l.in.releaseRequest(c)
-			r = r.WithContext(ctx)
+		c := FromContext(r.Context())
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
 		}
-		next.ServeHTTP(w, r)
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		if !c.begin(cancel) {
+			panic(http.ErrAbortHandler) // without running the request, whose client sees the close
+		}
+		defer l.in.releaseRequest(c)
+		if r.ContentLength != 0 {
+			// The server waits for the rest of a body that the handler has not read.
+			c.beginBody(time.Now().Add(unwantedTime))
+			defer LeaveBody(ctx)
+		}
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
--- a/test/crowd/host_test.go
+++ b/test/crowd/host_test.go
@@ -269,6 +269,15 @@
 	"heads of checks that are begun": {800, standin.ReadyPort, func(conn net.Conn, _ int) {
 		sendAll(conn, []byte("GET /ready HTTP/1.1\r\nHost: "))
 	}},
+	"look-ups with a body that does not come": {400, standin.LookupPort, func(conn net.Conn, _ int) {
+		sendAll(conn, []byte("GET /resolve?name="+standin.Host+" HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf"))
+	}},
+	"checks with a body that does not come": {400, standin.ReadyPort, func(conn net.Conn, _ int) {
+		sendAll(conn, []byte("GET /ready HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf"))
+	}},
+	"requests on no route with a body that does not come": {400, standin.EntryPort, func(conn net.Conn, _ int) {
+		sendAll(conn, head("/elsewhere/a", withLength(100)), endOfHead, []byte("half"))
+	}},
 	"connections without a request": {800, standin.EntryPort, func(net.Conn, int) {}},
 	"connections idle after a request": {800, standin.EntryPort, func(conn net.Conn, _ int) {
 		request := bytes.Replace(head(standin.CheckPath+"a", withLength(0)), []byte("POST"), []byte("GET"), 1)
--- a/test/crowd/ownhost_test.go
+++ b/test/crowd/ownhost_test.go
@@ -167,6 +167,12 @@
 			repeat(conn, "name: value\r\n", 1<<20)
 		}
 	}},
+	"operators' calls with a body that does not come": {400, true, func(conn net.Conn, _ int) {
+		sendAll(conn, []byte("GET /v1/status HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf"))
+	}},
+	"look-ups with a body that does not come": {400, false, func(conn net.Conn, _ int) {
+		sendAll(conn, []byte("GET /v1/lookup HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf"))
+	}},
 	"heads that are begun":              {700, false, func(conn net.Conn, _ int) { sendAll(conn, ownHead(withLength(10))) }},
 	"heads that are begun by operators": {700, true, func(conn net.Conn, _ int) { sendAll(conn, []byte("GET /v1/status HTTP/1.1\r\nHost: x\r\n")) }},
 }
