intake: a connection that gave way can't go on after its body

The deadline stays once the connection has given way, and such a body is refused with 503; nothing of it was passed on. The specs of intake pass, with the race detector too.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -126,15 +126,19 @@
 	return true
 }
 
-// explain returns the error of a body as callers get it.
+// explain returns the error of a body as callers get it. A body that was complete only when its connection had
+// given way is refused too: the connection is at its end.
 func (r *bodyReader) explain(err error) error {
+	late := errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
-	case err == nil || r.conn == nil || !errors.Is(err, os.ErrDeadlineExceeded):
+	case r.conn == nil || err != nil && !late:
 		return err
 	case r.conn.gaveWay():
 		return failure.Retry(failure.HostFull, refusalRetryAfter, "this host needs the memory of a body that did not arrive")
+	case late:
+		return failure.New(failure.TooSlow, "the body did not arrive in time")
 	}
-	return failure.New(failure.TooSlow, "the body did not arrive in time")
+	return nil
 }
 
 // beginBody marks the connection as one that waits for its client's body until a deadline.
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -42,11 +42,12 @@
 
 	deadlineMu sync.Mutex
 	deadline   time.Time // of reads, as the server has set it
+	ended      bool      // reads fail for good
 
 	counted  bool          // among the open connections
 	memory   int64         // reserved
 	buffered int64         // of which for buffer
-	inBody   bool          // the handler reads a body
+	inBody   bool          // the request has a body that is not read yet
 	eager    bool          // the client has sent more behind the request in progress
 	cancel   func()        // ends the request in progress, nil without one
 	waiting  *list.List    // the list it is on while it may give way to others
@@ -129,7 +130,7 @@
 	in.releaseRequest(c)
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	c.cancel, c.eager = nil, false
+	c.cancel, c.eager, c.inBody = nil, false, false
 	if c.counted {
 		c.wait(c.l.conns.idle)
 	}
@@ -142,7 +143,10 @@
 	inBody, cancel := c.inBody, c.cancel
 	c.l.in.mu.Unlock()
 	if inBody {
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		c.deadlineMu.Lock()
+		defer c.deadlineMu.Unlock()
+		c.ended = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		return
 	}
 	_ = c.Conn.Close()
--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -209,7 +209,7 @@
 	}
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
-	if end := time.Now().Add(limit); c.deadline.IsZero() || end.Before(c.deadline) {
+	if end := time.Now().Add(limit); !c.ended && (c.deadline.IsZero() || end.Before(c.deadline)) {
 		_ = c.Conn.SetReadDeadline(end)
 	}
 }
@@ -218,6 +218,9 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
+	if c.ended {
+		return nil
+	}
 	c.deadline = t
 	return c.Conn.SetReadDeadline(t)
 }
