entry, node, callerapi: an answer that is not read ends its connection

A client that does not read an error answer kept its connection in use for good: only requests that are admitted had a write deadline, and a connection in use never gives way to others. The same held for look-ups, checks and metrics.

Error answers have 2 s, in both programs; the answers of the small servers 10 s.

A stream of gentiand that is not read has no deadline yet.

--- a/internal/callerapi/encode.go
+++ b/internal/callerapi/encode.go
@@ -81,7 +81,11 @@
 	return ok && v
 }
 
+// refusalTime is how long a caller may take to read an error answer.
+const refusalTime = 2 * time.Second
+
 func writeError(w http.ResponseWriter, e *failure.Error, id string) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refusalTime)) // else an unread one would be kept for good
 	w.Header().Set("Content-Type", "application/json")
 	if e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -95,6 +95,9 @@
 	Message string       `json:"message"`
 }
 
+// refusalTime is how long a caller may take to read an error answer.
+const refusalTime = 2 * time.Second
+
 // FailureBody returns the body of an error answer.
 func FailureBody(code failure.Code, message string) []byte {
 	body, err := json.Marshal(failureBody{code, message})
@@ -114,6 +117,8 @@
 	if retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	// Without a deadline, a caller that does not read would keep its connection in use for good.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(refusalTime))
 	x.w.WriteHeader(status)
 	x.recordEvent(event.RequestRefused, strconv.Itoa(status)+" "+string(code)+": "+message)
 	x.h.Meter.Refused(status, code)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,8 @@
 	// connection, so that the host does not close a connection while a request arrives.
 	idleTimeout    = 30 * time.Second
 	maxHeaderBytes = 64 << 10
+	// plainWriteTimeout bounds the answers to look-ups, readiness checks and requests for metrics.
+	plainWriteTimeout = 10 * time.Second
 	// memoryShare is the fraction of the memory limit that becomes the garbage collector's soft
 	// limit.
 	memoryShare = 0.7
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -45,6 +45,8 @@
 		srv := newHTTPServer(listener.Handle(s.handler))
 		if s.handler == n.entry {
 			n.callerServer = srv
+		} else {
+			srv.WriteTimeout = plainWriteTimeout
 		}
 		n.httpServers = append(n.httpServers, srv)
 		n.tasks.Go(func() {
