test/crowd: connections at the port between hosts; KNOWN-RED

Which other ports listen, and what they hold for somebody who isn't a host: 800 silent connections at the port between hosts take 821 to 824 descriptors of 500 (3 of 3 runs), until the time limit of each handshake. Clients don't reach this port on the platform, so it is listed and not fixed here; a bound has to let a fleet of a thousand hosts start at once. A frame of 2 GB is refused (200 connections, 23 to 41 MB of 80).

--- a/test/crowd/host_test.go
+++ b/test/crowd/host_test.go
@@ -33,6 +33,7 @@
 	descriptors         = 700
 	reservedDescriptors = 200
 	metricsPort         = 7614
+	peerPort            = 7600
 	maxBodyBytes        = 1 << 20 // of the stand-in's configuration, as is maxHeadBytes
 	maxHeadBytes        = 16 << 10
 )
@@ -278,6 +279,10 @@
 	"requests on no route with a body that does not come": {400, standin.EntryPort, func(conn net.Conn, _ int) {
 		sendAll(conn, head("/elsewhere/a", withLength(100)), endOfHead, []byte("half"))
 	}},
+	"silent connections at the port between hosts": {800, peerPort, func(net.Conn, int) {}},
+	"a long frame at the port between hosts": {200, peerPort, func(conn net.Conn, _ int) {
+		sendAll(conn, []byte{0xff, 0xff, 0xff, 0x7f}, largestBody)
+	}},
 	"connections without a request": {800, standin.EntryPort, func(net.Conn, int) {}},
 	"connections idle after a request": {800, standin.EntryPort, func(conn net.Conn, _ int) {
 		request := bytes.Replace(head(standin.CheckPath+"a", withLength(0)), []byte("POST"), []byte("GET"), 1)
