intake: bodies have a larger budget than connections and heads

Cause: one budget of 0.3 of the memory for connections, heads and bodies, half of what is left for one. A body takes what it states, but the share was made for heads, whose charge is an estimate that the collector lets grow by half. The spec is right and unchanged: callers were refused bodies that fit.

Bodies may now have, with the rest, the collector's soft limit less 8 MB for the host itself (at 134 MB 85 MB, at 80 MB 40); connections and heads keep 0.3. The kernel's buffer for a large body is 32 KB asked, 56 KB kept (64 and 112 before).

--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -29,6 +29,7 @@
 			limits.Memory = int64(clientMemory * float64(soft))
 		}
 	}
+	limits.WithBodies = limits.Memory
 	var r syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil && r.Cur <= math.MaxInt32 {
 		limits.Connections = int(r.Cur)
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -15,8 +15,8 @@
 	// since a small one makes it slow on links with a long round trip. largeUnreadBytes is the most that the
 	// kernel then keeps.
 	largeBody          = 64 << 10
-	largeReceiveBuffer = 64 << 10
-	largeUnreadBytes   = 112 << 10
+	largeReceiveBuffer = 32 << 10
+	largeUnreadBytes   = 56 << 10
 	// firstBody is the first size of the buffer for a body whose length isn't stated.
 	firstBody = 4 << 10
 )
@@ -61,7 +61,7 @@
 }
 
 func (r *bodyReader) reserve(bytes int64) bool {
-	if r.conn == nil || r.conn.l.in.reserve(r.conn, bytes) {
+	if r.conn == nil || r.conn.l.in.reserve(r.conn, forBody, bytes) {
 		return true
 	}
 	r.conn.l.in.count(func(r *Refusals) { r.Bodies++ })
@@ -105,7 +105,7 @@
 	old := cap(r.bytes)
 	r.bytes = append(make([]byte, 0, size), r.bytes...)
 	if r.conn != nil {
-		r.conn.l.in.release(r.conn, int64(old))
+		r.conn.l.in.release(r.conn, forBody, int64(old))
 	}
 	return nil
 }
--- a/internal/intake/body_test.go
+++ b/internal/intake/body_test.go
@@ -38,19 +38,19 @@
 
 	// Guards against bodies that are held for clients that never send the rest.
 	It("that is not complete at its deadline is answered as not run", func() {
-		s := newTestServer(Limits{Connections: 100, Memory: 64 << 20})
+		s := newTestServer(Limits{Connections: 100, Memory: 64 << 20, WithBodies: 64 << 20})
 		for _, length := range []int{2 * half, -1} {
 			conn := s.dial()
 			post(conn, length, body)
 			Expect(statusOf(conn)).To(Equal(http.StatusRequestTimeout))
 		}
-		Eventually(s.in.Usage).WithTimeout(3 * time.Second).Should(HaveField("Memory", int64(0)))
+		Eventually(s.in.Usage).WithTimeout(3 * time.Second).Should(And(HaveField("Memory", int64(0)), HaveField("Bodies", int64(0))))
 	})
 
 	// Guards against clients that fill the memory with bodies and then sit still, and against a close without an
 	// answer where a promise can be given.
 	It("whose client sends nothing more gives way with a promise", func() {
-		s := newTestServer(Limits{Connections: 100, Memory: 1 << 20})
+		s := newTestServer(Limits{Connections: 100, Memory: 1 << 20, WithBodies: 1 << 20})
 		var still []net.Conn
 		for range 12 {
 			still = append(still, s.dial())
@@ -78,7 +78,7 @@
 	// Guards against a large body that takes the memory of small ones, and against a slow client whose body is
 	// taken for one that sits still.
 	It("that is refused for its size does not keep small or slow ones out", func() {
-		s := newTestServer(Limits{Connections: 100, Memory: 1 << 20})
+		s := newTestServer(Limits{Connections: 100, Memory: 1 << 20, WithBodies: 1 << 20})
 		slow := s.dial()
 		post(slow, 300000, "")
 		go func() {
@@ -87,7 +87,7 @@
 				_, _ = io.WriteString(slow, strings.Repeat("b", 15000))
 			}
 		}()
-		Eventually(s.in.Usage).Should(HaveField("Memory", BeNumerically(">", 300000)))
+		Eventually(s.in.Usage).Should(HaveField("Bodies", BeNumerically(">=", 300000)))
 		for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); {
 			large, small := s.dial(), s.dial()
 			post(large, 900000, "")
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -45,8 +45,9 @@
 	ended      bool      // reads fail for good
 
 	counted  bool          // among the open connections
-	memory   int64         // reserved
+	memory   int64         // reserved for the connection and heads
 	buffered int64         // of which for buffer
+	body     int64         // reserved for a body
 	inBody   bool          // the request has a body that is not read yet
 	eager    bool          // the client has sent more behind the request in progress
 	cancel   func()        // ends the request in progress, nil without one
@@ -71,10 +72,9 @@
 // add counts the connection as open and waiting for its first request. The caller holds in.mu.
 func (c *Conn) add() {
 	c.counted = true
-	c.memory = connectionCost
 	c.l.conns.open++
 	c.l.in.open++
-	c.l.in.memory += c.memory
+	c.l.in.add(c, forHead, connectionCost)
 	c.wait(c.l.conns.fresh)
 }
 
@@ -87,8 +87,8 @@
 	c.wait(nil)
 	c.l.conns.open--
 	c.l.in.open--
-	c.l.in.memory -= c.memory
-	c.memory = 0
+	c.l.in.add(c, forHead, -c.memory)
+	c.l.in.add(c, forBody, -c.body)
 }
 
 // wait puts the connection at the end of a list, nil for none. The caller holds in.mu.
--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -127,7 +127,7 @@
 	if c.buffer = c.buffer[n:]; len(c.buffer) == 0 {
 		c.buffer = nil
 	}
-	c.l.in.release(c, int64(size-cap(c.buffer)))
+	c.l.in.release(c, forHead, int64(size-cap(c.buffer)))
 	c.resizeBuffer(cap(c.buffer) - size)
 	return n
 }
@@ -192,7 +192,7 @@
 // grow makes room for at least so many further bytes in the buffer, if there is memory.
 func (c *Conn) grow(bytes int) bool {
 	size := max(firstBuffer, 2*cap(c.buffer), len(c.buffer)+bytes)
-	if !c.l.in.reserve(c, int64(size-cap(c.buffer))) {
+	if !c.l.in.reserve(c, forHead, int64(size-cap(c.buffer))) {
 		c.refuseHead(c.buffer)
 		return false
 	}
@@ -227,7 +227,7 @@
 
 // admitHead takes the memory that a head has once it is parsed. It refuses the request if there is none.
 func (c *Conn) admitHead(head []byte) bool {
-	if c.l.in.reserve(c, c.scan.cost()) {
+	if c.l.in.reserve(c, forHead, c.scan.cost()) {
 		return true
 	}
 	c.refuseHead(head)
@@ -241,7 +241,7 @@
 		return true
 	}
 	c.scan.bytes = bytes
-	if c.l.in.reserve(c, int64(bytes)*costPerHiddenByte) {
+	if c.l.in.reserve(c, forHead, int64(bytes)*costPerHiddenByte) {
 		return true
 	}
 	c.l.in.count(func(r *Refusals) { r.Heads++ })
@@ -268,7 +268,7 @@
 	if c.raised {
 		unread = largeUnreadBytes
 	}
-	admitted := in.reserve(c, unread)
+	admitted := in.reserve(c, forHead, unread)
 	in.mu.Lock()
 	var victims []*Conn
 	switch {
--- a/internal/intake/head_test.go
+++ b/internal/intake/head_test.go
@@ -56,7 +56,7 @@
 	// Guards against a request that is lost, mixed up or never read where heads, bodies and further requests
 	// arrive in pieces or behind one another.
 	It("is read whatever pieces it arrives in", func() {
-		s := newTestServer(Limits{Connections: 1000, Memory: 64 << 20})
+		s := newTestServer(Limits{Connections: 1000, Memory: 64 << 20, WithBodies: 64 << 20})
 		for seed := range uint64(150) {
 			rng := rand.New(rand.NewPCG(seed, 1))
 			conn := s.dial()
@@ -94,7 +94,7 @@
 
 	// Guards against a limit of the size that a request behind another one passes by.
 	It("is refused beyond the longest, also on a used connection", func() {
-		s := newTestServer(Limits{Connections: 1000, Memory: 64 << 20})
+		s := newTestServer(Limits{Connections: 1000, Memory: 64 << 20, WithBodies: 64 << 20})
 		for _, before := range []int{0, 1} {
 			conn := s.dial()
 			for range before {
@@ -110,7 +110,7 @@
 	// Guards against a large request that takes all memory from small ones, and against a refusal without a
 	// promise.
 	It("is refused for want of memory while smaller ones are admitted", func() {
-		s := newTestServer(Limits{Connections: 1000, Memory: 400 << 10})
+		s := newTestServer(Limits{Connections: 1000, Memory: 400 << 10, WithBodies: 400 << 10})
 		conn := s.dial()
 		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", 3000)+"\r\n")
 		Expect(err).NotTo(HaveOccurred())
@@ -124,7 +124,7 @@
 
 	// Guards against clients that hold all memory and send nothing more.
 	It("gets the memory of clients that the server has waited for", func() {
-		s := newTestServer(Limits{Connections: 1000, Memory: 1 << 20})
+		s := newTestServer(Limits{Connections: 1000, Memory: 1 << 20, WithBodies: 1 << 20})
 		for range 60 {
 			conn, err := io.WriteString(s.dial(), "GET / HTTP/1.1\r\nHost: x\r\nLong: "+strings.Repeat("x", 7000))
 			Expect(err).NotTo(HaveOccurred(), "%d", conn)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -18,7 +18,8 @@
 // Limits are the limits of an Intake.
 type Limits struct {
 	Connections int   // descriptors for all listeners together; 0: no limit
-	Memory      int64 // bytes that connections, heads and bodies may take together; 0: no limit
+	Memory      int64 // bytes that connections and heads may take together; 0: no limit
+	WithBodies  int64 // bytes that they and bodies may take together; 0: no limit
 }
 
 // Refusals are what an Intake refused or closed since the last report.
@@ -40,7 +41,8 @@
 // Usage is what the clients hold at a moment.
 type Usage struct {
 	Connections int
-	Memory      int64
+	Memory      int64 // of connections and heads
+	Bodies      int64 // of bodies
 	Limits      Limits
 }
 
@@ -66,7 +68,8 @@
 	limits     Limits
 	listeners  []*Listener
 	open       int
-	memory     int64
+	memory     int64 // of connections and heads
+	bodies     int64
 	pending    Refusals
 	reportedAt time.Time
 }
@@ -90,7 +93,7 @@
 			victims = append(victims, victim)
 		}
 	}
-	victims = append(victims, in.makeRoom(0, ever)...)
+	victims = append(victims, in.makeRoom(forHead, 0, ever)...)
 	in.mu.Unlock()
 	in.closeAll(victims)
 }
@@ -109,7 +112,7 @@
 func (in *Intake) Usage() Usage {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return Usage{Connections: in.open, Memory: in.memory, Limits: in.limits}
+	return Usage{Connections: in.open, Memory: in.memory, Bodies: in.bodies, Limits: in.limits}
 }
 
 // count adds to the next report, and reports if the last one is long enough ago. It is called without mu.
@@ -129,31 +132,55 @@
 // stallTime is how long the process waits for a client before others may get the memory that the client holds.
 const stallTime = time.Second
 
+// use is what memory is taken for.
+type use int
+
+const (
+	forHead use = iota // connections, heads and requests in progress
+	forBody
+)
+
 // reserve takes memory for a connection and reports whether the limit allows it. Only a half of what is left is
 // given to one, so that small requests still find room when large ones have been refused. Clients that the
 // process has waited for since stallTime give way.
-func (in *Intake) reserve(c *Conn, bytes int64) bool {
+func (in *Intake) reserve(c *Conn, u use, bytes int64) bool {
 	in.mu.Lock()
-	victims := in.makeRoom(bytes, time.Now().Add(-stallTime))
-	fits := c.counted && in.fits(bytes)
+	victims := in.makeRoom(u, bytes, time.Now().Add(-stallTime))
+	fits := c.counted && in.fits(u, bytes)
 	if fits {
-		in.memory += bytes
-		c.memory += bytes
+		in.add(c, u, bytes)
 	}
 	in.mu.Unlock()
 	in.closeAll(victims)
 	return fits
 }
 
+// add counts memory of a connection. The caller holds mu.
+func (in *Intake) add(c *Conn, u use, bytes int64) {
+	if u == forBody {
+		in.bodies += bytes
+		c.body += bytes
+		return
+	}
+	in.memory += bytes
+	c.memory += bytes
+}
+
 // fits reports whether so much memory may be given to one connection. The caller holds mu.
-func (in *Intake) fits(bytes int64) bool {
-	return in.limits.Memory <= 0 || bytes <= (in.limits.Memory-in.memory)/2
+//
+// Bodies take just what they state, while heads and what belongs to a request in progress are estimates; so heads
+// have a smaller limit.
+func (in *Intake) fits(u use, bytes int64) bool {
+	if in.limits.WithBodies > 0 && bytes > (in.limits.WithBodies-in.memory-in.bodies)/2 {
+		return false
+	}
+	return u == forBody || in.limits.Memory <= 0 || bytes <= (in.limits.Memory-in.memory)/2
 }
 
 // makeRoom removes connections that have waited for their clients since before a time until so much memory may
 // be given to one, or none is left. The caller holds mu, and closes them.
-func (in *Intake) makeRoom(bytes int64, before time.Time) (victims []*Conn) {
-	for !in.fits(bytes) {
+func (in *Intake) makeRoom(u use, bytes int64, before time.Time) (victims []*Conn) {
+	for !in.fits(u, bytes) {
 		victim := in.oldest(before)
 		if victim == nil {
 			break
@@ -175,12 +202,11 @@
 }
 
 // release gives memory of a connection back.
-func (in *Intake) release(c *Conn, bytes int64) {
+func (in *Intake) release(c *Conn, u use, bytes int64) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if c.counted {
-		in.memory -= bytes
-		c.memory -= bytes
+		in.add(c, u, -bytes)
 	}
 }
 
@@ -189,8 +215,8 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if c.counted {
-		in.memory -= c.memory - connectionCost - c.buffered
-		c.memory = connectionCost + c.buffered
+		in.add(c, forHead, connectionCost+c.buffered-c.memory)
+		in.add(c, forBody, -c.body)
 	}
 }
 
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -87,7 +87,7 @@
 		victim.remove()
 		victims = append(victims, victim)
 	}
-	victims = append(victims, l.in.makeRoom(connectionCost+ordinaryRequest, ever)...)
+	victims = append(victims, l.in.makeRoom(forHead, connectionCost+ordinaryRequest, ever)...)
 	c.add()
 	l.in.mu.Unlock()
 	l.in.closeAll(victims)
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -17,14 +17,21 @@
 	lookupConnections  = 0.1
 	readyConnections   = 0.02
 	metricsConnections = 0.02
-	// clientMemory is the share of the memory limit for what clients make this host hold. The collector lets the
-	// heap grow to one and a half of what is in use.
+	// clientMemory is the share of the memory limit for connections and heads. The collector lets the heap grow
+	// to one and a half of what is in use, up to its soft limit.
 	clientMemory = 0.3
+	// ownMemory is what the host's own work has of the collector's soft limit; bodies may have the rest.
+	ownMemory = 8 << 20
 )
 
 // intakeLimits returns the limits for what clients may make this host hold.
 func intakeLimits(s Settings) intake.Limits {
-	return intake.Limits{Connections: socketLimit(s.Descriptors), Memory: int64(clientMemory * float64(s.MemoryBytes))}
+	limits := intake.Limits{Connections: socketLimit(s.Descriptors)}
+	if s.MemoryBytes > 0 {
+		limits.Memory = int64(clientMemory * float64(s.MemoryBytes))
+		limits.WithBodies = max(limits.Memory, softMemoryLimit(s.MemoryBytes)-ownMemory)
+	}
+	return limits
 }
 
 // socketLimit returns how many sockets the process may have where so many descriptors are allowed, 0 if that
@@ -52,4 +59,6 @@
 	gauge("client_connections_limit", int64(u.Limits.Connections))
 	gauge("client_memory_bytes", u.Memory)
 	gauge("client_memory_bytes_limit", u.Limits.Memory)
+	gauge("client_bodies_bytes", u.Bodies)
+	gauge("client_memory_with_bodies_bytes_limit", u.Limits.WithBodies)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,10 +166,15 @@
 func limitMemory(bytes int64) {
 	debug.SetGCPercent(gcPercent)
 	if bytes > 0 {
-		debug.SetMemoryLimit(max(bytes/4, min(int64(float64(bytes)*memoryShare), bytes-otherMemory)))
+		debug.SetMemoryLimit(softMemoryLimit(bytes))
 	}
 }
 
+// softMemoryLimit returns the collector's soft limit for a limit of the process's memory in bytes.
+func softMemoryLimit(bytes int64) int64 {
+	return max(bytes/4, min(int64(float64(bytes)*memoryShare), bytes-otherMemory))
+}
+
 func (n *Node) peerAddress() string {
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.PeerPort))
 }
