upstream: an answer that ends with its connection needs a written request

What callers saw: a server answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is still being written. The caller gets that part as a complete answer.

Cause: Conn.Send writes a body of over 8 KB in a goroutine. The kernel reports a reset once, to the write that is in progress, and the next read returns the end of the connection as if the server had closed it. Whether the write had failed was asked only before a connection went back to the pool.

Now the body of an answer without an end mark is complete only if its request was written completely. At its end the write is waited for, for 1 s at most: it may have failed an instant before its goroutine records it, and a server that closes its sending side and reads on may still receive the rest. All readers of such a body (buffered, unbuffered, streams) get the error from it. Answers with a length or in chunks are as before. A smaller body is written before the answer is read, so that the read gets the reset.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,6 +29,8 @@
 	// server may answer before it has read a larger body, and then both ends would wait
 	// for each other.
 	maxInlineBodyBytes = 8 << 10
+	// requestEndTime is how long the write of a request may go on after its answer has ended.
+	requestEndTime = time.Second
 	// maxStaleAnswers bounds the late answers to earlier requests that are skipped.
 	maxStaleAnswers = 2
 )
@@ -93,7 +95,6 @@
 	c.bodyWritten = bodyWritten
 	go func() {
 		defer close(bodyWritten)
-		// Reading the answer fails too and reports the error.
 		_, err := c.net.Write(req.Body)
 		c.bodyFailed = err != nil
 	}()
@@ -139,6 +140,9 @@
 				return nil, failure.New(failure.ServerLost, "the answer of %s has %d bytes, more than %d", c.server.Address, resp.ContentLength, maxBodyBytes)
 			}
 			c.in.begin("the answer's body", maxBodyBytes)
+			if FramingOf(method, resp) == ByConnection {
+				resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, conn: c}
+			}
 			return resp, nil
 		}
 		if err := c.Discard(resp); err != nil {
@@ -154,10 +158,35 @@
 // Discard reads a body that is not needed to its end, up to maxDiscardedBytes.
 func (c *Conn) Discard(resp *http.Response) error {
 	c.in.begin("the body of an answer that is not needed", maxDiscardedBytes)
-	_, err := io.Copy(io.Discard, resp.Body)
+	body := resp.Body
+	if b, ok := body.(*closeDelimitedBody); ok {
+		body = b.ReadCloser // whether it is complete does not matter
+	}
+	_, err := io.Copy(io.Discard, body)
 	return err
 }
 
+// closeDelimitedBody is the body of an answer that ends with its connection. It is complete only if its request
+// was written completely.
+//
+// The kernel reports a reset once: to a write that is in progress rather than to the next read, which then
+// returns the end of the connection.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader. It fails with ServerLost instead of io.EOF if the request was not written.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if lost := b.conn.awaitRequestWritten(); lost != nil {
+			err = lost
+		}
+	}
+	return n, err
+}
+
 // readFinalAnswer reads the header of an answer and skips interim (1xx) answers.
 func (c *Conn) readFinalAnswer(method string) (*http.Response, error) {
 	c.in.begin("the answer's header", maxHeadBytes)
@@ -203,6 +232,24 @@
 	}
 }
 
+// awaitRequestWritten waits until the write of the request's body has ended. It fails with ServerLost if the
+// body was not written completely.
+func (c *Conn) awaitRequestWritten() error {
+	if c.bodyWritten == nil {
+		return nil
+	}
+	timer := time.NewTimer(requestEndTime)
+	defer timer.Stop()
+	select {
+	case <-c.bodyWritten:
+		if !c.bodyFailed {
+			return nil
+		}
+	case <-timer.C:
+	}
+	return failure.New(failure.ServerLost, "%s ended the connection before it had received the request", c.server.Address)
+}
+
 // noPendingInput reports whether nothing has arrived on an idle connection: neither its
 // end nor unexpected bytes.
 func (c *Conn) noPendingInput() bool {
