tunnel: a reset during an upload is not the end of the answer

Cause: the carrying host copies the request in one goroutine and the answer in another. The kernel reports a reset once; where the write of the request gets it, the read of the answer ends in order, and the host told the other end of the tunnel that the server had closed the connection. The host that asked for the tunnel cannot tell by its own writes, since up to a window of them is accepted before the server has received them.

Now the carrying host reports the end only if no write to the server has failed; a write in progress is waited for, for 1 s at most. A write that took the reset had begun before the read could return the end, so none is overlooked.

Left: if a server closes its sending side in order before it has received the last window of a request and then refuses the rest, the end was already reported.

--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -15,6 +15,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -61,14 +62,60 @@
 // bufferBytes fits most events of a stream and the header of an answer.
 const bufferBytes = 8 << 10
 
+// requestWriter writes to the connection to the server, for one goroutine, and tells another one whether that fails.
+//
+// The kernel reports a reset once: to a write that is in progress rather than to the next read, which then
+// returns the end of the connection.
+type requestWriter struct {
+	conn net.Conn
+
+	mu      sync.Mutex
+	writing chan struct{} // closed when the write in progress ends, nil if there is none
+	failed  bool          // a write failed
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(b []byte) (int, error) {
+	ended := make(chan struct{})
+	w.mu.Lock()
+	w.writing = ended
+	w.mu.Unlock()
+	n, err := w.conn.Write(b)
+	w.mu.Lock()
+	w.writing, w.failed = nil, w.failed || err != nil
+	w.mu.Unlock()
+	close(ended)
+	return n, err
+}
+
+// broken reports whether a write has failed. It waits for a write in progress, which counts as failed if it takes
+// longer than writeEndTime.
+func (w *requestWriter) broken() bool {
+	w.mu.Lock()
+	writing := w.writing
+	w.mu.Unlock()
+	if writing != nil {
+		timer := time.NewTimer(writeEndTime)
+		defer timer.Stop()
+		select {
+		case <-writing:
+		case <-timer.C:
+			return true
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failed
+}
+
 // forwardAnswer sends what the server sends to the stream until the connection ends, and reports
-// whether the server closed it.
-func forwardAnswer(st *peer.Stream, server net.Conn) (closed bool) {
+// whether the server closed it in order.
+func forwardAnswer(st *peer.Stream, server net.Conn, request *requestWriter) (closed bool) {
 	w := bufio.NewWriterSize(st, bufferBytes+64)
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := server.Read(buf)
-		m := &wire.TunnelData{Data: buf[:n], End: err == io.EOF}
+		m := &wire.TunnelData{Data: buf[:n], End: err == io.EOF && !request.broken()}
 		if n > 0 || m.End {
 			if wire.Write(w, m) != nil || w.Flush() != nil {
 				return false
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -26,6 +26,8 @@
 	// lingerTime is how long the other end may take to close a tunnel whose server has closed the
 	// connection.
 	lingerTime = 5 * time.Second
+	// writeEndTime is how long a write to a server may go on after the server has closed its sending side.
+	writeEndTime = time.Second
 )
 
 // Paths is what this host knows of its own paths to servers.
@@ -126,13 +128,14 @@
 // The connection to the server ends with the stream, so that the server stops the request when its
 // caller has left.
 func (v *Server) carry(st *peer.Stream, server net.Conn) {
+	request := &requestWriter{conn: server}
 	requestEnded := make(chan struct{})
 	go func() {
 		defer close(requestEnded)
-		_, _ = io.CopyBuffer(writerOnly{server}, st.Reader, make([]byte, bufferBytes))
+		_, _ = io.CopyBuffer(request, st.Reader, make([]byte, bufferBytes))
 		_ = server.Close() // the other end is gone, or the server is
 	}()
-	if forwardAnswer(st, server) {
+	if forwardAnswer(st, server, request) {
 		select {
 		case <-requestEnded:
 		case <-time.After(lingerTime):
@@ -143,9 +146,6 @@
 	<-requestEnded
 }
 
-// writerOnly hides a connection's ReadFrom, which would bypass the buffer.
-type writerOnly struct{ io.Writer }
-
 func (v *Server) count(status wire.TunnelStatus) {
 	name := map[wire.TunnelStatus]string{
 		wire.TunnelStatus_TUNNEL_CONNECTED: "connected", wire.TunnelStatus_TUNNEL_REFUSED: "refused",
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -180,6 +180,44 @@
 		Expect(string(got)).To(Equal("part"))
 	})
 
+	// Guards against a reset that only the write of the request reports, after which the read ends in order.
+	DescribeTable("fails where the server resets the connection during an upload",
+		func(after time.Duration) {
+			o := newTestOpener(startCarrier(2, "z"))
+			s := listen(func(c net.Conn) {
+				_, _ = c.Read(make([]byte, 4096))
+				_, _ = io.WriteString(c, "part")
+				time.Sleep(after)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			})
+			for range 50 {
+				conn := open(o, s)
+				go func() { _, _ = conn.Write(make([]byte, 8<<20)) }()
+				_, err := io.ReadAll(conn)
+				_ = conn.Close()
+				Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			}
+		},
+		Entry("at once", time.Duration(0)),
+		Entry("after a millisecond", time.Millisecond),
+	)
+
+	It("ends where the server closes its sending side during an upload", func() {
+		received := make(chan int64, 1)
+		conn := open(newTestOpener(startCarrier(2, "z")), listen(func(c net.Conn) {
+			_, _ = io.WriteString(c, "whole")
+			_ = c.(*net.TCPConn).CloseWrite()
+			n, _ := io.CopyN(io.Discard, c, 8<<20)
+			received <- n
+		}))
+		go func() { _, _ = conn.Write(make([]byte, 8<<20)) }()
+		got, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(got)).To(Equal("whole"))
+		Eventually(received).Should(Receive(Equal(int64(8 << 20))))
+	})
+
 	It("fails where the host that carries it ends", func() {
 		carrier := startCarrier(2, "z")
 		conn := open(newTestOpener(carrier), listen(func(net.Conn) {}))
