upstream: an answer with a malformed head is no answer

What callers saw: a server in trouble sends an answer with status 000, or one in whose head the name of a field holds a blank or a control byte. Callers get it as an answer, with that line passed on or with a body that is not the server's.

Cause: upstream took what net/http parses for a valid head. - Each status below 200 but 101 was skipped as an interim answer, so the body of an answer with status 000 was parsed as the next head. 101 was passed on though no request asks for an upgrade. - net/http accepts blanks in names. "Content-Length : 11" is then not the length and "Transfer-Encoding : chunked" not the coding: the body ended with the connection, and held what followed it or the framing of the chunks. - net/http ignores a transfer coding in HTTP/1.0, with the same result, and accepts versions 0.9, 2.0 and 9.9 in the status line. - An interim answer with a body: its bytes are parsed as the next head.

Now each head (of interim, late and final answers) is checked in one place: major version 1, a status from 100 but 101, names that are tokens (RFC 9110, 5.1), no body announced by an interim answer, no coding in HTTP/1.0 (RFC 9112, 6.1), not both a length and a coding (6.3: "ought to be handled as an error"). The last three need the raw head, since net/http removes the fields. Such an answer counts as lost: the request is repeated where it may be, or gets 502.

Not refused, since the protocol allows or defines them: folded values, which net/http joins with a blank (RFC 9112, 5.2); equal lengths; line feeds alone; later minor versions; status 600 to 999, which count as 5xx. Trailer fields are not forwarded, so their names are not checked.

Tabs, control bytes, quotes, DEL and bytes over 127 in names, control bytes in values, differing lengths, unknown or doubled codings and signed chunk sizes were refused before; their specs stay.

--- a/internal/upstream/bound.go
+++ b/internal/upstream/bound.go
@@ -25,6 +25,21 @@
 	bound   int64
 	left    int64
 	tooLong bool // the bound was reached
+
+	recording bool
+	bytes     []byte // read since record, with those before
+}
+
+// record keeps what is read from now on, after the bytes that were read before.
+func (r *boundedReader) record(before []byte) {
+	r.recording, r.bytes = true, append([]byte(nil), before...)
+}
+
+// recorded ends a record and returns it.
+func (r *boundedReader) recorded() []byte {
+	bytes := r.bytes
+	r.recording, r.bytes = false, nil
+	return bytes
 }
 
 // begin sets the bound of what is read next.
@@ -40,5 +55,8 @@
 	}
 	n, err := r.conn.Read(b[:min(int64(len(b)), r.left)])
 	r.left -= int64(n)
+	if r.recording {
+		r.bytes = append(r.bytes, b[:n]...)
+	}
 	return n, err
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -191,17 +191,32 @@
 func (c *Conn) readFinalAnswer(method string) (*http.Response, error) {
 	c.in.begin("the answer's header", maxHeadBytes)
 	for {
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		c.answerStarted = c.answerStarted || err == nil
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
+		resp, err := c.readHead(method)
+		if err != nil || !isInterim(resp) {
+			return resp, err
 		}
 	}
 }
 
+// readHead reads the header of an answer, which may be an interim one, and checks it.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	buffered, _ := c.r.Peek(c.r.Buffered()) // cannot fail
+	c.in.record(buffered)
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	read := c.in.recorded()
+	if err != nil {
+		return nil, err
+	}
+	c.answerStarted = true
+	if err := CheckHead(resp); err != nil {
+		return nil, err
+	}
+	if err := checkFraming(resp, read[:len(read)-c.r.Buffered()]); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
 // SetReadDeadline sets the deadline of the next reads.
 func (c *Conn) SetReadDeadline(t time.Time) {
 	_ = c.net.SetReadDeadline(t) // fails only on a closed connection, as Read does then
--- a/test/platform/broken_test.go
+++ b/test/platform/broken_test.go
@@ -140,5 +140,14 @@
 		Entry("an upload reset at once, safe", standin.AppService, large(check()), brokenAnswer{"HTTP/1.1 200 OK\r\n" + signed + "\r\npart", true, 0}),
 		Entry("a stream reset during the upload", standin.EngineService, large(digest()), brokenAnswer{"HTTP/1.1 200 OK\r\n" + events + "\r\n{event}", true, 0}),
 		Entry("a resumable stream reset during the upload", standin.EngineService, large(appraise()), brokenAnswer{"HTTP/1.1 200 OK\r\n" + events + "\r\n{event}", true, 0}),
+		Entry("status 000", standin.AppService, check(), brokenAnswer{"HTTP/1.1 000 Trouble\r\n" + signed + "Content-Length: 2\r\n\r\nok", false, 0}),
+		Entry("status 000 with an answer as its body", standin.AppService, check(), brokenAnswer{"HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + "Content-Length: 2\r\n\r\nok", false, 0}),
+		Entry("status 101 that was not asked for", standin.AppService, check(), brokenAnswer{"HTTP/1.1 101 Switching Protocols\r\n" + signed + "\r\n", false, 0}),
+		Entry("a blank in a name", standin.AppService, check(), brokenAnswer{"HTTP/1.1 200 OK\r\n" + signed + "X Bad: 1\r\nContent-Length: 2\r\n\r\nok", false, 0}),
+		Entry("a control byte in a name", standin.AppService, check(), brokenAnswer{"HTTP/1.1 200 OK\r\n" + signed + "X\x01Bad: 1\r\nContent-Length: 2\r\n\r\nok", false, 0}),
+		Entry("a blank after the name of the length", standin.AppService, check(), brokenAnswer{"HTTP/1.1 200 OK\r\n" + signed + "Content-Length : 2\r\n\r\nok, and more", false, 0}),
+		Entry("a blank after the name of the coding", standin.AppService, check(), brokenAnswer{"HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false, 0}),
+		Entry("a stream with a blank in a name", standin.EngineService, digest(), brokenAnswer{"HTTP/1.1 200 OK\r\n" + events + "X Bad: 1\r\n\r\n{event}", false, 0}),
+		Entry("a stream with status 101", standin.EngineService, appraise(), brokenAnswer{"HTTP/1.1 101 Switching Protocols\r\n" + events + "\r\n{event}", false, 0}),
 	)
 })
