backend, caller, platform: readers by net/http check heads too

What callers saw: on the product's own interface, an answer of a plain service with status 000 began with that number at the caller; with 101 or a blank in a field's name it was passed on. The client of the platform's store took an answer with "Store-Era : 3" for one of the newest era that it knew.

Now CheckedTransport applies the same check to final answers, and to the names in interim ones: package backend (both kinds of server and the reader of load reports), caller, the clients of the store and of the platform, gentianctl. It keeps net/http's limit of interim answers, which a trace of one's own lifts. What the transport does not show (a coding in HTTP/1.0, a body of an interim answer) harms none of them: a plain answer without a length or chunks was refused before, streams have an end mark with a checksum, callers check checksums, and the others decode a whole JSON value.

The health checks of reach only connect. Hosts talk to each other in frames with a length over yamux. The tools (gentianlab, the stand-in's caller) are as before.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -26,6 +26,7 @@
 	"github.com/gentianflow/gentianflow/internal/callerapi"
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 // Failure is the error of a call.
@@ -93,7 +94,7 @@
 	if opt.Attempts == 0 {
 		opt.Attempts = defaultAttempts
 	}
-	return &Client{opt: opt, http: &http.Client{Transport: newTransport()}, failed: map[string]time.Time{}}
+	return &Client{opt: opt, http: &http.Client{Transport: upstream.CheckedTransport{Transport: newTransport()}}, failed: map[string]time.Time{}}
 }
 
 // Close closes the idle connections.
--- a/cmd/gentianctl/client.go
+++ b/cmd/gentianctl/client.go
@@ -13,6 +13,7 @@
 	"github.com/gentianflow/gentianflow/internal/admin"
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/member"
+	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 const (
@@ -28,7 +29,7 @@
 }
 
 func newAdminClient(c *cli.Command) *adminClient {
-	return &adminClient{addresses: c.StringSlice("admin"), token: c.String("admin-token"), http: &http.Client{Timeout: requestTimeout}}
+	return &adminClient{addresses: c.StringSlice("admin"), token: c.String("admin-token"), http: &http.Client{Transport: upstream.CheckedTransport{Transport: http.DefaultTransport.(*http.Transport).Clone()}, Timeout: requestTimeout}}
 }
 
 // get tries the addresses in turn until a call succeeds.
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -5,11 +5,11 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/ident"
+	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 // Call is one request as it goes to a backend server.
@@ -81,7 +81,7 @@
 
 // NewFactory returns a factory and the HTTP transport that all its servers
 // share.
-func NewFactory() (Factory, *http.Transport) {
+func NewFactory() (Factory, upstream.CheckedTransport) {
 	t := newTransport()
 	return func(address string, plain bool) Server {
 		if plain {
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -213,5 +213,9 @@
 		Entry("shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok", false),
 		Entry("chunks without the last", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nok\r\n", false),
 		Entry("neither", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", false),
+		Entry("by length, with status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok", false),
+		Entry("by length, with status 101", "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 2\r\n\r\nok", false),
+		Entry("by length, with a blank in a name", "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\nok", false),
+		Entry("by a length with a blank after its name", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok, and more", false),
 	)
 })
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"github.com/gentianflow/gentianflow/internal/failure"
+	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 // countingConn counts the bytes that were passed to the socket. If there were
@@ -39,9 +40,9 @@
 // does not deliver it. Since bytes were written, the outcome must be reported to
 // the caller as unknown. The handshake of a new connection proves that it
 // works, at the cost of one round trip.
-func newTransport() *http.Transport {
+func newTransport() upstream.CheckedTransport {
 	dialer := net.Dialer{Timeout: connectTimeout}
-	return &http.Transport{
+	return upstream.CheckedTransport{Transport: &http.Transport{
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeadBytes,
@@ -52,7 +53,7 @@
 			}
 			return &countingConn{Conn: conn}, nil
 		},
-	}
+	}}
 }
 
 // dispatch is the only function that sends a request for execution to a backend
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/gentianflow/gentianflow/internal/peer"
 	"github.com/gentianflow/gentianflow/internal/platform/httpplatform"
 	"github.com/gentianflow/gentianflow/internal/settings"
+	"github.com/gentianflow/gentianflow/internal/upstream"
 	"github.com/gentianflow/gentianflow/internal/wire"
 )
 
@@ -62,7 +63,7 @@
 	holder   *holder.Holder
 	claims   *claim.Claimer
 	platform *httpplatform.Client
-	backends *http.Transport
+	backends upstream.CheckedTransport
 	traffic  peer.Traffic
 
 	intake          *intake.Intake
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/gentianflow/gentianflow/internal/failure"
 	"github.com/gentianflow/gentianflow/internal/platform"
+	"github.com/gentianflow/gentianflow/internal/upstream"
 )
 
 const (
@@ -38,7 +39,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout}
-	return &Client{base: base, timeout: callTimeout, http: &http.Client{Transport: transport}}
+	return &Client{base: base, timeout: callTimeout, http: &http.Client{Transport: upstream.CheckedTransport{Transport: transport}}}
 }
 
 // Close closes the idle connections.
