entry, node: a host that shuts down passes no request on too late

What callers saw: in a planned stop of one host, in calm, requests that came late in the grace time were passed on and cut off at its end without an answer, among them requests that may not be repeated.

Cause: from 2.5 s after SIGTERM only new connections were refused. A request whose header had been read before, and whose body came late or that waited for a server, was passed on whenever it got that far, with no regard to the grace time that was left. At its end the process closed the connections.

Now, when the time for look-ups to expire is over (2.5 s), a request that no server has got is refused with 503, which says that it has not run, and a short Retry-After; its caller goes to another host. That holds while its body is still being read, while it waits for a server, and for repetitions. Exempt are requests whose own deadline is before the end, since they cannot be cut off, repetitions of safe requests and streams that have begun, which lose nothing. 100 ms before the connections are closed, requests that wait for a server's answer get theirs: 502, "it may have run"; their servers are not blamed. A stream that has begun and outlasts the grace time is still cut off, with a reset.

Weighed: to refuse by the time that the server is likely to need. That keeps more requests at this host, but the estimate errs where it matters, with long answers, and a refused request has another host to go to at once. A deadline is certain.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -101,16 +101,18 @@
 // Handler is the HTTP handler for callers.
 type Handler struct {
 	Dependencies
-	leaving atomic.Bool  // answers close their connections
-	closed  atomic.Bool  // new requests are refused
-	active  atomic.Int64 // requests without a final answer
-	bytes   atomic.Int64 // of bodies of requests and answers that were forwarded
-	pauses  hostPauses
-	buffers bufferLimit // for what servers send
+	leaving  atomic.Bool  // answers close their connections
+	active   atomic.Int64 // requests without a final answer
+	bytes    atomic.Int64 // of bodies of requests and answers that were forwarded
+	pauses   hostPauses
+	buffers  bufferLimit // for what servers send
+	shutdown *shutdown
 }
 
 // NewHandler returns a handler for callers.
-func NewHandler(deps Dependencies) *Handler { return &Handler{Dependencies: deps} }
+func NewHandler(deps Dependencies) *Handler {
+	return &Handler{Dependencies: deps, shutdown: newShutdown()}
+}
 
 // LimitBuffers bounds the memory of all buffers for answers.
 func (h *Handler) LimitBuffers(bytes int64) { h.buffers.set(bytes) }
@@ -118,9 +120,6 @@
 // CloseConnections makes answers close their connections, so that callers look up another host.
 func (h *Handler) CloseConnections() { h.leaving.Store(true) }
 
-// RefuseRequests makes the handler refuse new requests.
-func (h *Handler) RefuseRequests() { h.closed.Store(true) }
-
 // Active returns the number of requests without a final answer.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
@@ -189,12 +188,13 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.h.shutdown.ended, cancel)()
 	// Without a write deadline, a caller that stops reading would hold the goroutine and
 	// its placement at a server forever.
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeGrace))
 	for {
 		requested := time.Now()
-		placement, err := x.h.Placer.Acquire(ctx, x.placementRequest())
+		placement, err := x.acquire(ctx)
 		x.waited += time.Since(requested)
 		if err != nil {
 			x.giveUp(ctx, err)
@@ -210,8 +210,8 @@
 // admit determines route, account, service and deadline, and reads the body. Its errors
 // go to the caller; nothing was sent.
 func (x *exchange) admit() error {
-	if x.h.closed.Load() {
-		return failure.Retry(failure.Leaving, shutdownRetryAfter, "this host shuts down")
+	if x.h.shutdown.closed.Err() != nil {
+		return errShutdown
 	}
 	table := x.h.Routes.WaitFirst(x.r.Context().Done(), x.configWait())
 	if table == nil {
@@ -306,7 +306,12 @@
 	if maxBytes > 0 {
 		body = http.MaxBytesReader(x.w, body, maxBytes)
 	}
+	stop := x.interruptBody()
 	read, err := intake.ReadBody(x.r.Context(), body, x.r.ContentLength, x.deadline)
+	stop()
+	if err != nil && x.h.shutdown.refuses(x.deadline) {
+		err = errShutdown
+	}
 	if err == nil {
 		x.body = read
 		return nil
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -26,6 +26,10 @@
 		x.abort("no place to resume the stream: " + err.Error())
 	case x.errorAnswer != nil:
 		x.forwardAnswer(x.errorAnswer)
+	case x.runs == 0 && errors.Is(err, errShutdown):
+		x.fail(http.StatusServiceUnavailable, failure.Leaving, shutdownRetryAfter, "this host shuts down")
+	case x.runs > 0 && x.isCutOff():
+		x.fail(http.StatusBadGateway, failure.ServerLost, 0, "this host shuts down; it may have run")
 	case x.runs > 0 && ctx.Err() != nil:
 		x.fail(http.StatusGatewayTimeout, failure.Deadline, 0, "the deadline passed while it may have run")
 	case x.runs > 0 && quarantined(err) != nil:
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -339,6 +339,11 @@
 		x.h.Placer.FinishStream(t.placement.ID, sched.CallerLeft, sched.RunReport{LongestGap: t.gaps.longest, OutputTokens: t.outputTokens})
 		x.leave("while the request ran")
 	}
+	if x.isCutOff() {
+		x.h.Placer.FinishStream(t.placement.ID, sched.CallerLeft, sched.RunReport{LongestGap: t.gaps.longest, OutputTokens: t.outputTokens})
+		x.giveUp(ctx, errShutdown)
+		return done
+	}
 	if ctx.Err() != nil || !time.Now().Before(x.deadline) {
 		if x.stream.events == 0 { // nothing arrived before the deadline
 			go t.reportSilent()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,7 +46,9 @@
 	// addresses for lookupTTL, and the platform's limit for requests after SIGTERM is 3 s.
 	shutdownDelay = 2500 * time.Millisecond
 	// exitMargin is the part of Settings.Grace that is left for the process to exit.
-	exitMargin    = 300 * time.Millisecond
+	exitMargin = 300 * time.Millisecond
+	// answerMargin is how long before that requests in progress get their final answers.
+	answerMargin = 100 * time.Millisecond
 	drainPoll     = 20 * time.Millisecond
 	headerTimeout = 5 * time.Second
 	// idleTimeout exceeds the longest time that the configuration lets callers keep an idle
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -267,8 +267,8 @@
 // shutDown stops the host without cutting off requests. Look-ups and readiness checks stop
 // naming this host at once, and if it is the home, another host becomes the home. Callers that
 // still have the address are served for shutdownDelay, and each answer closes its connection.
-// Then new requests are refused, and shutDown waits for requests in progress, but no longer than
-// Settings.Grace less exitMargin.
+// Then requests that no server has got are refused, unless their deadlines leave time enough, and shutDown
+// waits for those in progress, but no longer than Settings.Grace less exitMargin.
 func (n *Node) shutDown() {
 	start := time.Now()
 	n.events.Record(event.ProcessDraining, event.Fields{})
@@ -276,7 +276,11 @@
 	n.members.SetLeaving()
 	n.entry.CloseConnections()
 	time.Sleep(shutdownDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(n.settings.Grace-exitMargin))
+	stop := start.Add(n.settings.Grace - exitMargin)
+	end := stop.Add(-answerMargin)
+	n.entry.RefuseRequests(end)
+	defer time.AfterFunc(time.Until(end), n.entry.EndRequests).Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), stop)
 	defer cancel()
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.events.Record(event.DutyFailed, event.Fields{Detail: "requests in progress at the end of the grace time: " + strconv.Itoa(n.entry.Active())})
