test/platform: many servers whose answers never end, at once

The report of bytes without end (a host that keeps what a faulty server sends and runs out of memory) is handled: a head with its interim answers, an event, a body and all buffers together are bounded. The specs so far play one such server at a time, 20 kinds.

--- a/test/platform/endless_test.go
+++ b/test/platform/endless_test.go
@@ -181,4 +181,43 @@
 			}
 		})
 	}
+
+	// Guards against buffers that are bounded for each answer, but not together.
+	It("does not exhaust the memory of a host when many servers do so at once", func() {
+		s := newSite(siteOptions{hosts: 2, engines: 2, apps: 2})
+		var servers []*endlessServer
+		for service := range calls {
+			n := 0
+			for _, answer := range answers {
+				n++
+				server, _ := s.startEndless(fmt.Sprintf("i-endless-%s-%d", service, n), service, answer)
+				servers = append(servers, server)
+			}
+		}
+		reached := func() (n int) {
+			for _, server := range servers {
+				if server.requests.Load() > 0 {
+					n++
+				}
+			}
+			return n
+		}
+		Eventually(func() int {
+			var callers sync.WaitGroup
+			for range 4 {
+				for _, call := range calls {
+					for i := range callsAtOnce {
+						callers.Go(func() { s.send(s.hosts[i%2], call()) })
+					}
+				}
+			}
+			callers.Wait()
+			return reached()
+		}).WithTimeout(30*time.Second).Should(BeNumerically(">=", len(servers)/2), "servers that were reached")
+		for _, h := range s.hosts {
+			Expect(h.session.ExitCode()).To(Equal(-1))
+			Expect(h.peakMemory()).To(BeNumerically("<", maxMemory), "MB at %s", h.name)
+		}
+		AddReportEntry("peak", fmt.Sprintf("%d and %d MB, %d of %d servers reached", s.hosts[0].peakMemory(), s.hosts[1].peakMemory(), reached(), len(servers)))
+	})
 })
