--- a/cmd/gentianctl/client.go
+++ b/cmd/gentianctl/client.go
@@ -29,7 +29,8 @@
 }
 
 func newAdminClient(c *cli.Command) *adminClient {
-	return &adminClient{addresses: c.StringSlice("admin"), token: c.String("admin-token"), http: &http.Client{Transport: upstream.CheckedTransport{Transport: http.DefaultTransport.(*http.Transport).Clone()}, Timeout: requestTimeout}}
+	transport := upstream.CheckedTransport{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+	return &adminClient{addresses: c.StringSlice("admin"), token: c.String("admin-token"), http: &http.Client{Transport: transport, Timeout: requestTimeout}}
 }
 
 // get tries the addresses in turn until a call succeeds.
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -17,9 +17,10 @@
 // A request that is passed on late would be cut off by the end of the process, and its caller could not tell
 // whether it ran. A refused one has not run, and its caller goes to another host.
 type shutdown struct {
-	closed, ended context.Context
+	closed        context.Context           // done when late requests are refused
+	ended         context.Context           // done when requests in progress are given up
+	end           atomic.Pointer[time.Time] // when ended will be done; set before closed is
 	close, finish context.CancelFunc
-	end           atomic.Pointer[time.Time] // set before closed is done
 }
 
 func newShutdown() *shutdown {
@@ -88,6 +89,7 @@
 // interruptBody ends the read of a body that arrives too late, until stop is called.
 func (x *exchange) interruptBody() (stop func() bool) {
 	return x.h.shutdown.onRefusal(x.deadline, func() {
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now()) // without it the body is refused when it is read
+		// If it fails, the request is refused once its body is read.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
 	})
 }
