--- a/test/platform/broken_test.go
+++ b/test/platform/broken_test.go
@@ -107,14 +107,15 @@
 	// Guards against an answer that was cut off, or is none, and reaches callers as a whole answer.
 	DescribeTable("reaches no caller as a whole answer",
 		func(service string, call standin.Call, answer brokenAnswer) {
-			s := newSite(siteOptions{hosts: 2, engines: 1, apps: 1})
-			for _, srv := range s.servers {
-				if srv.Spec.Service == service {
-					srv.RemoveEntry()
-				}
+			options := siteOptions{hosts: 2, engines: 1, apps: 1}
+			if service == standin.AppService {
+				options.apps = 0
+			} else {
+				options.engines = 0
 			}
+			s := newSite(options)
 			requests := s.startBroken(service, answer)
-			time.Sleep(drainTime + time.Second) // until no host uses the removed server
+			time.Sleep(500 * time.Millisecond) // until the hosts know it
 			var mu sync.Mutex
 			var all sync.WaitGroup
 			var passed []rawAnswer
--- a/test/platform/grace_test.go
+++ b/test/platform/grace_test.go
@@ -140,6 +140,28 @@
 		Entry("unsafe calls of 1.5 s", confirm()),
 	)
 
+	// Guards against callers that get no answer, since their server has not answered by the end of the process.
+	It("answers requests that outlast the grace time", func() {
+		s := newSite(siteOptions{hosts: 3, engines: 1})
+		slow := s.addServer(standin.ServerSpec{ID: "i-app0", Service: standin.AppService, Zone: s.zone(0), Address: "127.0.0.1:0", Slots: 24, Queue: 24, Work: 12 * time.Second})
+		s.changeConfig(func(c *standin.Config) {
+			for _, route := range c.Routes {
+				route["timeoutMs"] = 15000
+			}
+		})
+		time.Sleep(500 * time.Millisecond) // until it is in force
+		now := make(chan time.Duration)
+		close(now)
+		var callers sync.WaitGroup
+		var r lateRequest
+		callers.Go(func() { r = s.hosts[0].sendLate(0, confirm(), now) })
+		Eventually(func() int { return len(slow.Runs()) }).Should(Equal(1))
+		s.hosts[0].session.Signal(syscall.SIGTERM)
+		callers.Wait()
+		Expect(r.complete).To(BeTrue(), "%+v", r)
+		Expect(r.status).To(Equal(http.StatusBadGateway), "%+v", r)
+	})
+
 	// Guards against requests that wait for a server until it is too late for their answers.
 	It("answers or refuses requests that wait for a server", func() {
 		s := calm()
