--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,7 +48,7 @@
 	// exitMargin is the part of Settings.Grace that is left for the process to exit.
 	exitMargin = 300 * time.Millisecond
 	// answerMargin is how long before that requests in progress get their final answers.
-	answerMargin = 100 * time.Millisecond
+	answerMargin  = 100 * time.Millisecond
 	drainPoll     = 20 * time.Millisecond
 	headerTimeout = 5 * time.Second
 	// idleTimeout exceeds the longest time that the configuration lets callers keep an idle
