upstream: a malformed trailer makes an answer incomplete

What callers saw: an answer in chunks whose trailer has a field with a blank in its name was passed on as a whole answer, without the trailer.

Cause: net/http accepts blanks in names of trailers as in heads, and only heads were checked. Now the body of an answer in chunks fails at its end if a name in its trailer is no token, for callers' requests and for the readers by CheckedTransport. Such an answer counts as lost, as with a malformed head. Sound trailers are discarded as before.

Evidence: without the change three new entries of upstream and the one over real hosts fail; with it all pass. A control byte in a name was refused before.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -214,6 +214,7 @@
 	if err := checkFraming(resp, read[:len(read)-c.r.Buffered()]); err != nil {
 		return nil, err
 	}
+	checkTrailer(resp)
 	return resp, nil
 }
 
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 
 	"golang.org/x/net/http/httpguts"
@@ -63,6 +64,30 @@
 	return "", false
 }
 
+// trailedBody is the body of an answer in chunks. It is complete only if its trailer is well-formed.
+type trailedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader. It fails with ServerLost instead of io.EOF if the trailer is malformed.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if bad := checkNames(b.resp.Trailer); bad != nil {
+			err = bad
+		}
+	}
+	return n, err
+}
+
+// checkTrailer makes the body of an answer in chunks check its trailer.
+func checkTrailer(resp *http.Response) {
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp}
+	}
+}
+
 func malformed(format string, args ...any) error {
 	return failure.New(failure.ServerLost, "malformed answer: "+format, args...)
 }
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -68,6 +68,9 @@
 		Entry("version 2.0", "HTTP/2.0 200 OK\r\n"+end),
 		Entry("version 9.9", "HTTP/9.9 200 OK\r\n"+end),
 		Entry("a signed chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n"),
+		Entry("a blank in a name of a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Bad: 1\r\n\r\n"),
+		Entry("a blank after a name of a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Bad : 1\r\n\r\n"),
+		Entry("a control byte in a name of a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX\x01Bad: 1\r\n\r\n"),
 		Entry("a control byte in a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: a\x01b\r\n\r\n"),
 	)
 
@@ -94,6 +97,7 @@
 		Entry("an empty value", "HTTP/1.1 200 OK\r\nX-Empty:\r\n"+end),
 		Entry("line feeds alone", "HTTP/1.1 200 OK\nContent-Length: 2\n\nok"),
 		Entry("a folded value", "HTTP/1.1 200 OK\r\nX-Long: a\r\n b\r\n"+end),
+		Entry("a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n"),
 		Entry("interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n"+end),
 		Entry("an interim answer with length 0", "HTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n"+end),
 		Entry("equal lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+end),
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -25,6 +25,7 @@
 		_ = resp.Body.Close() // nothing of it is used
 		return nil, err
 	}
+	checkTrailer(resp)
 	return resp, nil
 }
 
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -57,6 +57,7 @@
 		Entry("a blank in a name", "HTTP/1.1 200 OK\r\nX Bad: 1\r\n"+whole),
 		Entry("a blank after a name", "HTTP/1.1 200 OK\r\nX-Bad : 1\r\n"+whole),
 		Entry("a blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\nHTTP/1.1 200 OK\r\n"+whole),
+		Entry("a blank in a name of a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Bad: 1\r\n\r\n"),
 		Entry("version 2.0", "HTTP/2.0 200 OK\r\n"+whole),
 	)
 
--- a/test/platform/broken_test.go
+++ b/test/platform/broken_test.go
@@ -148,6 +148,7 @@
 		Entry("a control byte in a name", standin.AppService, check(), brokenAnswer{"HTTP/1.1 200 OK\r\n" + signed + "X\x01Bad: 1\r\nContent-Length: 2\r\n\r\nok", false, 0}),
 		Entry("a blank after the name of the length", standin.AppService, check(), brokenAnswer{"HTTP/1.1 200 OK\r\n" + signed + "Content-Length : 2\r\n\r\nok, and more", false, 0}),
 		Entry("a blank after the name of the coding", standin.AppService, check(), brokenAnswer{"HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false, 0}),
+		Entry("a blank in a name of a trailer", standin.AppService, check(), brokenAnswer{"HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Bad: 1\r\n\r\n", false, 0}),
 		Entry("a stream with a blank in a name", standin.EngineService, digest(), brokenAnswer{"HTTP/1.1 200 OK\r\n" + events + "X Bad: 1\r\n\r\n{event}", false, 0}),
 		Entry("a stream with status 101", standin.EngineService, appraise(), brokenAnswer{"HTTP/1.1 101 Switching Protocols\r\n" + events + "\r\n{event}", false, 0}),
 	)
