sched: hosts that schedule alone have a slot if their part is one or more

While the home knew no services (1.2 to 1.5 s), one of the four other hosts refused every request with 503 "no server had room in time (1 waiting, 3 servers usable)" while its servers were idle.

Cause: a host without a home has a part of each server's slots, here 6/7 of a slot, and rounds it by a hash of its incarnation and the server, for each server alone. An unlucky incarnation rounds down at all of them. Here that is 1 host in 343 (expected), but with 72 hosts and 12 servers of 6 slots, where the part is a whole slot, every third.

Why it works: the fractions of a service's servers are spaced evenly, in the order of the hashes, with an offset by host. With equal slots the parts of a host then add up to their sum rounded down or up, so nobody with a slot or more has none, and the share of hosts that use a server is as before.

--- a/internal/sched/brittle.go
+++ b/internal/sched/brittle.go
@@ -166,7 +166,7 @@
 // standaloneLimit is how many requests a brittle server may have from a host that schedules alone.
 func (s *Scheduler) standaloneLimit(srv *server, slots float64) int {
 	hosts := standaloneHosts(srv, s.notices[srv.ID].MaxRejections.PerSecond)
-	if srv.hashFraction >= hosts*s.share.Servers {
+	if srv.roundingFraction >= hosts*s.share.Servers {
 		return 0
 	}
 	return max(1, int(slots/hosts))
--- a/internal/sched/inventory.go
+++ b/internal/sched/inventory.go
@@ -34,6 +34,7 @@
 		s.applyNotice(now, srv)
 	}
 	for _, svc := range s.services {
+		s.spreadRounding(svc)
 		svc.index.outdated = true
 	}
 	s.suspects.SetPartial(share.Servers < 1)
@@ -143,6 +144,7 @@
 	}
 	srv := newServer(now, spec, svc, s.policy.EjectionTime)
 	srv.hashFraction = hashFraction(s.owner, spec.ID)
+	srv.roundingFraction = srv.hashFraction
 	s.servers[spec.ID] = srv
 	s.list(srv)
 	s.applyNotice(now, srv)
@@ -199,6 +201,26 @@
 			srv.serving = svc
 		}
 		svc.typical = 0
+		s.spreadRounding(svc)
 		svc.index.outdated = true
 	}
 }
+
+// spreadRounding spaces the rounding fractions of a service's servers evenly for a host that schedules
+// alone, in the order of their hash fractions.
+//
+// With the hash fractions themselves, the slots that a host gets by rounding vary: of 72 hosts that share 72
+// slots of 12 servers, a third have none and refuse all of their requests.
+func (s *Scheduler) spreadRounding(svc *service) {
+	if s.share.Servers >= 1 {
+		return
+	}
+	servers := slices.DeleteFunc(slices.Clone(svc.servers), func(srv *server) bool { return srv.Draining })
+	slices.SortFunc(servers, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.hashFraction, b.hashFraction), cmp.Compare(a.ID, b.ID))
+	})
+	offset := hashFraction(s.owner, svc.Name)
+	for i, srv := range servers {
+		srv.roundingFraction = (float64(i) + offset) / float64(len(servers))
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -91,7 +91,7 @@
 }
 
 // concurrencyLimit is how many requests srv may have at once from this scheduler. A
-// fraction of a slot is rounded by srv.hashFraction, which differs between hosts: of many
+// fraction of a slot is rounded by srv.roundingFraction, which differs between hosts: of many
 // hosts that each have a tenth of a slot, about one in ten uses the server. If each used one
 // slot, 72 hosts that have lost their home would fill a server of 6 slots twelve times
 // over. A server that states a rate limit is shared by that limit instead, so each host
@@ -110,7 +110,7 @@
 	}
 	share := factor * s.share.Servers * slots
 	n := int(share)
-	if srv.hashFraction < share-float64(n) || n == 0 && srv.pacer.limited() {
+	if srv.roundingFraction < share-float64(n) || n == 0 && srv.pacer.limited() {
 		n++
 	}
 	return n
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -15,7 +15,7 @@
 type Scheduler struct {
 	policy      Policy
 	share       Share
-	owner       uint64 // incarnation of the host; determines the hashFraction of each server
+	owner       uint64 // incarnation of the host; determines the fractions of each server
 	services    map[string]*service
 	servers     map[string]*server
 	listed      map[string][]*server // by service, ordered by ID
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -398,6 +398,37 @@
 		Expect(total).To(BeNumerically("~", servers*slots, servers*slots/3))
 	})
 
+	// Guards against a host that refuses all of its requests while it schedules alone, because its part of each
+	// server is rounded down.
+	DescribeTable("has a slot when it schedules alone and its part of all servers is at least one",
+		func(hosts, servers, slots int) {
+			total := 0
+			for h := range uint64(2000) {
+				s := New(DefaultPolicy())
+				s.SetOwner(h)
+				s.SetServices(0, []Service{{Name: engine, Engine: true}})
+				var list []Server
+				for i := range servers {
+					list = append(list, Server{ID: fmt.Sprint("e", i), Service: engine, Slots: slots})
+				}
+				s.SetServers(0, list)
+				s.SetShare(0, Share{Servers: 1 / float64(hosts), Quotas: 1 / float64(hosts)})
+				n := 0
+				for id := range uint64(servers * slots) {
+					out, _ := s.Submit(0, stream(id, 0, 0))
+					n += len(placed(out))
+				}
+				Expect(n).To(BeNumerically(">=", 1), "host %d", h)
+				total += n
+			}
+			part := float64(servers*slots) / float64(hosts)
+			Expect(float64(total) / 2000).To(BeNumerically("~", part, 0.05*part))
+		},
+		Entry("of a few hosts", 7, 3, 6),
+		Entry("of many hosts", 72, 12, 6),
+		Entry("beside more hosts than a server has slots", 16, 20, 1),
+	)
+
 	It("stays within its share of the servers when it schedules alone", func() {
 		s := newScheduler(1, 8)
 		s.SetShare(0, Share{Servers: 0.25, Quotas: 0.1})
--- a/internal/sched/server.go
+++ b/internal/sched/server.go
@@ -55,7 +55,8 @@
 	nextEjection      time.Duration // length of the next ejection
 	pausedUntil       Time          // no requests until then, since it rejected one
 	coldUntil         Time          // end of its warm-up, until which it is slower
-	hashFraction      float64       // 0 to 1, differs by host and server; rounds a host's fractional share of the slots
+	hashFraction      float64       // 0 to 1, differs by host and server
+	roundingFraction  float64       // 0 to 1, differs by host and server; rounds a host's fractional share of the slots
 	cache             prefixCache
 	idleConnections   idleConnections
 	firstListedAt     Time // when the server list first had it
--- a/internal/sched/serverload.go
+++ b/internal/sched/serverload.go
@@ -307,7 +307,7 @@
 	if !s.policy.LiveLoad || s.share.Servers >= 1 {
 		return 0
 	}
-	// hashFraction itself decides which hosts may use a server at all, so its lower bits are taken.
+	// The order of the hash fractions decides which servers a host uses at all, so their lower bits are taken.
 	_, fraction := math.Modf(srv.hashFraction * (1 << 20))
 	return time.Duration(float64(cost) * aloneSpread * fraction)
 }
